--- /dev/null
+++ b/src/configuration/descriptions.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "codec/description.h"
+#include "configuration/types.h"
+
+namespace hickorymount::codec {
+
+template <>
+struct description<configuration::statement_kind>
+{
+    static constexpr auto enumerators = std::tuple{enumerator{"read", configuration::statement_kind::read},
+                                                   enumerator{"write", configuration::statement_kind::write}};
+};
+
+template <>
+struct description<configuration::acknowledgement>
+{
+    static constexpr auto enumerators =
+        std::tuple{enumerator{"primary", configuration::acknowledgement::primary},
+                   enumerator{"replica", configuration::acknowledgement::replica}};
+};
+
+template <>
+struct description<configuration::class_settings>
+{
+    using type = configuration::class_settings;
+    static constexpr std::string_view name = "class";
+    static constexpr auto members = std::tuple{
+        member{"kind", &type::kind},
+        member{"max_age", &type::max_age},
+        member{"acknowledged_by", &type::acknowledged_by},
+        member{"repeatable", &type::repeatable},
+        member{"key_retention", &type::key_retention},
+        member{"deadline", &type::deadline},
+        member{"queue_limit", &type::queue_limit},
+    };
+};
+
+template <>
+struct description<configuration::group_settings>
+{
+    using type = configuration::group_settings;
+    static constexpr std::string_view name = "group";
+    static constexpr auto members = std::tuple{
+        member{"instances", &type::instances},
+        member{"slots", &type::slots},
+        member{"connections", &type::connections},
+        member{"connection_cost", &type::connection_cost},
+    };
+};
+
+template <>
+struct description<configuration::configuration>
+{
+    using type = configuration::configuration;
+    static constexpr std::string_view name = "configuration";
+    static constexpr auto members = std::tuple{
+        member{"deployment", &type::deployment}, member{"tenant", &type::tenant},
+        member{"zones", &type::zones},           member{"entry_hosts", &type::entry_hosts},
+        member{"groups", &type::groups},         member{"classes", &type::classes},
+    };
+};
+
+template <>
+struct description<configuration::versioned_configuration>
+{
+    using type = configuration::versioned_configuration;
+    static constexpr std::string_view name = "versioned_configuration";
+    static constexpr auto members =
+        std::tuple{member{"version", &type::version}, member{"content", &type::content}};
+};
+
+} // namespace hickorymount::codec
--- /dev/null
+++ b/src/configuration/internal/questionnaire.cpp
@@ -0,0 +1,376 @@
+#include "configuration/questionnaire.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <initializer_list>
+#include <set>
+
+#include "codec/json_codec.h"
+#include "configuration/descriptions.h"
+
+#include <fmt/format.h>
+#include <toml++/toml.h>
+
+namespace hickorymount::configuration {
+
+namespace {
+
+constexpr std::int64_t MAX_ENTRY_HOSTS = 500;
+constexpr std::int64_t MAX_INSTANCES = 9;
+constexpr std::int64_t MAX_SLOTS = 1'000;
+constexpr std::int64_t MAX_CONNECTIONS = 10'000;
+constexpr std::int64_t MAX_QUEUE = 100'000;
+constexpr milliseconds MAX_CONNECTION_COST{60'000};
+constexpr milliseconds MAX_DEADLINE{600'000};
+constexpr milliseconds MAX_READ_AGE{24LL * 3'600'000};
+constexpr milliseconds MAX_KEY_RETENTION{30LL * 24 * 3'600'000};
+
+struct duration_unit
+{
+    std::string_view suffix;
+    std::int64_t milliseconds;
+};
+
+constexpr std::array<duration_unit, 4> DURATION_UNITS{
+    {{"ms", 1}, {"s", 1'000}, {"min", 60'000}, {"h", 3'600'000}}};
+
+std::optional<milliseconds> parse_duration(std::string_view text)
+{
+    std::int64_t count = 0;
+    const auto [rest, status] = std::from_chars(text.data(), text.data() + text.size(), count);
+    if (status != std::errc{}) {
+        return std::nullopt;
+    }
+    const std::string_view suffix(rest, static_cast<std::size_t>(text.data() + text.size() - rest));
+    for (const duration_unit& unit : DURATION_UNITS) {
+        if (unit.suffix == suffix && std::abs(count) <= MAX_KEY_RETENTION.count()) {
+            return milliseconds{count * unit.milliseconds};
+        }
+    }
+    return std::nullopt;
+}
+
+/// Reads one questionnaire and collects everything wrong in it.
+class questionnaire_reader
+{
+public:
+    explicit questionnaire_reader(std::string file)
+        : m_file(std::move(file))
+    {
+    }
+
+    questionnaire_result read(const toml::table& document)
+    {
+        refuse_unknown(document, {"deployment", "service", "class"});
+        read_deployment(document);
+        read_services(document);
+        read_classes(document);
+        check_sums(document);
+        if (!m_problems.empty()) {
+            return m_problems;
+        }
+        return m_configuration;
+    }
+
+private:
+    void report(const toml::node& where, std::string expected)
+    {
+        const toml::source_position at = where.source().begin;
+        m_problems.push_back({m_file, at.line, at.column, std::move(expected)});
+    }
+
+    void refuse_unknown(const toml::table& table, std::initializer_list<std::string_view> known)
+    {
+        for (const auto& [key, node] : table) {
+            if (std::find(known.begin(), known.end(), key.str()) == known.end()) {
+                const toml::source_position at = key.source().begin;
+                m_problems.push_back({m_file, at.line, at.column,
+                                      fmt::format("one of {}, not '{}'", fmt::join(known, ", "), key.str())});
+            }
+        }
+    }
+
+    const toml::node* required(const toml::table& table, std::string_view key)
+    {
+        const toml::node* node = table.get(key);
+        if (node == nullptr) {
+            report(table, fmt::format("'{}', which is missing", key));
+        }
+        return node;
+    }
+
+    std::string read_name(const toml::table& table, std::string_view key)
+    {
+        const toml::node* node = required(table, key);
+        if (node == nullptr) {
+            return {};
+        }
+        return name_of(*node, key);
+    }
+
+    std::string name_of(const toml::node& node, std::string_view key)
+    {
+        const auto text = node.value_exact<std::string>();
+        const auto allowed = [](char each) {
+            return (each >= 'a' && each <= 'z') || (each >= '0' && each <= '9') || each == '-';
+        };
+        if (!text || text->empty() || !std::all_of(text->begin(), text->end(), allowed)) {
+            report(node, fmt::format("'{}' to be a name of a-z, 0-9 and '-'", key));
+            return {};
+        }
+        return *text;
+    }
+
+    std::uint32_t read_count(const toml::table& table, std::string_view key, std::int64_t most)
+    {
+        const toml::node* node = required(table, key);
+        if (node == nullptr) {
+            return 0;
+        }
+        const auto count = node->value_exact<std::int64_t>();
+        if (!count || *count < 1 || *count > most) {
+            report(*node, fmt::format("'{}' to be a whole number from 1 to {}", key, most));
+            return 0;
+        }
+        return static_cast<std::uint32_t>(*count);
+    }
+
+    milliseconds read_duration(const toml::table& table, std::string_view key, milliseconds most)
+    {
+        const toml::node* node = required(table, key);
+        return node == nullptr ? milliseconds{0} : duration_of(*node, key, most);
+    }
+
+    milliseconds duration_of(const toml::node& node, std::string_view key, milliseconds most)
+    {
+        const auto text = node.value_exact<std::string>();
+        const auto duration = text ? parse_duration(*text) : std::nullopt;
+        if (!duration) {
+            report(node, fmt::format("'{}' to be a duration such as \"250ms\", \"5s\", \"10min\" or \"24h\"", key));
+            return milliseconds{0};
+        }
+        if (*duration < milliseconds{0} || *duration > most) {
+            report(node, fmt::format("'{}' to be from 0ms to {}ms", key, most.count()));
+            return milliseconds{0};
+        }
+        return *duration;
+    }
+
+    template <class Value>
+    Value read_choice(const toml::table& table, std::string_view key,
+                      std::initializer_list<std::pair<std::string_view, Value>> choices, std::optional<Value> fallback)
+    {
+        const toml::node* node = fallback ? table.get(key) : required(table, key);
+        if (node == nullptr) {
+            return fallback.value_or(choices.begin()->second);
+        }
+        const auto text = node->value_exact<std::string>();
+        std::vector<std::string> names;
+        for (const auto& [name, value] : choices) {
+            if (text && *text == name) {
+                return value;
+            }
+            names.push_back(fmt::format("\"{}\"", name));
+        }
+        report(*node, fmt::format("'{}' to be {}", key, fmt::join(names, " or ")));
+        return choices.begin()->second;
+    }
+
+    void read_deployment(const toml::table& document)
+    {
+        const toml::node* node = required(document, "deployment");
+        if (node == nullptr) {
+            return;
+        }
+        const toml::table* table = node->as_table();
+        if (table == nullptr) {
+            report(*node, "[deployment] to be a table");
+            return;
+        }
+        refuse_unknown(*table, {"name", "tenant", "availability_zones", "entry_hosts"});
+        m_configuration.deployment = read_name(*table, "name");
+        m_configuration.tenant = tenant_name{read_name(*table, "tenant")};
+        m_configuration.entry_hosts = read_count(*table, "entry_hosts", MAX_ENTRY_HOSTS);
+        read_zones(*table);
+    }
+
+    void read_zones(const toml::table& table)
+    {
+        const toml::node* node = required(table, "availability_zones");
+        if (node == nullptr) {
+            return;
+        }
+        const toml::array* zones = node->as_array();
+        if (zones == nullptr || zones->empty()) {
+            report(*node, "'availability_zones' to be a list of one name or more");
+            return;
+        }
+        std::set<std::string> seen;
+        for (const toml::node& zone : *zones) {
+            const std::string name = name_of(zone, "availability_zones");
+            if (!name.empty() && !seen.insert(name).second) {
+                report(zone, fmt::format("each availability zone once; '{}' stands twice", name));
+            }
+            m_configuration.zones.push_back(availability_zone{name});
+        }
+    }
+
+    template <class Read>
+    void each_table(const toml::table& document, std::string_view key, Read read)
+    {
+        const toml::node* node = required(document, key);
+        if (node == nullptr) {
+            return;
+        }
+        const toml::array* tables = node->as_array();
+        if (tables == nullptr || !tables->is_array_of_tables()) {
+            report(*node, fmt::format("[[{}]] to be a list of tables", key));
+            return;
+        }
+        for (const toml::node& table : *tables) {
+            read(*table.as_table());
+        }
+    }
+
+    void read_services(const toml::table& document)
+    {
+        each_table(document, "service", [this](const toml::table& table) {
+            refuse_unknown(table, {"name", "instances", "slots", "connections", "connection_cost"});
+            const group_name name{read_name(table, "name")};
+            const group_settings settings{
+                .instances = read_count(table, "instances", MAX_INSTANCES),
+                .slots = read_count(table, "slots", MAX_SLOTS),
+                .connections = read_count(table, "connections", MAX_CONNECTIONS),
+                .connection_cost = read_duration(table, "connection_cost", MAX_CONNECTION_COST),
+            };
+            if (!m_configuration.groups.emplace(name, settings).second) {
+                report(table, fmt::format("each service once; '{}' stands twice", name.value));
+            }
+        });
+    }
+
+    void read_classes(const toml::table& document)
+    {
+        each_table(document, "class", [this](const toml::table& table) {
+            refuse_unknown(table, {"name", "kind", "max_age", "acknowledged_by", "repeat", "key_retention",
+                                   "deadline", "queue_limit"});
+            const class_name name{read_name(table, "name")};
+            if (!m_configuration.classes.emplace(name, read_class(table)).second) {
+                report(table, fmt::format("each class once; '{}' stands twice", name.value));
+            }
+        });
+    }
+
+    class_settings read_class(const toml::table& table)
+    {
+        class_settings settings;
+        settings.kind = read_choice<statement_kind>(
+            table, "kind", {{"read", statement_kind::read}, {"write", statement_kind::write}}, std::nullopt);
+        settings.deadline = read_duration(table, "deadline", MAX_DEADLINE);
+        settings.queue_limit = read_count(table, "queue_limit", MAX_QUEUE);
+        settings.acknowledged_by = read_choice<acknowledgement>(
+            table, "acknowledged_by", {{"primary", acknowledgement::primary}, {"replica", acknowledgement::replica}},
+            acknowledgement::primary);
+        settings.repeatable =
+            read_choice<bool>(table, "repeat", {{"allowed", true}, {"never", false}}, std::optional(true));
+        if (const toml::node* node = table.get("max_age")) {
+            settings.max_age = duration_of(*node, "max_age", MAX_READ_AGE);
+        }
+        if (const toml::node* node = table.get("key_retention")) {
+            settings.key_retention = duration_of(*node, "key_retention", MAX_KEY_RETENTION);
+        }
+        check_class(table, settings);
+        return settings;
+    }
+
+    void check_class(const toml::table& table, const class_settings& settings)
+    {
+        const auto refuse = [&](std::string_view key, std::string expected) {
+            const toml::node* node = table.get(key);
+            report(node == nullptr ? table : *node, std::move(expected));
+        };
+        if (settings.deadline == milliseconds{0} && table.contains("deadline")) {
+            refuse("deadline", "'deadline' to be longer than 0ms");
+        }
+        if (settings.kind == statement_kind::write && settings.max_age) {
+            refuse("max_age", "'max_age' only on a class of kind \"read\"");
+        }
+        if (settings.kind == statement_kind::read && table.contains("acknowledged_by")) {
+            refuse("acknowledged_by", "'acknowledged_by' only on a class of kind \"write\"");
+        }
+        if (settings.kind == statement_kind::read && !settings.repeatable) {
+            refuse("repeat", "repeat = \"never\" only on a class of kind \"write\"");
+        }
+        if (settings.repeatable && table.contains("key_retention")) {
+            refuse("key_retention", "'key_retention' only beside repeat = \"never\"");
+        }
+        if (!settings.repeatable && settings.key_retention < settings.deadline) {
+            refuse("key_retention", "'key_retention' of at least the class's deadline beside repeat = \"never\"");
+        }
+    }
+
+    void check_sums(const toml::table& document)
+    {
+        const toml::array* services = document["service"].as_array();
+        if (services == nullptr || !m_problems.empty()) {
+            return;
+        }
+        for (const toml::node& service : *services) {
+            const toml::table& table = *service.as_table();
+            const group_settings& settings = m_configuration.groups.at(group_name{*table["name"].value<std::string>()});
+            if (settings.connections < m_configuration.entry_hosts) {
+                report(*table.get("connections"),
+                       fmt::format("'connections' of at least {}, one for each entry host", m_configuration.entry_hosts));
+            }
+            if (settings.slots > settings.connections) {
+                report(*table.get("slots"), "'slots' of no more than 'connections'");
+            }
+        }
+    }
+
+    std::string m_file;
+    configuration m_configuration;
+    std::vector<questionnaire_problem> m_problems;
+};
+
+} // namespace
+
+std::string to_string(const questionnaire_problem& problem)
+{
+    return fmt::format("{}:{}:{}: expected {}", problem.file, problem.line, problem.column, problem.expected);
+}
+
+questionnaire_result generate(std::string_view toml_text, const std::string& file)
+{
+    try {
+        return questionnaire_reader(file).read(toml::parse(toml_text, file));
+    } catch (const toml::parse_error& problem) {
+        const toml::source_position at = problem.source().begin;
+        return std::vector{questionnaire_problem{
+            file, at.line, at.column, fmt::format("valid TOML: {}", std::string_view(problem.description()))}};
+    }
+}
+
+std::vector<std::string> differences(const configuration& before, const configuration& after)
+{
+    const codec::json from = codec::encode(before).flatten();
+    const codec::json into = codec::encode(after).flatten();
+    std::vector<std::string> lines;
+    for (const auto& [path, value] : from.items()) {
+        if (!into.contains(path)) {
+            lines.push_back(fmt::format("{}: {} -> (none)", path, value.dump()));
+        } else if (into[path] != value) {
+            lines.push_back(fmt::format("{}: {} -> {}", path, value.dump(), into[path].dump()));
+        }
+    }
+    for (const auto& [path, value] : into.items()) {
+        if (!from.contains(path)) {
+            lines.push_back(fmt::format("{}: (none) -> {}", path, value.dump()));
+        }
+    }
+    std::sort(lines.begin(), lines.end());
+    return lines;
+}
+
+} // namespace hickorymount::configuration
--- /dev/null
+++ b/src/consensus/descriptions.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include "codec/description.h"
+#include "consensus/types.h"
+#include "directory/descriptions.h"
+
+namespace hickorymount::codec {
+
+template <>
+struct description<consensus::member>
+{
+    using type = consensus::member;
+    static constexpr std::string_view name = "member";
+    static constexpr auto members = std::tuple{member{"name", &type::name}, member{"identity", &type::identity}};
+};
+
+template <>
+struct description<consensus::membership>
+{
+    using type = consensus::membership;
+    static constexpr std::string_view name = "membership";
+    static constexpr auto members =
+        std::tuple{member{"voters", &type::voters}, member{"learners", &type::learners}};
+};
+
+template <>
+struct description<consensus::no_operation>
+{
+    static constexpr std::string_view name = "no_operation";
+    static constexpr auto members = std::tuple{};
+};
+
+template <>
+struct description<directory::command>
+{
+    static constexpr std::string_view name = "command";
+};
+
+template <>
+struct description<consensus::log_entry>
+{
+    using type = consensus::log_entry;
+    static constexpr std::string_view name = "log_entry";
+    static constexpr auto members = std::tuple{member{"index", &type::index}, member{"term", &type::term},
+                                               member{"content", &type::content}};
+};
+
+template <>
+struct description<consensus::hard_state>
+{
+    using type = consensus::hard_state;
+    static constexpr std::string_view name = "hard_state";
+    static constexpr auto members =
+        std::tuple{member{"term", &type::term}, member{"voted_for", &type::voted_for}};
+};
+
+template <>
+struct description<consensus::snapshot>
+{
+    using type = consensus::snapshot;
+    static constexpr std::string_view name = "snapshot";
+    static constexpr auto members =
+        std::tuple{member{"last_index", &type::last_index}, member{"last_term", &type::last_term},
+                   member{"members", &type::members}, member{"directory", &type::directory}};
+};
+
+template <>
+struct description<consensus::vote_request>
+{
+    using type = consensus::vote_request;
+    static constexpr std::string_view name = "vote_request";
+    static constexpr auto members = std::tuple{
+        member{"pre_vote", &type::pre_vote},     member{"term", &type::term},
+        member{"candidate", &type::candidate},   member{"last_index", &type::last_index},
+        member{"last_term", &type::last_term},
+    };
+};
+
+template <>
+struct description<consensus::vote_answer>
+{
+    using type = consensus::vote_answer;
+    static constexpr std::string_view name = "vote_answer";
+    static constexpr auto members =
+        std::tuple{member{"pre_vote", &type::pre_vote}, member{"term", &type::term},
+                   member{"voter", &type::voter}, member{"granted", &type::granted}};
+};
+
+template <>
+struct description<consensus::append_request>
+{
+    using type = consensus::append_request;
+    static constexpr std::string_view name = "append_request";
+    static constexpr auto members = std::tuple{
+        member{"term", &type::term},
+        member{"leader", &type::leader},
+        member{"previous_index", &type::previous_index},
+        member{"previous_term", &type::previous_term},
+        member{"entries", &type::entries},
+        member{"commit", &type::commit},
+        member{"round", &type::round},
+    };
+};
+
+template <>
+struct description<consensus::append_answer>
+{
+    using type = consensus::append_answer;
+    static constexpr std::string_view name = "append_answer";
+    static constexpr auto members =
+        std::tuple{member{"term", &type::term}, member{"follower", &type::follower},
+                   member{"accepted", &type::accepted}, member{"match", &type::match}, member{"round", &type::round}};
+};
+
+template <>
+struct description<consensus::install_request>
+{
+    using type = consensus::install_request;
+    static constexpr std::string_view name = "install_request";
+    static constexpr auto members =
+        std::tuple{member{"term", &type::term}, member{"leader", &type::leader}, member{"content", &type::content},
+                   member{"round", &type::round}};
+};
+
+template <>
+struct description<consensus::join_request>
+{
+    using type = consensus::join_request;
+    static constexpr std::string_view name = "join_request";
+    static constexpr auto members = std::tuple{member{"joining", &type::joining}};
+};
+
+/// The sync's number belongs to one process and is not stored.
+template <>
+struct description<consensus::persist_log>
+{
+    using type = consensus::persist_log;
+    static constexpr std::string_view name = "persist_log";
+    static constexpr auto members = std::tuple{member{"hard", &type::hard},
+                                               member{"truncate_from", &type::truncate_from},
+                                               member{"entries", &type::entries}};
+};
+
+} // namespace hickorymount::codec
--- /dev/null
+++ b/src/consensus/internal/consensus_reducer.cpp
@@ -0,0 +1,707 @@
+#include "consensus/internal/consensus_reducer.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+#include "consensus/reduce.h"
+
+namespace hickorymount::consensus::detail {
+
+namespace {
+
+bool contains(const std::vector<member>& members, const member& who)
+{
+    return std::find(members.begin(), members.end(), who) != members.end();
+}
+
+bool has_name(const std::vector<member>& members, const host_name& name)
+{
+    return std::any_of(members.begin(), members.end(), [&](const member& each) { return each.name == name; });
+}
+
+std::vector<member> without(std::vector<member> members, const member& who)
+{
+    members.erase(std::remove(members.begin(), members.end(), who), members.end());
+    return members;
+}
+
+std::vector<member> without_name(std::vector<member> members, const host_name& name)
+{
+    const auto named = [&](const member& each) { return each.name == name; };
+    members.erase(std::remove_if(members.begin(), members.end(), named), members.end());
+    return members;
+}
+
+} // namespace
+
+consensus_reducer::consensus_reducer(consensus_state state, time_point now)
+    : m_state(std::move(state)), m_now(now)
+{
+}
+
+void consensus_reducer::apply(const started& what)
+{
+    m_state = consensus_state{};
+    m_state.self = what.self;
+    m_state.contacts = what.contacts;
+    m_state.hard = what.stored.hard;
+    m_state.latest = what.stored.latest;
+    m_state.random.seed(what.seed);
+    m_state.commit = m_state.latest->last_index;
+    for (const log_entry& entry : what.stored.entries) {
+        m_state.log = std::move(m_state.log).set(entry.index, entry);
+    }
+    m_state.durable = last_index();
+    reload_members();
+    arm_election();
+    m_state.join_at = m_now + JOIN_INTERVAL;
+    if (m_state.latest->last_index > 0) {
+        m_effects.emplace_back(replace_directory{m_state.latest});
+    }
+}
+
+void consensus_reducer::apply(const formed& what)
+{
+    const bool is_empty = last_index() == 0 && m_state.hard == hard_state{};
+    if (!is_empty || !contains(what.members.voters, m_state.self)) {
+        return;
+    }
+    snapshot first;
+    first.last_index = 1;
+    first.last_term = 1;
+    first.members = what.members;
+    m_state.hard.term = 1;
+    m_state.latest = shared_value(std::move(first));
+    m_state.commit = 1;
+    reload_members();
+    save_snapshot();
+    m_effects.emplace_back(replace_directory{m_state.latest});
+    arm_election();
+}
+
+void consensus_reducer::apply(const received& what)
+{
+    std::visit([&](const auto& content) { handle(what.from, content); }, what.content);
+}
+
+void consensus_reducer::apply(const proposed& what)
+{
+    if (m_state.current_role != role::leader) {
+        return;
+    }
+    for (const entry_content& content : what.contents) {
+        append(content);
+    }
+    persist();
+    // A follower that still owes an answer gets these entries with the next message, in one batch.
+    for (auto& [name, follower] : m_state.followers) {
+        if (!follower.awaiting_answer) {
+            send_entries(follower, false);
+        }
+    }
+}
+
+void consensus_reducer::apply(const synced& what)
+{
+    while (!m_state.syncs.empty() && m_state.syncs.front().id <= what.id) {
+        m_state.durable = std::min(m_state.syncs.front().last_index, last_index());
+        m_state.syncs.erase(m_state.syncs.begin());
+    }
+    const auto ready = std::find_if(m_state.held.begin(), m_state.held.end(),
+                                    [&](const held_message& each) { return each.after > what.id; });
+    for (auto each = m_state.held.begin(); each != ready; ++each) {
+        send(each->to, std::move(each->content));
+    }
+    m_state.held.erase(m_state.held.begin(), ready);
+    advance_commit();
+}
+
+void consensus_reducer::apply(const timer_passed& /*what*/)
+{
+    if (m_state.current_role == role::leader) {
+        check_quorum();
+        if (m_state.current_role == role::leader && m_now >= m_state.heartbeat_at) {
+            change_members_if_due();
+            broadcast();
+        }
+        return;
+    }
+    if (is_voter(m_state.self)) {
+        if (m_now >= m_state.election_at) {
+            start_election(true);
+        }
+        return;
+    }
+    if (m_now >= m_state.join_at) {
+        m_state.join_at = m_now + JOIN_INTERVAL;
+        for (const host_name& contact : m_state.contacts) {
+            send(contact, join_request{m_state.self});
+        }
+    }
+}
+
+void consensus_reducer::apply(const compaction_due& what)
+{
+    const bool has_open_change = m_state.members_index > m_state.commit;
+    if (has_open_change || m_state.commit <= m_state.latest->last_index) {
+        return;
+    }
+    snapshot next;
+    next.last_index = m_state.commit;
+    next.last_term = term_at(m_state.commit);
+    next.members = m_state.members;
+    next.directory = what.directory;
+    m_state.latest = shared_value(std::move(next));
+    drop_entries_up_to(m_state.commit > KEPT_BEHIND_SNAPSHOT ? m_state.commit - KEPT_BEHIND_SNAPSHOT : 0);
+    save_snapshot();
+}
+
+transition consensus_reducer::finish()
+{
+    persist();
+    const time_point wake = m_state.current_role == role::leader ? m_state.heartbeat_at
+                            : is_voter(m_state.self)             ? m_state.election_at
+                                                                 : m_state.join_at;
+    return {std::move(m_state), std::move(m_effects), wake};
+}
+
+void consensus_reducer::handle(const host_name& from, const vote_request& request)
+{
+    if (!is_voter(m_state.self) || !is_voter(request.candidate)) {
+        return;
+    }
+    if (heard_leader_lately() && request.term > m_state.hard.term) {
+        return;
+    }
+    if (request.pre_vote) {
+        const bool granted = request.term > m_state.hard.term && is_up_to_date(request);
+        send_when_synced(from, vote_answer{true, request.term, m_state.self, granted});
+        return;
+    }
+    if (request.term > m_state.hard.term) {
+        adopt_term(request.term);
+    }
+    const bool is_free = !m_state.hard.voted_for || *m_state.hard.voted_for == request.candidate.identity;
+    const bool granted = request.term == m_state.hard.term && is_free && is_up_to_date(request);
+    if (granted && !m_state.hard.voted_for) {
+        m_state.hard.voted_for = request.candidate.identity;
+        m_hard_changed = true;
+        arm_election();
+    }
+    send_when_synced(from, vote_answer{false, m_state.hard.term, m_state.self, granted});
+}
+
+void consensus_reducer::handle(const host_name& /*from*/, const vote_answer& answer)
+{
+    if (!answer.pre_vote && answer.term > m_state.hard.term) {
+        adopt_term(answer.term);
+        return;
+    }
+    const role wanted = answer.pre_vote ? role::pre_candidate : role::candidate;
+    const log_term asked = answer.pre_vote ? m_state.hard.term + 1 : m_state.hard.term;
+    if (m_state.current_role != wanted || answer.term != asked || !answer.granted || !is_voter(answer.voter)) {
+        return;
+    }
+    if (!contains(m_state.votes, answer.voter)) {
+        m_state.votes.push_back(answer.voter);
+    }
+    if (m_state.votes.size() < majority()) {
+        return;
+    }
+    if (answer.pre_vote) {
+        start_election(false);
+    } else {
+        become_leader();
+    }
+}
+
+void consensus_reducer::handle(const host_name& from, const append_request& request)
+{
+    if (!accept_leader(request.leader, request.term)) {
+        send_when_synced(from, append_answer{m_state.hard.term, m_state.self, false, 0, request.round});
+        return;
+    }
+    const bool is_behind_snapshot = request.previous_index < m_state.latest->last_index;
+    const bool matches = is_behind_snapshot || (request.previous_index <= last_index() &&
+                                                term_at(request.previous_index) == request.previous_term);
+    if (!matches) {
+        const log_index guess = std::min(last_index(), request.previous_index - 1);
+        send_when_synced(from, append_answer{m_state.hard.term, m_state.self, false, guess, request.round});
+        return;
+    }
+    const log_index match = append_received(request);
+    persist();
+    commit_to(std::min(request.commit, match));
+    send_when_synced(from, append_answer{m_state.hard.term, m_state.self, true, match, request.round});
+}
+
+void consensus_reducer::handle(const host_name& /*from*/, const append_answer& answer)
+{
+    if (answer.term > m_state.hard.term) {
+        adopt_term(answer.term);
+        return;
+    }
+    const auto found = m_state.followers.find(answer.follower.name);
+    const bool is_known = found != m_state.followers.end() && found->second.who == answer.follower;
+    if (m_state.current_role != role::leader || answer.term != m_state.hard.term || !is_known) {
+        return;
+    }
+    follower_progress& follower = found->second;
+    follower.last_answer = m_now;
+    follower.acknowledged_round = std::max(follower.acknowledged_round, answer.round);
+    follower.awaiting_answer = false;
+    if (answer.accepted) {
+        follower.match = std::max(follower.match, answer.match);
+        follower.next = std::max(follower.next, follower.match + 1);
+    } else {
+        follower.next = std::max(follower.match + 1, std::min(answer.match + 1, follower.next));
+    }
+    confirm_round();
+    advance_commit();
+    if (follower.next <= last_index()) {
+        send_entries(follower, false);
+    }
+}
+
+void consensus_reducer::handle(const host_name& from, const install_request& request)
+{
+    if (!accept_leader(request.leader, request.term)) {
+        send_when_synced(from, append_answer{m_state.hard.term, m_state.self, false, 0, request.round});
+        return;
+    }
+    const snapshot& content = *request.content;
+    if (content.last_index > m_state.commit) {
+        const bool continues = term_at(content.last_index) == content.last_term;
+        m_state.latest = request.content;
+        m_state.log = continues ? std::move(m_state.log) : shared_map<log_index, log_entry>{};
+        m_state.commit = content.last_index;
+        m_effects.emplace_back(replace_directory{m_state.latest});
+        drop_entries_up_to(content.last_index);
+        reload_members();
+        save_snapshot();
+    }
+    send_when_synced(from,
+                     append_answer{m_state.hard.term, m_state.self, true, content.last_index, request.round});
+}
+
+void consensus_reducer::handle(const host_name& from, const join_request& request)
+{
+    const bool has_open_change = m_state.members_index > m_state.commit;
+    const bool is_ready = m_state.current_role == role::leader && !has_open_change;
+    if (!is_ready || request.joining.name != from || is_member(request.joining)) {
+        return;
+    }
+    if (!has_name(m_state.members.voters, from) &&
+        std::find(m_state.contacts.begin(), m_state.contacts.end(), from) == m_state.contacts.end()) {
+        return;
+    }
+    membership next = m_state.members;
+    next.learners = without_name(std::move(next.learners), from);
+    next.learners.push_back(request.joining);
+    append(next);
+    broadcast();
+}
+
+void consensus_reducer::start_election(bool pre_vote)
+{
+    arm_election();
+    m_state.leader.reset();
+    m_state.current_role = pre_vote ? role::pre_candidate : role::candidate;
+    m_state.votes = {m_state.self};
+    if (!pre_vote) {
+        ++m_state.hard.term;
+        m_state.hard.voted_for = m_state.self.identity;
+        m_hard_changed = true;
+        persist();
+    }
+    const log_term asked = pre_vote ? m_state.hard.term + 1 : m_state.hard.term;
+    const vote_request request{pre_vote, asked, m_state.self, last_index(), term_at(last_index())};
+    for (const member& voter : m_state.members.voters) {
+        if (voter != m_state.self) {
+            send_when_synced(voter.name, request);
+        }
+    }
+    if (m_state.votes.size() < majority()) {
+        return;
+    }
+    if (pre_vote) {
+        start_election(false);
+    } else {
+        become_leader();
+    }
+}
+
+void consensus_reducer::become_leader()
+{
+    m_state.current_role = role::leader;
+    m_state.leader = m_state.self.name;
+    m_state.leading_since = m_now;
+    m_state.confirmed_round = m_state.round;
+    m_state.followers.clear();
+    use_members(m_state.members, m_state.members_index);
+    m_state.own_term_start = last_index() + 1;
+    append(no_operation{});
+    broadcast();
+}
+
+void consensus_reducer::step_down()
+{
+    m_state.current_role = role::follower;
+    m_state.votes.clear();
+    m_state.followers.clear();
+    m_state.leader.reset();
+    arm_election();
+}
+
+void consensus_reducer::adopt_term(log_term term)
+{
+    m_state.hard = {term, std::nullopt};
+    m_hard_changed = true;
+    step_down();
+}
+
+bool consensus_reducer::accept_leader(const member& leader, log_term term)
+{
+    if (term < m_state.hard.term) {
+        return false;
+    }
+    if (term > m_state.hard.term) {
+        adopt_term(term);
+    }
+    if (m_state.current_role != role::follower) {
+        step_down();
+    }
+    m_state.leader = leader.name;
+    m_state.last_leader_contact = m_now;
+    m_state.join_at = m_now + JOIN_INTERVAL;
+    arm_election();
+    return true;
+}
+
+void consensus_reducer::check_quorum()
+{
+    std::size_t heard = is_voter(m_state.self) ? 1 : 0;
+    for (const auto& [name, follower] : m_state.followers) {
+        const bool answered = m_now - follower.last_answer <= ELECTION_TIMEOUT_MAX;
+        heard += answered && is_voter(follower.who) ? 1 : 0;
+    }
+    if (heard < majority()) {
+        step_down();
+    }
+}
+
+void consensus_reducer::change_members_if_due()
+{
+    if (m_state.members_index > m_state.commit || !is_serving(m_state)) {
+        return;
+    }
+    for (const member& learner : m_state.members.learners) {
+        const auto found = m_state.followers.find(learner.name);
+        const bool is_caught_up = found != m_state.followers.end() && found->second.who == learner &&
+                                  found->second.match >= m_state.commit;
+        if (!is_caught_up) {
+            continue;
+        }
+        membership next = m_state.members;
+        if (has_name(next.voters, learner.name)) {
+            next.voters = without_name(std::move(next.voters), learner.name);
+        } else {
+            next.voters.push_back(learner);
+            next.learners = without(std::move(next.learners), learner);
+        }
+        append(next);
+        return;
+    }
+}
+
+void consensus_reducer::append(const entry_content& content)
+{
+    const log_entry entry{last_index() + 1, m_state.hard.term, shared_value(content)};
+    m_state.log = std::move(m_state.log).set(entry.index, entry);
+    m_changed_from = m_changed_from == 0 ? entry.index : std::min(m_changed_from, entry.index);
+    if (const auto* members = std::get_if<membership>(&content)) {
+        use_members(*members, entry.index);
+    }
+}
+
+log_index consensus_reducer::append_received(const append_request& request)
+{
+    log_index match = std::max(request.previous_index, m_state.latest->last_index);
+    for (const log_entry& entry : request.entries) {
+        if (entry.index <= m_state.commit) {
+            match = std::max(match, entry.index);
+            continue;
+        }
+        if (entry.index <= last_index() && term_at(entry.index) != entry.term) {
+            truncate_from(entry.index);
+        }
+        if (entry.index > last_index()) {
+            m_state.log = std::move(m_state.log).set(entry.index, entry);
+            m_changed_from = m_changed_from == 0 ? entry.index : std::min(m_changed_from, entry.index);
+            if (const auto* members = std::get_if<membership>(&*entry.content)) {
+                use_members(*members, entry.index);
+            }
+        }
+        match = std::max(match, entry.index);
+    }
+    return match;
+}
+
+void consensus_reducer::truncate_from(log_index index)
+{
+    for (log_index last = last_index(); last >= index; --last) {
+        m_state.log = std::move(m_state.log).erase(last);
+    }
+    m_state.durable = std::min(m_state.durable, index - 1);
+    for (pending_sync& each : m_state.syncs) {
+        each.last_index = std::min(each.last_index, index - 1);
+    }
+    m_changed_from = m_changed_from == 0 ? index : std::min(m_changed_from, index);
+    if (m_state.members_index >= index) {
+        reload_members();
+    }
+}
+
+void consensus_reducer::use_members(const membership& members, log_index index)
+{
+    m_state.members = members;
+    m_state.members_index = index;
+    if (m_state.current_role != role::leader) {
+        return;
+    }
+    std::map<host_name, follower_progress> followers;
+    const auto keep = [&](const member& who) {
+        const auto known = m_state.followers.find(who.name);
+        if (who == m_state.self) {
+            return;
+        }
+        if (known != m_state.followers.end() && known->second.who == who) {
+            followers.emplace(who.name, known->second);
+            return;
+        }
+        follower_progress fresh;
+        fresh.who = who;
+        fresh.next = last_index() + 1;
+        fresh.last_answer = m_now;
+        followers.insert_or_assign(who.name, fresh);
+    };
+    // A learner under the name of a voter whose folder was lost takes that name's place on the wire.
+    std::for_each(members.voters.begin(), members.voters.end(), keep);
+    std::for_each(members.learners.begin(), members.learners.end(), keep);
+    m_state.followers = std::move(followers);
+}
+
+void consensus_reducer::reload_members()
+{
+    membership members = m_state.latest->members;
+    log_index index = m_state.latest->last_index;
+    for (const auto& [at, entry] : m_state.log) {
+        if (const auto* found = std::get_if<membership>(&*entry.content); found != nullptr && at > index) {
+            members = *found;
+            index = at;
+        }
+    }
+    use_members(members, index);
+}
+
+void consensus_reducer::drop_entries_up_to(log_index index)
+{
+    while (!m_state.log.empty() && m_state.log.begin()->first <= index) {
+        m_state.log = std::move(m_state.log).erase(log_index{m_state.log.begin()->first});
+    }
+}
+
+void consensus_reducer::save_snapshot()
+{
+    const sync_id id = ++m_state.last_sync;
+    m_state.syncs.push_back({id, last_index()});
+    std::vector<log_entry> entries;
+    for (const auto& [index, entry] : m_state.log) {
+        entries.push_back(entry);
+    }
+    m_effects.emplace_back(persist_snapshot{id, m_state.hard, m_state.latest, std::move(entries)});
+    m_hard_changed = false;
+    m_changed_from = 0;
+}
+
+void consensus_reducer::broadcast()
+{
+    m_state.heartbeat_at = m_now + HEARTBEAT_INTERVAL;
+    ++m_state.round;
+    persist();
+    for (auto& [name, follower] : m_state.followers) {
+        send_entries(follower, true);
+    }
+    confirm_round();
+    advance_commit();
+}
+
+void consensus_reducer::send_entries(follower_progress& follower, bool is_heartbeat)
+{
+    const bool needs_snapshot =
+        follower.next <= m_state.latest->last_index && !m_state.log.contains(follower.next);
+    if (needs_snapshot && m_now - follower.snapshot_sent >= SNAPSHOT_RESEND_INTERVAL) {
+        send_snapshot(follower);
+        return;
+    }
+    if (needs_snapshot && !is_heartbeat) {
+        return;
+    }
+    const log_index previous = needs_snapshot ? m_state.latest->last_index : follower.next - 1;
+    append_request request{m_state.hard.term, m_state.self, previous, term_at(previous), {}, m_state.commit,
+                           m_state.round};
+    const bool may_carry = !needs_snapshot && (!follower.awaiting_answer || is_heartbeat);
+    for (auto each = m_state.log.lower_bound(follower.next);
+         may_carry && each != m_state.log.end() && request.entries.size() < MAX_ENTRIES_IN_MESSAGE; ++each) {
+        request.entries.push_back(each->second);
+    }
+    if (request.entries.empty() && !is_heartbeat) {
+        return;
+    }
+    follower.awaiting_answer = true;
+    send(follower.who.name, std::move(request));
+}
+
+void consensus_reducer::send_snapshot(follower_progress& follower)
+{
+    follower.awaiting_answer = true;
+    follower.snapshot_sent = m_now;
+    send(follower.who.name, install_request{m_state.hard.term, m_state.self, m_state.latest, m_state.round});
+}
+
+void consensus_reducer::send(const host_name& to, message content)
+{
+    m_effects.emplace_back(send_message{to, std::move(content)});
+}
+
+void consensus_reducer::send_when_synced(const host_name& to, message content)
+{
+    persist();
+    if (m_state.syncs.empty()) {
+        send(to, std::move(content));
+        return;
+    }
+    m_state.held.push_back({m_state.last_sync, to, std::move(content)});
+}
+
+void consensus_reducer::persist()
+{
+    if (!m_hard_changed && m_changed_from == 0) {
+        return;
+    }
+    persist_log write;
+    write.id = ++m_state.last_sync;
+    write.hard = m_state.hard;
+    write.truncate_from = m_changed_from == 0 ? last_index() + 1 : m_changed_from;
+    for (auto each = m_state.log.lower_bound(write.truncate_from); each != m_state.log.end(); ++each) {
+        write.entries.push_back(each->second);
+    }
+    m_state.syncs.push_back({write.id, last_index()});
+    m_effects.emplace_back(std::move(write));
+    m_hard_changed = false;
+    m_changed_from = 0;
+}
+
+void consensus_reducer::advance_commit()
+{
+    if (m_state.current_role != role::leader) {
+        return;
+    }
+    std::vector<log_index> matches;
+    for (const member& voter : m_state.members.voters) {
+        if (voter == m_state.self) {
+            matches.push_back(m_state.durable);
+            continue;
+        }
+        const auto found = m_state.followers.find(voter.name);
+        const bool is_known = found != m_state.followers.end() && found->second.who == voter;
+        matches.push_back(is_known ? found->second.match : 0);
+    }
+    if (matches.empty()) {
+        return;
+    }
+    std::sort(matches.begin(), matches.end(), std::greater<>());
+    const log_index agreed = matches[majority() - 1];
+    if (agreed > m_state.commit && term_at(agreed) == m_state.hard.term) {
+        commit_to(agreed);
+    }
+}
+
+void consensus_reducer::commit_to(log_index index)
+{
+    while (m_state.commit < index) {
+        ++m_state.commit;
+        m_effects.emplace_back(apply_entry{*m_state.log.find(m_state.commit)});
+    }
+}
+
+void consensus_reducer::confirm_round()
+{
+    std::vector<round_number> rounds;
+    for (const member& voter : m_state.members.voters) {
+        if (voter == m_state.self) {
+            rounds.push_back(m_state.round);
+            continue;
+        }
+        const auto found = m_state.followers.find(voter.name);
+        const bool is_known = found != m_state.followers.end() && found->second.who == voter;
+        rounds.push_back(is_known ? found->second.acknowledged_round : 0);
+    }
+    std::sort(rounds.begin(), rounds.end(), std::greater<>());
+    if (rounds.size() >= majority() && majority() > 0) {
+        m_state.confirmed_round = std::max(m_state.confirmed_round, rounds[majority() - 1]);
+    }
+}
+
+bool consensus_reducer::is_voter(const member& who) const
+{
+    return contains(m_state.members.voters, who);
+}
+
+bool consensus_reducer::is_member(const member& who) const
+{
+    return is_voter(who) || contains(m_state.members.learners, who);
+}
+
+std::size_t consensus_reducer::majority() const
+{
+    return m_state.members.voters.size() / 2 + 1;
+}
+
+log_index consensus_reducer::last_index() const
+{
+    return consensus::last_index(m_state);
+}
+
+log_term consensus_reducer::term_at(log_index index) const
+{
+    if (index == m_state.latest->last_index) {
+        return m_state.latest->last_term;
+    }
+    const log_entry* entry = m_state.log.find(index);
+    return entry == nullptr ? 0 : entry->term;
+}
+
+bool consensus_reducer::is_up_to_date(const vote_request& request) const
+{
+    const log_term own_term = term_at(last_index());
+    return request.last_term > own_term ||
+           (request.last_term == own_term && request.last_index >= last_index());
+}
+
+bool consensus_reducer::heard_leader_lately() const
+{
+    if (m_state.current_role == role::leader) {
+        return true;
+    }
+    return m_state.leader && m_now - m_state.last_leader_contact < ELECTION_TIMEOUT_MIN;
+}
+
+void consensus_reducer::arm_election()
+{
+    std::uniform_int_distribution<std::int64_t> spread(ELECTION_TIMEOUT_MIN.count(), ELECTION_TIMEOUT_MAX.count());
+    m_state.election_at = m_now + milliseconds{spread(m_state.random)};
+}
+
+} // namespace hickorymount::consensus::detail
--- /dev/null
+++ b/src/consensus/internal/reduce.cpp
@@ -0,0 +1,36 @@
+#include "consensus/reduce.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "consensus/internal/consensus_reducer.h"
+
+namespace hickorymount::consensus {
+
+transition reduce(consensus_state state, const event& what)
+{
+    detail::consensus_reducer step(std::move(state), what.now);
+    std::visit([&](const auto& each) { step.apply(each); }, what.what);
+    return step.finish();
+}
+
+bool is_serving(const consensus_state& state)
+{
+    return state.current_role == role::leader && state.own_term_start > 0 && state.commit >= state.own_term_start;
+}
+
+bool is_confirmed_since(const consensus_state& state, round_number round)
+{
+    return state.current_role == role::leader && state.confirmed_round > round;
+}
+
+log_index last_index(const consensus_state& state)
+{
+    if (state.log.empty()) {
+        return state.latest->last_index;
+    }
+    // Entries are consecutive, so the last key follows from the first.
+    return std::max(state.log.begin()->first + state.log.size() - 1, state.latest->last_index);
+}
+
+} // namespace hickorymount::consensus
--- /dev/null
+++ b/src/directory/descriptions.h
@@ -0,0 +1,221 @@
+#pragma once
+
+#include "codec/description.h"
+#include "configuration/descriptions.h"
+#include "directory/types.h"
+#include "session/descriptions.h"
+
+namespace hickorymount::codec {
+
+template <>
+struct description<directory::group_phase>
+{
+    static constexpr auto enumerators = std::tuple{enumerator{"open", directory::group_phase::open},
+                                                   enumerator{"closed", directory::group_phase::closed},
+                                                   enumerator{"promoting", directory::group_phase::promoting}};
+};
+
+template <>
+struct description<directory::change_outcome>
+{
+    static constexpr auto enumerators = std::tuple{enumerator{"accepted", directory::change_outcome::accepted},
+                                                   enumerator{"conflict", directory::change_outcome::conflict}};
+};
+
+template <>
+struct description<directory::claim_verdict>
+{
+    static constexpr auto enumerators =
+        std::tuple{enumerator{"granted", directory::claim_verdict::granted},
+                   enumerator{"answered", directory::claim_verdict::answered},
+                   enumerator{"outcome_unknown", directory::claim_verdict::outcome_unknown},
+                   enumerator{"key_reused", directory::claim_verdict::key_reused}};
+};
+
+template <>
+struct description<directory::group_record>
+{
+    using type = directory::group_record;
+    static constexpr std::string_view name = "group_record";
+    static constexpr auto members = std::tuple{
+        member{"phase", &type::phase},         member{"term", &type::term},
+        member{"primary", &type::primary},     member{"last_named_term", &type::last_named_term},
+        member{"candidate", &type::candidate}, member{"starts", &type::starts},
+    };
+};
+
+template <>
+struct description<directory::change_answer>
+{
+    using type = directory::change_answer;
+    static constexpr std::string_view name = "change_answer";
+    static constexpr auto members =
+        std::tuple{member{"outcome", &type::outcome}, member{"version", &type::version}};
+};
+
+template <>
+struct description<directory::claim_key>
+{
+    using type = directory::claim_key;
+    static constexpr std::string_view name = "claim_key";
+    static constexpr auto members = std::tuple{member{"group", &type::group}, member{"key", &type::key}};
+};
+
+template <>
+struct description<directory::recorded_answer>
+{
+    using type = directory::recorded_answer;
+    static constexpr std::string_view name = "recorded_answer";
+    static constexpr auto members =
+        std::tuple{member{"body", &type::body}, member{"position", &type::position}};
+};
+
+template <>
+struct description<directory::entry_key>
+{
+    using type = directory::entry_key;
+    static constexpr std::string_view name = "entry_key";
+    static constexpr auto members =
+        std::tuple{member{"name", &type::name}, member{"incarnation", &type::incarnation}};
+};
+
+template <>
+struct description<directory::claim_holder>
+{
+    using type = directory::claim_holder;
+    static constexpr std::string_view name = "claim_holder";
+    static constexpr auto members = std::tuple{member{"entry", &type::entry}, member{"request", &type::request}};
+};
+
+template <>
+struct description<directory::claim_record>
+{
+    using type = directory::claim_record;
+    static constexpr std::string_view name = "claim_record";
+    static constexpr auto members = std::tuple{
+        member{"holder", &type::holder},         member{"statement_hash", &type::statement_hash},
+        member{"claimed_at", &type::claimed_at}, member{"expires_at", &type::expires_at},
+        member{"answer", &type::answer},
+    };
+};
+
+template <>
+struct description<directory::entry_record>
+{
+    using type = directory::entry_record;
+    static constexpr std::string_view name = "entry_record";
+    static constexpr auto members = std::tuple{member{"zone", &type::zone}};
+};
+
+template <>
+struct description<directory::change_configuration>
+{
+    using type = directory::change_configuration;
+    static constexpr std::string_view name = "change_configuration";
+    static constexpr auto members =
+        std::tuple{member{"id", &type::id}, member{"base", &type::base}, member{"content", &type::content}};
+};
+
+template <>
+struct description<directory::admit_entry_host>
+{
+    using type = directory::admit_entry_host;
+    static constexpr std::string_view name = "admit_entry_host";
+    static constexpr auto members = std::tuple{member{"entry", &type::entry}, member{"zone", &type::zone}};
+};
+
+template <>
+struct description<directory::dismiss_entry_host>
+{
+    using type = directory::dismiss_entry_host;
+    static constexpr std::string_view name = "dismiss_entry_host";
+    static constexpr auto members = std::tuple{member{"entry", &type::entry}};
+};
+
+template <>
+struct description<directory::open_term>
+{
+    using type = directory::open_term;
+    static constexpr std::string_view name = "open_term";
+    static constexpr auto members = std::tuple{member{"group", &type::group}, member{"term", &type::term},
+                                               member{"primary", &type::primary}, member{"start", &type::start}};
+};
+
+template <>
+struct description<directory::close_term>
+{
+    using type = directory::close_term;
+    static constexpr std::string_view name = "close_term";
+    static constexpr auto members = std::tuple{member{"group", &type::group}, member{"term", &type::term}};
+};
+
+template <>
+struct description<directory::name_candidate>
+{
+    using type = directory::name_candidate;
+    static constexpr std::string_view name = "name_candidate";
+    static constexpr auto members = std::tuple{
+        member{"group", &type::group}, member{"term", &type::term}, member{"candidate", &type::candidate}};
+};
+
+template <>
+struct description<directory::claim_request>
+{
+    using type = directory::claim_request;
+    static constexpr std::string_view name = "claim_request";
+    static constexpr auto members = std::tuple{
+        member{"key", &type::key},
+        member{"holder", &type::holder},
+        member{"statement_hash", &type::statement_hash},
+        member{"claimed_at", &type::claimed_at},
+        member{"retention", &type::retention},
+    };
+};
+
+template <>
+struct description<directory::record_outcome>
+{
+    using type = directory::record_outcome;
+    static constexpr std::string_view name = "record_outcome";
+    static constexpr auto members =
+        std::tuple{member{"key", &type::key}, member{"holder", &type::holder}, member{"answer", &type::answer}};
+};
+
+template <>
+struct description<directory::withdraw_claim>
+{
+    using type = directory::withdraw_claim;
+    static constexpr std::string_view name = "withdraw_claim";
+    static constexpr auto members = std::tuple{member{"key", &type::key}, member{"holder", &type::holder}};
+};
+
+template <>
+struct description<directory::expire_claims>
+{
+    using type = directory::expire_claims;
+    static constexpr std::string_view name = "expire_claims";
+    static constexpr auto members = std::tuple{member{"now", &type::now}};
+};
+
+template <>
+struct description<directory::claim_answer>
+{
+    using type = directory::claim_answer;
+    static constexpr std::string_view name = "claim_answer";
+    static constexpr auto members = std::tuple{member{"verdict", &type::verdict}, member{"answer", &type::answer}};
+};
+
+template <>
+struct description<directory::directory_state>
+{
+    using type = directory::directory_state;
+    static constexpr std::string_view name = "directory_state";
+    static constexpr auto members = std::tuple{
+        member{"configuration", &type::configuration}, member{"changes", &type::changes},
+        member{"change_order", &type::change_order},   member{"next_change", &type::next_change},
+        member{"groups", &type::groups},               member{"entry_hosts", &type::entry_hosts},
+        member{"claims", &type::claims},
+    };
+};
+
+} // namespace hickorymount::codec
--- /dev/null
+++ b/src/framework/base/identifier.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <compare>
+#include <string>
+
+namespace hickorymount {
+
+/// A name of one kind of thing. Tags keep the kinds from being mixed up.
+template <class Tag>
+struct identifier
+{
+    std::string value;
+
+    [[nodiscard]] bool empty() const { return value.empty(); }
+
+    friend auto operator<=>(const identifier&, const identifier&) = default;
+    friend bool operator==(const identifier&, const identifier&) = default;
+};
+
+using host_name = identifier<struct host_tag>;
+using availability_zone = identifier<struct availability_zone_tag>;
+using group_name = identifier<struct group_tag>;
+using class_name = identifier<struct class_tag>;
+using tenant_name = identifier<struct tenant_tag>;
+/// A backend server's name, unique within the deployment.
+using backend_server_name = identifier<struct backend_server_tag>;
+/// Names one data folder; made when the folder is created and never reused.
+using folder_identity = identifier<struct folder_tag>;
+/// Names one run of an entry host's process.
+using incarnation_id = identifier<struct incarnation_tag>;
+using change_id = identifier<struct change_tag>;
+using request_key = identifier<struct request_key_tag>;
+using transaction_id = identifier<struct transaction_tag>;
+
+} // namespace hickorymount
--- /dev/null
+++ b/src/framework/base/millisecond_clock.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <ratio>
+
+namespace hickorymount {
+
+/// Monotonic clock of one process, in milliseconds. Readings of two processes can't be compared.
+struct millisecond_clock
+{
+    using rep = std::int64_t;
+    using period = std::milli;
+    using duration = std::chrono::duration<rep, period>;
+    using time_point = std::chrono::time_point<millisecond_clock>;
+    static constexpr bool is_steady = true;
+
+    /// The present reading; never runs backwards.
+    static time_point now();
+};
+
+using milliseconds = millisecond_clock::duration;
+using time_point = millisecond_clock::time_point;
+
+/// Milliseconds since the Unix epoch, for records that several hosts compare.
+using unix_milliseconds = std::chrono::duration<std::int64_t, std::milli>;
+
+/// The host's wall clock.
+unix_milliseconds unix_now();
+
+} // namespace hickorymount
--- /dev/null
+++ b/src/protocol/descriptions.h
@@ -0,0 +1,214 @@
+#pragma once
+
+#include "codec/description.h"
+#include "configuration/descriptions.h"
+#include "consensus/descriptions.h"
+#include "directory/descriptions.h"
+#include "protocol/types.h"
+#include "session/descriptions.h"
+
+namespace hickorymount::codec {
+
+template <>
+struct description<protocol::server_role>
+{
+    static constexpr auto enumerators = std::tuple{enumerator{"primary", protocol::server_role::primary},
+                                                   enumerator{"replica", protocol::server_role::replica}};
+};
+
+template <>
+struct description<protocol::takeover_kind>
+{
+    static constexpr auto enumerators = std::tuple{enumerator{"promote", protocol::takeover_kind::promote},
+                                                   enumerator{"follow", protocol::takeover_kind::follow}};
+};
+
+template <>
+struct description<protocol::endpoint>
+{
+    using type = protocol::endpoint;
+    static constexpr std::string_view name = "endpoint";
+    static constexpr auto members =
+        std::tuple{member{"address", &type::address}, member{"port", &type::port}};
+};
+
+template <>
+struct description<protocol::server_report>
+{
+    using type = protocol::server_report;
+    static constexpr std::string_view name = "server_report";
+    static constexpr auto members = std::tuple{member{"name", &type::name},
+                                               member{"group", &type::group},
+                                               member{"zone", &type::zone},
+                                               member{"address", &type::address},
+                                               member{"started_at", &type::started_at},
+                                               member{"sequence", &type::sequence},
+                                               member{"role", &type::role},
+                                               member{"at", &type::at},
+                                               member{"age", &type::age},
+                                               member{"leaving", &type::leaving}};
+};
+
+template <>
+struct description<protocol::lease_request>
+{
+    using type = protocol::lease_request;
+    static constexpr std::string_view name = "lease_request";
+    static constexpr auto members = std::tuple{member{"entry", &type::entry},
+                                               member{"zone", &type::zone},
+                                               member{"sequence", &type::sequence},
+                                               member{"revision", &type::revision},
+                                               member{"version", &type::version},
+                                               member{"held_connections", &type::held_connections},
+                                               member{"wanted_connections", &type::wanted_connections}};
+};
+
+template <>
+struct description<protocol::lease_return>
+{
+    using type = protocol::lease_return;
+    static constexpr std::string_view name = "lease_return";
+    static constexpr auto members = std::tuple{member{"entry", &type::entry}};
+};
+
+template <>
+struct description<protocol::lease_grant>
+{
+    using type = protocol::lease_grant;
+    static constexpr std::string_view name = "lease_grant";
+    static constexpr auto members =
+        std::tuple{member{"entry", &type::entry}, member{"sequence", &type::sequence},
+                   member{"duration", &type::duration}, member{"connections", &type::connections}};
+};
+
+template <>
+struct description<protocol::not_leader>
+{
+    using type = protocol::not_leader;
+    static constexpr std::string_view name = "not_leader";
+    static constexpr auto members = std::tuple{member{"leader", &type::leader}};
+};
+
+template <>
+struct description<protocol::group_view>
+{
+    using type = protocol::group_view;
+    static constexpr std::string_view name = "group_view";
+    static constexpr auto members = std::tuple{member{"name", &type::name}, member{"record", &type::record}};
+};
+
+template <>
+struct description<protocol::view_update>
+{
+    using type = protocol::view_update;
+    static constexpr std::string_view name = "view_update";
+    static constexpr auto members =
+        std::tuple{member{"from", &type::from}, member{"to", &type::to},
+                   member{"configuration", &type::configuration}, member{"groups", &type::groups}};
+};
+
+template <>
+struct description<protocol::server_reports>
+{
+    using type = protocol::server_reports;
+    static constexpr std::string_view name = "server_reports";
+    static constexpr auto members = std::tuple{member{"reports", &type::reports}};
+};
+
+template <>
+struct description<protocol::suspicion>
+{
+    using type = protocol::suspicion;
+    static constexpr std::string_view name = "suspicion";
+    static constexpr auto members =
+        std::tuple{member{"group", &type::group}, member{"term", &type::term},
+                   member{"server", &type::server}, member{"reason", &type::reason}};
+};
+
+template <>
+struct description<protocol::probe_order>
+{
+    using type = protocol::probe_order;
+    static constexpr std::string_view name = "probe_order";
+    static constexpr auto members = std::tuple{member{"probe", &type::probe}, member{"server", &type::server},
+                                               member{"address", &type::address}};
+};
+
+template <>
+struct description<protocol::probe_report>
+{
+    using type = protocol::probe_report;
+    static constexpr std::string_view name = "probe_report";
+    static constexpr auto members = std::tuple{member{"probe", &type::probe}, member{"server", &type::server},
+                                               member{"status", &type::status}};
+};
+
+template <>
+struct description<protocol::close_order>
+{
+    using type = protocol::close_order;
+    static constexpr std::string_view name = "close_order";
+    static constexpr auto members =
+        std::tuple{member{"group", &type::group}, member{"term", &type::term}, member{"drain", &type::drain}};
+};
+
+template <>
+struct description<protocol::close_confirmation>
+{
+    using type = protocol::close_confirmation;
+    static constexpr std::string_view name = "close_confirmation";
+    static constexpr auto members = std::tuple{member{"entry", &type::entry}, member{"group", &type::group},
+                                               member{"term", &type::term}, member{"drain", &type::drain}};
+};
+
+template <>
+struct description<protocol::resume_order>
+{
+    using type = protocol::resume_order;
+    static constexpr std::string_view name = "resume_order";
+    static constexpr auto members = std::tuple{member{"group", &type::group}, member{"term", &type::term}};
+};
+
+template <>
+struct description<protocol::takeover_order>
+{
+    using type = protocol::takeover_order;
+    static constexpr std::string_view name = "takeover_order";
+    static constexpr auto members = std::tuple{member{"order", &type::order},
+                                               member{"kind", &type::kind},
+                                               member{"group", &type::group},
+                                               member{"server", &type::server},
+                                               member{"address", &type::address},
+                                               member{"term", &type::term},
+                                               member{"primary_address", &type::primary_address},
+                                               member{"start", &type::start}};
+};
+
+template <>
+struct description<protocol::takeover_report>
+{
+    using type = protocol::takeover_report;
+    static constexpr std::string_view name = "takeover_report";
+    static constexpr auto members = std::tuple{member{"order", &type::order},   member{"group", &type::group},
+                                               member{"server", &type::server}, member{"kind", &type::kind},
+                                               member{"term", &type::term},     member{"done", &type::done},
+                                               member{"start", &type::start}};
+};
+
+template <>
+struct description<protocol::claim_call>
+{
+    using type = protocol::claim_call;
+    static constexpr std::string_view name = "claim_call";
+    static constexpr auto members = std::tuple{member{"call", &type::call}, member{"what", &type::what}};
+};
+
+template <>
+struct description<protocol::claim_reply>
+{
+    using type = protocol::claim_reply;
+    static constexpr std::string_view name = "claim_reply";
+    static constexpr auto members = std::tuple{member{"call", &type::call}, member{"answer", &type::answer}};
+};
+
+} // namespace hickorymount::codec
--- /dev/null
+++ b/src/protocol/internal/message_codec.cpp
@@ -0,0 +1,19 @@
+#include "protocol/message_codec.h"
+
+#include "codec/json_codec.h"
+#include "protocol/descriptions.h"
+
+namespace hickorymount::protocol {
+
+std::string encode(const message& what)
+{
+    return codec::to_cbor(codec::encode(what));
+}
+
+result<message> decode(std::string_view bytes, const std::string& peer)
+{
+    BOOST_LEAF_AUTO(document, codec::parse_cbor(bytes, codec::PEER_INPUT_LIMITS, peer));
+    return codec::decode<message>(document, peer);
+}
+
+} // namespace hickorymount::protocol
--- /dev/null
+++ b/src/protocol/internal/types.cpp
@@ -0,0 +1,35 @@
+#include "protocol/types.h"
+
+#include <charconv>
+#include <tuple>
+
+#include <fmt/format.h>
+
+namespace hickorymount::protocol {
+
+std::string to_string(const endpoint& at)
+{
+    return fmt::format("{}:{}", at.address, at.port);
+}
+
+std::optional<endpoint> parse_endpoint(std::string_view text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon == 0) {
+        return std::nullopt;
+    }
+    endpoint parsed{std::string(text.substr(0, colon)), 0};
+    const char* const end = text.data() + text.size();
+    const auto [rest, status] = std::from_chars(text.data() + colon + 1, end, parsed.port);
+    if (status != std::errc{} || rest != end) {
+        return std::nullopt;
+    }
+    return parsed;
+}
+
+bool is_newer(const server_report& report, const server_report& known)
+{
+    return std::tuple(report.started_at, report.sequence) > std::tuple(known.started_at, known.sequence);
+}
+
+} // namespace hickorymount::protocol
--- /dev/null
+++ b/src/protocol/types.h
@@ -0,0 +1,252 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/identifier.h"
+#include "base/millisecond_clock.h"
+#include "base/shared_value.h"
+#include "configuration/types.h"
+#include "consensus/types.h"
+#include "directory/types.h"
+#include "session/types.h"
+
+/// What the system's own processes say to one another. The codec stands apart, in descriptions.h.
+namespace hickorymount::protocol {
+
+using directory::entry_key;
+using session::group_position;
+using session::group_term;
+using session::log_position;
+
+/// Counts changes of what entry hosts have to know; taken from the log's index.
+using view_revision = std::uint64_t;
+
+/// An IP number and a port.
+struct endpoint
+{
+    std::string address;
+    std::uint16_t port = 0;
+
+    friend auto operator<=>(const endpoint&, const endpoint&) = default;
+    friend bool operator==(const endpoint&, const endpoint&) = default;
+};
+
+std::string to_string(const endpoint& at);
+
+/// Parses `address:port`.
+std::optional<endpoint> parse_endpoint(std::string_view text);
+
+enum class server_role { primary, replica };
+
+/// What a backend server says of itself, over and over.
+struct server_report
+{
+    backend_server_name name;
+    group_name group;
+    availability_zone zone;
+    endpoint address;
+    /// When the backend server's process started; a restart is a later one.
+    unix_milliseconds started_at{0};
+    /// Counts the reports of one process.
+    std::uint64_t sequence = 0;
+    server_role role = server_role::replica;
+    group_position at;
+    /// Upper bound of how old a replica's data was when the report was made.
+    milliseconds age{0};
+    bool leaving = false;
+
+    friend bool operator==(const server_report&, const server_report&) = default;
+};
+
+/// True when `report` was made after `known`.
+bool is_newer(const server_report& report, const server_report& known);
+
+/// Entry host to control: asks for its lease, and says how far it has followed.
+struct lease_request
+{
+    entry_key entry;
+    availability_zone zone;
+    std::uint64_t sequence = 0;
+    view_revision revision = 0;
+    configuration::configuration_version version = 0;
+    /// Connections it holds or may open, for each backend server.
+    std::map<backend_server_name, std::uint32_t> held_connections;
+    /// Connections it could use.
+    std::map<backend_server_name, std::uint32_t> wanted_connections;
+
+    friend bool operator==(const lease_request&, const lease_request&) = default;
+};
+
+/// The entry host gives its lease back and goes.
+struct lease_return
+{
+    entry_key entry;
+
+    friend bool operator==(const lease_return&, const lease_return&) = default;
+};
+
+struct lease_grant
+{
+    entry_key entry;
+    std::uint64_t sequence = 0;
+    milliseconds duration{0};
+    std::map<backend_server_name, std::uint32_t> connections;
+
+    friend bool operator==(const lease_grant&, const lease_grant&) = default;
+};
+
+struct not_leader
+{
+    std::optional<host_name> leader;
+
+    friend bool operator==(const not_leader&, const not_leader&) = default;
+};
+
+struct group_view
+{
+    group_name name;
+    directory::group_record record;
+
+    friend bool operator==(const group_view&, const group_view&) = default;
+};
+
+/// What changed between two revisions. With `from` zero it is the whole view.
+struct view_update
+{
+    view_revision from = 0;
+    view_revision to = 0;
+    std::optional<shared_value<configuration::versioned_configuration>> configuration;
+    std::vector<group_view> groups;
+
+    friend bool operator==(const view_update&, const view_update&) = default;
+};
+
+/// Reports passed on, both ways.
+struct server_reports
+{
+    std::vector<server_report> reports;
+
+    friend bool operator==(const server_reports&, const server_reports&) = default;
+};
+
+/// An entry host could not use a primary.
+struct suspicion
+{
+    group_name group;
+    group_term term = 0;
+    backend_server_name server;
+    std::string reason;
+
+    friend bool operator==(const suspicion&, const suspicion&) = default;
+};
+
+struct probe_order
+{
+    std::uint64_t probe = 0;
+    backend_server_name server;
+    endpoint address;
+
+    friend bool operator==(const probe_order&, const probe_order&) = default;
+};
+
+struct probe_report
+{
+    std::uint64_t probe = 0;
+    backend_server_name server;
+    /// Empty when the backend server did not answer.
+    std::optional<server_report> status;
+
+    friend bool operator==(const probe_report&, const probe_report&) = default;
+};
+
+/// Acknowledge no more writes of the term. With `drain`, finish those in flight first and start none.
+struct close_order
+{
+    group_name group;
+    group_term term = 0;
+    bool drain = false;
+
+    friend bool operator==(const close_order&, const close_order&) = default;
+};
+
+struct close_confirmation
+{
+    entry_key entry;
+    group_name group;
+    group_term term = 0;
+    bool drain = false;
+
+    friend bool operator==(const close_confirmation&, const close_confirmation&) = default;
+};
+
+/// Ends a drain whose change was given up.
+struct resume_order
+{
+    group_name group;
+    group_term term = 0;
+
+    friend bool operator==(const resume_order&, const resume_order&) = default;
+};
+
+enum class takeover_kind { promote, follow };
+
+/// Asks an entry host to tell a backend server its part in a term.
+struct takeover_order
+{
+    std::uint64_t order = 0;
+    takeover_kind kind = takeover_kind::follow;
+    group_name group;
+    backend_server_name server;
+    endpoint address;
+    group_term term = 0;
+    /// For follow: where the term's primary is, and the position the term starts from.
+    endpoint primary_address;
+    log_position start = 0;
+
+    friend bool operator==(const takeover_order&, const takeover_order&) = default;
+};
+
+struct takeover_report
+{
+    std::uint64_t order = 0;
+    group_name group;
+    backend_server_name server;
+    takeover_kind kind = takeover_kind::follow;
+    group_term term = 0;
+    bool done = false;
+    /// For promote: the position from which the new term starts.
+    log_position start = 0;
+
+    friend bool operator==(const takeover_report&, const takeover_report&) = default;
+};
+
+using claim_command = std::variant<directory::claim_request, directory::record_outcome, directory::withdraw_claim>;
+
+struct claim_call
+{
+    std::uint64_t call = 0;
+    claim_command what;
+
+    friend bool operator==(const claim_call&, const claim_call&) = default;
+};
+
+struct claim_reply
+{
+    std::uint64_t call = 0;
+    directory::claim_answer answer;
+
+    friend bool operator==(const claim_reply&, const claim_reply&) = default;
+};
+
+using message =
+    std::variant<consensus::vote_request, consensus::vote_answer, consensus::append_request, consensus::append_answer,
+                 consensus::install_request, consensus::join_request, lease_request, lease_return, lease_grant,
+                 not_leader, view_update, server_reports, suspicion, probe_order, probe_report, close_order,
+                 close_confirmation, resume_order, takeover_order, takeover_report, claim_call, claim_reply>;
+
+} // namespace hickorymount::protocol
