--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -1,10 +1,13 @@
+# g++ 12 reports members of std::map as maybe uninitialized where they are not.
+set(HICKORYMOUNT_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Werror -Wno-maybe-uninitialized)
+
 # hickorymount_module(NAME FOLDER SOURCES… LINKS …): one module as a static library.
 # Headers are included from src/ or src/framework/.
 function(hickorymount_module name)
     cmake_parse_arguments(PARSE_ARGV 1 module "" "" "SOURCES;LINKS")
     add_library(hickorymount_${name} STATIC ${module_SOURCES})
     target_include_directories(hickorymount_${name} PUBLIC ${PROJECT_SOURCE_DIR}/src ${PROJECT_SOURCE_DIR}/src/framework)
-    target_compile_options(hickorymount_${name} PRIVATE -Wall -Wextra -Wpedantic -Wshadow -Werror)
+    target_compile_options(hickorymount_${name} PRIVATE ${HICKORYMOUNT_WARNINGS})
     target_link_libraries(hickorymount_${name} PUBLIC ${module_LINKS} fmt::fmt Threads::Threads)
 endfunction()
 
@@ -15,7 +18,7 @@
     endif()
     cmake_parse_arguments(PARSE_ARGV 1 tests "" "" "SOURCES;LINKS")
     add_executable(${name}_tests ${tests_SOURCES})
-    target_compile_options(${name}_tests PRIVATE -Wall -Wextra -Wpedantic -Werror)
+    target_compile_options(${name}_tests PRIVATE ${HICKORYMOUNT_WARNINGS})
     target_link_libraries(${name}_tests PRIVATE hickorymount_${name} ${tests_LINKS} GTest::gtest_main)
     gtest_discover_tests(${name}_tests DISCOVERY_TIMEOUT 60 PROPERTIES TIMEOUT 120)
 endfunction()
@@ -34,7 +37,7 @@
 function(hickorymount_program name)
     cmake_parse_arguments(PARSE_ARGV 1 program "" "" "SOURCES;LINKS")
     add_executable(${name} ${program_SOURCES})
-    target_compile_options(${name} PRIVATE -Wall -Wextra -Wpedantic -Wshadow -Werror)
+    target_compile_options(${name} PRIVATE ${HICKORYMOUNT_WARNINGS})
     target_link_libraries(${name} PRIVATE ${program_LINKS})
     set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/bin)
 endfunction()
--- a/src/consensus/descriptions.h
+++ b/src/consensus/descriptions.h
@@ -11,7 +11,8 @@
 {
     using type = consensus::member;
     static constexpr std::string_view name = "member";
-    static constexpr auto members = std::tuple{member{"name", &type::name}, member{"identity", &type::identity}};
+    static constexpr auto members =
+        std::tuple{member{"name", &type::name}, member{"identity", &type::identity}};
 };
 
 template <>
@@ -70,8 +71,8 @@
     using type = consensus::vote_request;
     static constexpr std::string_view name = "vote_request";
     static constexpr auto members = std::tuple{
-        member{"pre_vote", &type::pre_vote},     member{"term", &type::term},
-        member{"candidate", &type::candidate},   member{"last_index", &type::last_index},
+        member{"pre_vote", &type::pre_vote},   member{"term", &type::term},
+        member{"candidate", &type::candidate}, member{"last_index", &type::last_index},
         member{"last_term", &type::last_term},
     };
 };
@@ -107,9 +108,9 @@
 {
     using type = consensus::append_answer;
     static constexpr std::string_view name = "append_answer";
-    static constexpr auto members =
-        std::tuple{member{"term", &type::term}, member{"follower", &type::follower},
-                   member{"accepted", &type::accepted}, member{"match", &type::match}, member{"round", &type::round}};
+    static constexpr auto members = std::tuple{
+        member{"term", &type::term}, member{"follower", &type::follower}, member{"accepted", &type::accepted},
+        member{"match", &type::match}, member{"round", &type::round}};
 };
 
 template <>
@@ -118,8 +119,8 @@
     using type = consensus::install_request;
     static constexpr std::string_view name = "install_request";
     static constexpr auto members =
-        std::tuple{member{"term", &type::term}, member{"leader", &type::leader}, member{"content", &type::content},
-                   member{"round", &type::round}};
+        std::tuple{member{"term", &type::term}, member{"leader", &type::leader},
+                   member{"content", &type::content}, member{"round", &type::round}};
 };
 
 template <>
@@ -136,9 +137,9 @@
 {
     using type = consensus::persist_log;
     static constexpr std::string_view name = "persist_log";
-    static constexpr auto members = std::tuple{member{"hard", &type::hard},
-                                               member{"truncate_from", &type::truncate_from},
-                                               member{"entries", &type::entries}};
+    static constexpr auto members =
+        std::tuple{member{"hard", &type::hard}, member{"truncate_from", &type::truncate_from},
+                   member{"entries", &type::entries}};
 };
 
 } // namespace hickorymount::codec
--- a/src/consensus/internal/consensus_reducer.cpp
+++ b/src/consensus/internal/consensus_reducer.cpp
@@ -160,9 +160,7 @@
 transition consensus_reducer::finish()
 {
     persist();
-    const time_point wake = m_state.current_role == role::leader ? m_state.heartbeat_at
-                            : is_voter(m_state.self)             ? m_state.election_at
-                                                                 : m_state.join_at;
+    const time_point wake = next_wake(m_state);
     return {std::move(m_state), std::move(m_effects), wake};
 }
 
--- a/src/consensus/internal/reduce.cpp
+++ b/src/consensus/internal/reduce.cpp
@@ -33,4 +33,14 @@
     return std::max(state.log.begin()->first + state.log.size() - 1, state.latest->last_index);
 }
 
+time_point next_wake(const consensus_state& state)
+{
+    if (state.current_role == role::leader) {
+        return state.heartbeat_at;
+    }
+    const auto& voters = state.members.voters;
+    const bool is_voter = std::find(voters.begin(), voters.end(), state.self) != voters.end();
+    return is_voter ? state.election_at : state.join_at;
+}
+
 } // namespace hickorymount::consensus
--- a/src/consensus/reduce.h
+++ b/src/consensus/reduce.h
@@ -14,4 +14,7 @@
 
 log_index last_index(const consensus_state& state);
 
+/// When the next timer_passed is due.
+time_point next_wake(const consensus_state& state);
+
 } // namespace hickorymount::consensus
--- a/src/directory/descriptions.h
+++ b/src/directory/descriptions.h
@@ -10,16 +10,18 @@
 template <>
 struct description<directory::group_phase>
 {
-    static constexpr auto enumerators = std::tuple{enumerator{"open", directory::group_phase::open},
-                                                   enumerator{"closed", directory::group_phase::closed},
-                                                   enumerator{"promoting", directory::group_phase::promoting}};
+    static constexpr auto enumerators =
+        std::tuple{enumerator{"open", directory::group_phase::open},
+                   enumerator{"closed", directory::group_phase::closed},
+                   enumerator{"promoting", directory::group_phase::promoting}};
 };
 
 template <>
 struct description<directory::change_outcome>
 {
-    static constexpr auto enumerators = std::tuple{enumerator{"accepted", directory::change_outcome::accepted},
-                                                   enumerator{"conflict", directory::change_outcome::conflict}};
+    static constexpr auto enumerators =
+        std::tuple{enumerator{"accepted", directory::change_outcome::accepted},
+                   enumerator{"conflict", directory::change_outcome::conflict}};
 };
 
 template <>
@@ -84,7 +86,8 @@
 {
     using type = directory::claim_holder;
     static constexpr std::string_view name = "claim_holder";
-    static constexpr auto members = std::tuple{member{"entry", &type::entry}, member{"request", &type::request}};
+    static constexpr auto members =
+        std::tuple{member{"entry", &type::entry}, member{"request", &type::request}};
 };
 
 template <>
@@ -137,8 +140,9 @@
 {
     using type = directory::open_term;
     static constexpr std::string_view name = "open_term";
-    static constexpr auto members = std::tuple{member{"group", &type::group}, member{"term", &type::term},
-                                               member{"primary", &type::primary}, member{"start", &type::start}};
+    static constexpr auto members =
+        std::tuple{member{"group", &type::group}, member{"term", &type::term},
+                   member{"primary", &type::primary}, member{"start", &type::start}};
 };
 
 template <>
@@ -154,8 +158,8 @@
 {
     using type = directory::name_candidate;
     static constexpr std::string_view name = "name_candidate";
-    static constexpr auto members = std::tuple{
-        member{"group", &type::group}, member{"term", &type::term}, member{"candidate", &type::candidate}};
+    static constexpr auto members = std::tuple{member{"group", &type::group}, member{"term", &type::term},
+                                               member{"candidate", &type::candidate}};
 };
 
 template <>
@@ -177,8 +181,8 @@
 {
     using type = directory::record_outcome;
     static constexpr std::string_view name = "record_outcome";
-    static constexpr auto members =
-        std::tuple{member{"key", &type::key}, member{"holder", &type::holder}, member{"answer", &type::answer}};
+    static constexpr auto members = std::tuple{member{"key", &type::key}, member{"holder", &type::holder},
+                                               member{"answer", &type::answer}};
 };
 
 template <>
@@ -202,7 +206,8 @@
 {
     using type = directory::claim_answer;
     static constexpr std::string_view name = "claim_answer";
-    static constexpr auto members = std::tuple{member{"verdict", &type::verdict}, member{"answer", &type::answer}};
+    static constexpr auto members =
+        std::tuple{member{"verdict", &type::verdict}, member{"answer", &type::answer}};
 };
 
 template <>
@@ -211,9 +216,12 @@
     using type = directory::directory_state;
     static constexpr std::string_view name = "directory_state";
     static constexpr auto members = std::tuple{
-        member{"configuration", &type::configuration}, member{"changes", &type::changes},
-        member{"change_order", &type::change_order},   member{"next_change", &type::next_change},
-        member{"groups", &type::groups},               member{"entry_hosts", &type::entry_hosts},
+        member{"configuration", &type::configuration},
+        member{"changes", &type::changes},
+        member{"change_order", &type::change_order},
+        member{"next_change", &type::next_change},
+        member{"groups", &type::groups},
+        member{"entry_hosts", &type::entry_hosts},
         member{"claims", &type::claims},
     };
 };
--- a/src/framework/base/shared_map.h
+++ b/src/framework/base/shared_map.h
@@ -115,7 +115,9 @@
     {
         own_spine();
         if (m_chunks->empty()) {
-            m_chunks->push_back(std::make_shared<chunk>());
+            m_chunks->push_back(std::make_shared<chunk>(1, value_type(std::move(key), std::move(value))));
+            m_size = 1;
+            return std::move(*this);
         }
         const std::size_t at = chunk_for(key);
         chunk& entries = own_chunk(at);
--- /dev/null
+++ b/src/framework/http/internal/client.cpp
@@ -0,0 +1,112 @@
+#include "http/client.h"
+
+#include <array>
+#include <mutex>
+#include <utility>
+
+#include <civetweb.h>
+#include <fmt/format.h>
+
+namespace hickorymount::http {
+
+namespace {
+
+constexpr std::size_t ERROR_BYTES = 128;
+constexpr std::size_t READ_BYTES = 16 * 1024;
+constexpr long long MAX_RESPONSE_BYTES = 64LL << 20;
+
+void initialize_library()
+{
+    static std::once_flag once;
+    std::call_once(once, [] { mg_init_library(0); });
+}
+
+class civetweb_connection final : public client_connection
+{
+public:
+    civetweb_connection(mg_connection* connection, std::string host)
+        : m_connection(connection), m_host(std::move(host))
+    {
+    }
+    ~civetweb_connection() override { mg_close_connection(m_connection); }
+    civetweb_connection(const civetweb_connection&) = delete;
+    civetweb_connection& operator=(const civetweb_connection&) = delete;
+
+    call_result call(const std::string& method, const std::string& path,
+                     const std::map<std::string, std::string>& headers, const std::string& body,
+                     milliseconds timeout) override
+    {
+        std::string text = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\n", method, path, m_host,
+                                       body.size());
+        for (const auto& [name, value] : headers) {
+            text += fmt::format("{}: {}\r\n", name, value);
+        }
+        text += "\r\n" + body;
+        const int written = mg_write(m_connection, text.data(), text.size());
+        if (written != static_cast<int>(text.size())) {
+            return lost("the request could not be sent whole");
+        }
+        std::array<char, ERROR_BYTES> problem{};
+        const int wait = static_cast<int>(timeout.count() > 0 ? timeout.count() : 1);
+        if (mg_get_response(m_connection, problem.data(), problem.size(), wait) < 0) {
+            return lost(problem.data());
+        }
+        return read_answer();
+    }
+
+private:
+    static call_result lost(std::string reason) { return {call_status::lost, {}, std::move(reason)}; }
+
+    call_result read_answer()
+    {
+        const mg_response_info* info = mg_get_response_info(m_connection);
+        if (info == nullptr || info->content_length < 0 || info->content_length > MAX_RESPONSE_BYTES) {
+            return lost("the response has no usable length");
+        }
+        call_result result{call_status::answered, {}, {}};
+        result.answer.status = info->status_code;
+        const auto length = static_cast<std::size_t>(info->content_length);
+        for (int at = 0; at < info->num_headers; ++at) {
+            result.answer.headers.emplace(info->http_headers[at].name, info->http_headers[at].value);
+        }
+        std::array<char, READ_BYTES> block{};
+        while (result.answer.body.size() < length) {
+            const int count = mg_read(m_connection, block.data(), block.size());
+            if (count <= 0) {
+                return lost("the response was cut short");
+            }
+            result.answer.body.append(block.data(), static_cast<std::size_t>(count));
+        }
+        return result;
+    }
+
+    mg_connection* m_connection;
+    std::string m_host;
+};
+
+} // namespace
+
+result<std::unique_ptr<client_connection>> connect(const std::string& address, std::uint16_t port)
+{
+    initialize_library();
+    std::array<char, ERROR_BYTES> problem{};
+    mg_connection* connection = mg_connect_client(address.c_str(), port, 0, problem.data(), problem.size());
+    const std::string host = fmt::format("{}:{}", address, port);
+    if (connection == nullptr) {
+        return fail("connect", host, problem.data());
+    }
+    return std::unique_ptr<client_connection>(std::make_unique<civetweb_connection>(connection, host));
+}
+
+call_result call_once(const std::string& address, std::uint16_t port, const std::string& method,
+                      const std::string& path, const std::string& body, milliseconds timeout)
+{
+    return handle_failure(
+        [&]() -> result<call_result> {
+            BOOST_LEAF_AUTO(connection, connect(address, port));
+            return connection->call(method, path, {{"Connection", "close"}}, body, timeout);
+        },
+        [](const failure& what) { return call_result{call_status::not_sent, {}, to_string(what)}; });
+}
+
+} // namespace hickorymount::http
--- /dev/null
+++ b/src/framework/http/internal/server.cpp
@@ -0,0 +1,166 @@
+#include "http/server.h"
+
+#include <array>
+#include <atomic>
+#include <utility>
+#include <vector>
+
+#include <civetweb.h>
+#include <fmt/format.h>
+
+namespace hickorymount::http {
+
+namespace {
+
+constexpr std::size_t READ_BYTES = 16 * 1024;
+
+class civetweb_server final : public server
+{
+public:
+    civetweb_server(server_options options, request_handler on_request, closed_handler on_closed)
+        : m_options(std::move(options)), m_on_request(std::move(on_request)), m_on_closed(std::move(on_closed))
+    {
+    }
+    ~civetweb_server() override { civetweb_server::stop(); }
+    civetweb_server(const civetweb_server&) = delete;
+    civetweb_server& operator=(const civetweb_server&) = delete;
+
+    bool start()
+    {
+        const std::string listening = fmt::format("{}:{}", m_options.address, m_options.port);
+        const std::string threads = std::to_string(m_options.threads);
+        const std::string timeout = std::to_string(m_options.keep_alive_timeout_ms);
+        const std::array<const char*, 13> settings{"listening_ports",       listening.c_str(),
+                                                   "num_threads",           threads.c_str(),
+                                                   "enable_keep_alive",     "yes",
+                                                   "keep_alive_timeout_ms", timeout.c_str(),
+                                                   "request_timeout_ms",    timeout.c_str(),
+                                                   "tcp_nodelay",           "1",
+                                                   nullptr};
+        mg_callbacks callbacks{};
+        callbacks.begin_request = [](mg_connection* connection) {
+            const mg_request_info* info = mg_get_request_info(connection);
+            return static_cast<civetweb_server*>(info->user_data)->serve(connection, *info);
+        };
+        callbacks.init_connection = [](const mg_connection* connection, void** data) {
+            auto* self = static_cast<civetweb_server*>(mg_get_user_data(mg_get_context(connection)));
+            ++self->m_open;
+            // The pointer's value is the connection's number; nothing is stored behind it.
+            *data = reinterpret_cast<void*>(++self->m_next_connection); // NOLINT(performance-no-int-to-ptr)
+            return 0;
+        };
+        callbacks.connection_closed = [](const mg_connection* connection) {
+            auto* self = static_cast<civetweb_server*>(mg_get_user_data(mg_get_context(connection)));
+            --self->m_open;
+            if (self->m_on_closed) {
+                self->m_on_closed(number_of(mg_get_user_connection_data(connection)));
+            }
+        };
+        m_context = mg_start(&callbacks, this, const_cast<const char**>(settings.data()));
+        return m_context != nullptr;
+    }
+
+    [[nodiscard]] std::uint16_t port() const override
+    {
+        std::array<mg_server_port, 1> ports{};
+        const int count = mg_get_server_ports(m_context, 1, ports.data());
+        return count > 0 ? static_cast<std::uint16_t>(ports[0].port) : 0;
+    }
+
+    void stop() override
+    {
+        if (m_context != nullptr) {
+            mg_stop(std::exchange(m_context, nullptr));
+        }
+    }
+
+private:
+    static std::uint64_t number_of(void* data) { return reinterpret_cast<std::uintptr_t>(data); }
+
+    int serve(mg_connection* connection, const mg_request_info& info)
+    {
+        request asked;
+        asked.method = info.request_method;
+        asked.path = info.local_uri == nullptr ? "" : info.local_uri;
+        asked.query = info.query_string == nullptr ? "" : info.query_string;
+        asked.connection = number_of(mg_get_user_connection_data(connection));
+        for (int at = 0; at < info.num_headers; ++at) {
+            asked.headers.emplace(info.http_headers[at].name, info.http_headers[at].value);
+        }
+        read_body(connection, info, asked);
+        response answer = m_on_request(asked);
+        const bool is_unread = asked.is_body_too_large || asked.is_body_short;
+        answer.closes = answer.closes || is_unread || m_open > m_options.kept_alive_connections;
+        write(connection, answer);
+        return answer.status;
+    }
+
+    void read_body(mg_connection* connection, const mg_request_info& info, request& into) const
+    {
+        if (info.content_length > static_cast<long long>(m_options.max_body_bytes)) {
+            into.is_body_too_large = true;
+            return;
+        }
+        std::array<char, READ_BYTES> block{};
+        for (;;) {
+            const int count = mg_read(connection, block.data(), block.size());
+            if (count <= 0) {
+                break;
+            }
+            into.body.append(block.data(), static_cast<std::size_t>(count));
+            if (into.body.size() > m_options.max_body_bytes) {
+                into.body.clear();
+                into.is_body_too_large = true;
+                return;
+            }
+        }
+        const bool is_short =
+            info.content_length > 0 && into.body.size() < static_cast<std::size_t>(info.content_length);
+        if (is_short) {
+            into.body.clear();
+            into.is_body_short = true;
+        }
+    }
+
+    static void write(mg_connection* connection, const response& answer)
+    {
+        if (answer.is_dropped) {
+            mg_disable_connection_keep_alive(connection);
+            return;
+        }
+        const bool closes = answer.closes || answer.cut_after < answer.body.size();
+        std::string head = fmt::format("HTTP/1.1 {} {}\r\nContent-Type: {}\r\nContent-Length: {}\r\nConnection: {}\r\n",
+                                       answer.status, mg_get_response_code_text(connection, answer.status),
+                                       answer.content_type, answer.body.size(), closes ? "close" : "keep-alive");
+        for (const auto& [name, value] : answer.headers) {
+            head += fmt::format("{}: {}\r\n", name, value);
+        }
+        head += "\r\n";
+        head.append(answer.body, 0, answer.cut_after);
+        if (closes) {
+            mg_disable_connection_keep_alive(connection);
+        }
+        mg_write(connection, head.data(), head.size());
+    }
+
+    server_options m_options;
+    request_handler m_on_request;
+    closed_handler m_on_closed;
+    std::atomic<std::uint64_t> m_next_connection{0};
+    std::atomic<unsigned> m_open{0};
+    mg_context* m_context = nullptr;
+};
+
+} // namespace
+
+result<std::unique_ptr<server>> start_server(const server_options& options, request_handler on_request,
+                                             closed_handler on_closed)
+{
+    auto started = std::make_unique<civetweb_server>(options, std::move(on_request), std::move(on_closed));
+    if (!started->start()) {
+        return fail("listen", fmt::format("{}:{}", options.address, options.port), "the address can't be used");
+    }
+    return std::unique_ptr<server>(std::move(started));
+}
+
+} // namespace hickorymount::http
--- /dev/null
+++ b/src/framework/link/internal/websocket_transport.cpp
@@ -0,0 +1,263 @@
+#include "link/peer_transport.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <thread>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+namespace hickorymount::link {
+
+namespace {
+
+using client = websocketpp::client<websocketpp::config::asio_client>;
+using server = websocketpp::server<websocketpp::config::asio>;
+using websocketpp::connection_hdl;
+
+constexpr std::size_t MAX_MESSAGE_BYTES = std::size_t{64} << 20;
+constexpr std::size_t MAX_BUFFERED_BYTES = std::size_t{128} << 20;
+constexpr std::size_t MAX_NAME_BYTES = 64;
+constexpr std::chrono::milliseconds REDIAL_INTERVAL{100};
+constexpr long HANDSHAKE_TIMEOUT_MS = 1000;
+
+bool is_name(const std::string& text)
+{
+    const auto is_allowed = [](char each) {
+        return (each >= 'a' && each <= 'z') || (each >= '0' && each <= '9') || each == '-';
+    };
+    return !text.empty() && text.size() <= MAX_NAME_BYTES && std::all_of(text.begin(), text.end(), is_allowed);
+}
+
+class websocket_transport final : public peer_transport
+{
+public:
+    websocket_transport(std::string own_name, peer_handlers handlers)
+        : m_own_name(std::move(own_name)), m_handlers(std::move(handlers))
+    {
+        prepare(m_client);
+        prepare(m_server);
+        m_client.set_open_handler([this](connection_hdl handle) { dialled(std::move(handle)); });
+        m_client.set_fail_handler([this](connection_hdl handle) { redial_later(std::move(handle)); });
+        m_client.set_close_handler([this](connection_hdl handle) { redial_later(std::move(handle)); });
+        m_client.set_message_handler([this](connection_hdl handle, client::message_ptr message) {
+            receive_dialled(std::move(handle), message->get_payload());
+        });
+        m_server.set_open_handler([this](connection_hdl handle) { set_no_delay(m_server, handle); });
+        m_server.set_close_handler([this](connection_hdl handle) { forget_accepted(handle); });
+        m_server.set_message_handler([this](connection_hdl handle, server::message_ptr message) {
+            receive_accepted(std::move(handle), message->get_opcode(), message->get_payload());
+        });
+    }
+
+    websocket_transport(const websocket_transport&) = delete;
+    websocket_transport& operator=(const websocket_transport&) = delete;
+    ~websocket_transport() override { stop_thread(); }
+
+    std::uint16_t listen(const std::string& address, std::uint16_t port) override
+    {
+        websocketpp::lib::error_code problem;
+        m_server.set_reuse_addr(true);
+        m_server.listen(address, std::to_string(port), problem);
+        if (problem) {
+            return 0;
+        }
+        m_server.start_accept(problem);
+        boost::system::error_code no_endpoint;
+        const auto local = m_server.get_local_endpoint(no_endpoint);
+        return problem || no_endpoint ? 0 : local.port();
+    }
+
+    void dial(const std::string& peer, const std::string& address, std::uint16_t port) override
+    {
+        const std::string uri = "ws://" + address + ":" + std::to_string(port) + "/";
+        boost::asio::post(m_context, [this, peer, uri] {
+            m_uris[peer] = uri;
+            connect(peer);
+        });
+    }
+
+    void send(const std::string& peer, std::string bytes) override
+    {
+        boost::asio::post(m_context, [this, peer, bytes = std::move(bytes)] { send_now(peer, bytes); });
+    }
+
+    void start() override
+    {
+        m_work = std::make_unique<work_guard>(m_context.get_executor());
+        m_thread = std::thread([this] { m_context.run(); });
+    }
+
+    void stop() override { stop_thread(); }
+
+private:
+    using work_guard = boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
+
+    void stop_thread()
+    {
+        m_context.stop();
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+    }
+
+    template <class Endpoint>
+    void prepare(Endpoint& endpoint)
+    {
+        endpoint.clear_access_channels(websocketpp::log::alevel::all);
+        endpoint.clear_error_channels(websocketpp::log::elevel::all);
+        endpoint.init_asio(&m_context);
+        endpoint.set_max_message_size(MAX_MESSAGE_BYTES);
+        endpoint.set_open_handshake_timeout(HANDSHAKE_TIMEOUT_MS);
+    }
+
+    template <class Endpoint>
+    void set_no_delay(Endpoint& endpoint, const connection_hdl& handle)
+    {
+        websocketpp::lib::error_code problem;
+        const auto connection = endpoint.get_con_from_hdl(handle, problem);
+        if (!problem) {
+            boost::system::error_code ignored;
+            connection->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+        }
+    }
+
+    void connect(const std::string& peer)
+    {
+        websocketpp::lib::error_code problem;
+        const auto connection = m_client.get_connection(m_uris[peer], problem);
+        if (problem) {
+            m_handlers.on_problem(peer, problem.message());
+            return;
+        }
+        m_dialling[connection->get_handle()] = peer;
+        m_client.connect(connection);
+    }
+
+    void dialled(connection_hdl handle)
+    {
+        const std::string peer = m_dialling[handle];
+        set_no_delay(m_client, handle);
+        websocketpp::lib::error_code problem;
+        m_client.send(handle, m_own_name, websocketpp::frame::opcode::text, problem);
+        m_dialled[peer] = std::move(handle);
+        m_handlers.on_connected(peer);
+    }
+
+    void redial_later(connection_hdl handle)
+    {
+        const auto found = m_dialling.find(handle);
+        if (found == m_dialling.end()) {
+            return;
+        }
+        const std::string peer = found->second;
+        m_dialling.erase(found);
+        m_dialled.erase(peer);
+        auto timer = std::make_shared<boost::asio::steady_timer>(m_context, REDIAL_INTERVAL);
+        timer->async_wait([this, peer, timer](const boost::system::error_code& problem) {
+            if (!problem) {
+                connect(peer);
+            }
+        });
+    }
+
+    void receive_dialled(connection_hdl handle, const std::string& bytes)
+    {
+        const auto found = m_dialling.find(handle);
+        if (found != m_dialling.end()) {
+            m_handlers.on_message(found->second, bytes);
+        }
+    }
+
+    void receive_accepted(connection_hdl handle, websocketpp::frame::opcode::value opcode, const std::string& bytes)
+    {
+        const auto known = m_names.find(handle);
+        if (known != m_names.end()) {
+            m_handlers.on_message(known->second, bytes);
+            return;
+        }
+        if (opcode != websocketpp::frame::opcode::text || !is_name(bytes)) {
+            m_handlers.on_problem("unknown", "the first message was not a host's name");
+            websocketpp::lib::error_code ignored;
+            m_server.close(handle, websocketpp::close::status::policy_violation, "expected a name", ignored);
+            return;
+        }
+        m_names[handle] = bytes;
+        m_accepted[bytes] = handle;
+    }
+
+    void forget_accepted(const connection_hdl& handle)
+    {
+        const auto known = m_names.find(handle);
+        if (known == m_names.end()) {
+            return;
+        }
+        const auto current = m_accepted.find(known->second);
+        const bool is_current = current != m_accepted.end() && !current->second.owner_before(handle) &&
+                                !handle.owner_before(current->second);
+        if (is_current) {
+            m_accepted.erase(current);
+        }
+        m_names.erase(known);
+    }
+
+    void send_now(const std::string& peer, const std::string& bytes)
+    {
+        const auto dialled = m_dialled.find(peer);
+        if (dialled != m_dialled.end()) {
+            send_on(m_client, dialled->second, peer, bytes);
+            return;
+        }
+        const auto accepted = m_accepted.find(peer);
+        if (accepted != m_accepted.end()) {
+            send_on(m_server, accepted->second, peer, bytes);
+        }
+    }
+
+    template <class Endpoint>
+    void send_on(Endpoint& endpoint, const connection_hdl& handle, const std::string& peer, const std::string& bytes)
+    {
+        websocketpp::lib::error_code problem;
+        const auto connection = endpoint.get_con_from_hdl(handle, problem);
+        if (problem) {
+            return;
+        }
+        if (connection->get_buffered_amount() > MAX_BUFFERED_BYTES) {
+            m_handlers.on_problem(peer, "too much unsent; the connection is closed");
+            connection->terminate(websocketpp::lib::error_code());
+            return;
+        }
+        endpoint.send(handle, bytes, websocketpp::frame::opcode::binary, problem);
+    }
+
+    using handle_order = std::owner_less<connection_hdl>;
+
+    std::string m_own_name;
+    peer_handlers m_handlers;
+    boost::asio::io_context m_context;
+    client m_client;
+    server m_server;
+    std::map<std::string, std::string> m_uris;
+    std::map<connection_hdl, std::string, handle_order> m_dialling;
+    std::map<std::string, connection_hdl> m_dialled;
+    std::map<connection_hdl, std::string, handle_order> m_names;
+    std::map<std::string, connection_hdl> m_accepted;
+    std::unique_ptr<work_guard> m_work;
+    std::thread m_thread;
+};
+
+} // namespace
+
+std::unique_ptr<peer_transport> make_websocket_transport(const std::string& own_name, peer_handlers handlers)
+{
+    return std::make_unique<websocket_transport>(own_name, std::move(handlers));
+}
+
+} // namespace hickorymount::link
--- /dev/null
+++ b/src/framework/metrics/internal/distribution.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+namespace hickorymount::metrics::detail {
+
+/// Observations in milliseconds: buckets, quantiles and extremes.
+class distribution
+{
+public:
+    distribution();
+
+    void add(double value);
+
+    /// The lines of one histogram, and of one summary named `name` + `_quantiles`.
+    [[nodiscard]] std::string exposition(const std::string& name, const std::string& labels) const;
+
+private:
+    using accumulator = boost::accumulators::accumulator_set<
+        double, boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum,
+                                           boost::accumulators::tag::max, boost::accumulators::tag::extended_p_square>>;
+
+    static constexpr std::array<double, 12> BUCKETS_MS{0.5, 1, 2, 5, 10, 20, 50, 100, 250, 500, 1000, 4000};
+    static constexpr std::array<double, 3> QUANTILES{0.5, 0.9, 0.99};
+
+    std::array<std::uint64_t, BUCKETS_MS.size()> m_counts{};
+    accumulator m_values;
+};
+
+} // namespace hickorymount::metrics::detail
--- /dev/null
+++ b/src/gateway/control_service.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include "base/error.h"
+#include "settings/types.h"
+
+namespace hickorymount::gateway {
+
+/// A control host's process: the replicated log in its data folder, the links, and HTTP for operators.
+class control_service
+{
+public:
+    control_service() = default;
+    control_service(const control_service&) = delete;
+    control_service& operator=(const control_service&) = delete;
+    virtual ~control_service() = default;
+
+    [[nodiscard]] virtual std::uint16_t operators_port() const = 0;
+    virtual void stop() = 0;
+};
+
+/// `on_disk_failure` is called once when a write or a sync fails; the process has to stop then.
+result<std::unique_ptr<control_service>> start_control(const settings::control_settings& own,
+                                                       std::function<void()> on_disk_failure);
+
+} // namespace hickorymount::gateway
--- /dev/null
+++ b/src/gateway/entry_service.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+
+#include "base/error.h"
+#include "settings/types.h"
+
+namespace hickorymount::gateway {
+
+/// An entry host's process: HTTP towards callers, backend servers and the balancer, and the link to control.
+class entry_service
+{
+public:
+    entry_service() = default;
+    entry_service(const entry_service&) = delete;
+    entry_service& operator=(const entry_service&) = delete;
+    virtual ~entry_service() = default;
+
+    [[nodiscard]] virtual std::uint16_t port() const = 0;
+
+    /// A planned stop: tells the balancer, finishes what is in flight, gives the lease back. Blocks.
+    virtual void drain() = 0;
+    virtual void stop() = 0;
+};
+
+result<std::unique_ptr<entry_service>> start_entry(const settings::entry_settings& own);
+
+} // namespace hickorymount::gateway
--- /dev/null
+++ b/src/gateway/internal/entry_service.cpp
@@ -0,0 +1,405 @@
+#include "gateway/entry_service.h"
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+#include <random>
+#include <thread>
+#include <utility>
+
+#include "codec/json_codec.h"
+#include "database/descriptions.h"
+#include "gateway/internal/backend_connections.h"
+#include "gateway/internal/caller_codec.h"
+#include "gateway/internal/entry_pages.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "link/peer_transport.h"
+#include "logging/log_writer.h"
+#include "metrics/metric_registry.h"
+#include "node/reduce.h"
+#include "protocol/message_codec.h"
+#include "routing/read_policy.h"
+#include "routing/reduce.h"
+#include "runtime/call_desk.h"
+#include "runtime/control_thread.h"
+#include "runtime/worker_pool.h"
+
+#include <fmt/format.h>
+
+namespace hickorymount::gateway {
+
+namespace {
+
+using detail::backend_connections;
+using protocol::probe_report;
+using protocol::takeover_report;
+
+constexpr unsigned ADMINISTRATION_THREADS = 8;
+/// Connections beyond the kept-alive ones, so that a new caller always finds a thread.
+constexpr unsigned SPARE_CALLER_THREADS = 16;
+constexpr unsigned KEEP_ALIVE_TIMEOUT_MS = 15'000;
+constexpr milliseconds PROBE_TIMEOUT{150};
+constexpr int PROBE_ATTEMPTS = 2;
+constexpr milliseconds TAKEOVER_TIMEOUT{300};
+/// Longer than any class's deadline; the reducer answers every request before.
+constexpr milliseconds CALLER_TIMEOUT{660'000};
+/// The balancer learns within this time that the host is stopping; until then requests are still served.
+constexpr milliseconds BALANCER_GRACE{2000};
+constexpr milliseconds DRAIN_TIMEOUT{15'000};
+
+incarnation_id make_incarnation()
+{
+    std::random_device random;
+    return incarnation_id{fmt::format("{:08x}{:08x}", random(), random())};
+}
+
+class entry_process final : public entry_service
+{
+public:
+    explicit entry_process(settings::entry_settings own)
+        : m_own(std::move(own)), m_self{m_own.name, make_incarnation()}, m_log(m_own.name.value, m_own.log_level),
+          m_state(routing::entry_state{}),
+          m_control([this](node::node_event event) { return step(std::move(event)); },
+                    [] { return event_now(routing::time_passed{}); }),
+          m_administration(ADMINISTRATION_THREADS),
+          m_backends(m_self.name.value + "." + m_self.incarnation.value,
+                     [this](routing::entry_event_kind what) { post(std::move(what)); })
+    {
+        link::peer_handlers handlers;
+        handlers.on_message = [this](const std::string& peer, const std::string& bytes) { receive(peer, bytes); };
+        handlers.on_connected = [this](const std::string& peer) { post(routing::control_connected{host_name{peer}}); };
+        handlers.on_problem = [this](const std::string& peer, const std::string& reason) {
+            m_log.write({logging::log_level::warning, "link", peer, reason});
+        };
+        m_transport = link::make_websocket_transport(m_own.name.value, std::move(handlers));
+    }
+    ~entry_process() override { entry_process::stop(); }
+    entry_process(const entry_process&) = delete;
+    entry_process& operator=(const entry_process&) = delete;
+
+    result<void> start()
+    {
+        http::server_options options;
+        options.address = m_own.callers.address;
+        options.port = m_own.callers.port;
+        options.kept_alive_connections = m_own.caller_connections;
+        options.threads = m_own.caller_connections + SPARE_CALLER_THREADS;
+        options.keep_alive_timeout_ms = KEEP_ALIVE_TIMEOUT_MS;
+        BOOST_LEAF_ASSIGN(m_server,
+                          http::start_server(options, [this](const http::request& asked) { return serve(asked); }, {}));
+        m_control.start();
+        std::vector<host_name> control_hosts;
+        for (const settings::control_host& host : m_own.control_hosts) {
+            control_hosts.push_back(host.name);
+        }
+        post(routing::entry_started{m_self, m_own.zone, control_hosts});
+        for (const settings::control_host& host : m_own.control_hosts) {
+            m_transport->dial(host.name.value, host.address.address, host.address.port);
+        }
+        m_transport->start();
+        m_log.write({logging::log_level::information, "start", "",
+                     fmt::format("port={} incarnation={}", m_server->port(), m_self.incarnation.value)});
+        return {};
+    }
+
+    [[nodiscard]] std::uint16_t port() const override { return m_server->port(); }
+
+    void drain() override
+    {
+        m_log.write({logging::log_level::information, "drain", "", ""});
+        m_is_draining = true;
+        std::this_thread::sleep_for(BALANCER_GRACE);
+        post(routing::drain_asked{});
+        std::unique_lock lock(m_drained_mutex);
+        m_drained_changed.wait_for(lock, DRAIN_TIMEOUT, [this] { return m_is_drained; });
+        m_log.write({logging::log_level::information, "drained", "", fmt::format("complete={}", m_is_drained)});
+    }
+
+    void stop() override
+    {
+        if (std::exchange(m_is_stopped, true)) {
+            return;
+        }
+        if (m_server != nullptr) {
+            m_server->stop();
+        }
+        m_backends.stop();
+        m_administration.stop();
+        m_transport->stop();
+        m_control.stop();
+    }
+
+private:
+    static node::node_event event_now(routing::entry_event_kind what)
+    {
+        return {millisecond_clock::now(), unix_now(), std::move(what)};
+    }
+
+    void post(routing::entry_event_kind what) { m_control.post(event_now(std::move(what))); }
+
+    void receive(const std::string& peer, const std::string& bytes)
+    {
+        handle_failure(
+            [&]() -> result<void> {
+                BOOST_LEAF_AUTO(content, protocol::decode(bytes, peer));
+                post(routing::control_message{host_name{peer}, std::move(content)});
+                return {};
+            },
+            [&](const failure& what) {
+                m_metrics.count("hickorymount_bad_messages_total", "");
+                m_log.write({logging::log_level::warning, what.step, what.peer, what.reason});
+            });
+    }
+
+    time_point step(node::node_event event)
+    {
+        event.now = millisecond_clock::now();
+        event.wall = unix_now();
+        node::node_transition next = node::reduce(std::move(m_state), event, m_policy);
+        m_state = std::move(next.state);
+        for (node::node_effect& effect : next.effects) {
+            if (auto* own = std::get_if<routing::entry_effect>(&effect)) {
+                std::visit([this](auto& each) { carry_out(std::move(each)); }, *own);
+            }
+        }
+        publish();
+        return next.wake_at;
+    }
+
+    /// Lets traffic threads see what the health check and the pages tell.
+    void publish()
+    {
+        const auto& state = std::get<routing::entry_state>(m_state);
+        m_is_ready = routing::is_ready(state, millisecond_clock::now());
+        if (!m_page_wanted.exchange(false)) {
+            return;
+        }
+        const std::lock_guard lock(m_page_mutex);
+        m_page = state;
+        m_page_changed.notify_all();
+    }
+
+    void carry_out(routing::run_statement&& effect) { m_backends.run(effect); }
+    void carry_out(routing::open_connection&& effect) { m_backends.open(effect); }
+    void carry_out(routing::close_connection&& effect) { m_backends.close(effect.connection); }
+
+    void carry_out(routing::send_to_control&& effect)
+    {
+        const std::string bytes = protocol::encode(effect.content);
+        m_metrics.count("hickorymount_control_bytes_sent_total", "", bytes.size());
+        m_transport->send(effect.to.value, bytes);
+    }
+
+    void carry_out(routing::answer_caller&& effect) { m_calls.answer(effect.request, std::move(effect.outcome)); }
+
+    void carry_out(routing::probe_server&& effect)
+    {
+        m_administration.post([this, effect = std::move(effect)] { probe(effect); });
+    }
+
+    void carry_out(routing::tell_server&& effect)
+    {
+        m_administration.post([this, effect = std::move(effect)] { tell(effect); });
+    }
+
+    void carry_out(routing::drained&& /*effect*/)
+    {
+        const std::lock_guard lock(m_drained_mutex);
+        m_is_drained = true;
+        m_drained_changed.notify_all();
+    }
+
+    void carry_out(logging::log_record&& effect) { m_log.write(effect); }
+
+    void probe(const routing::probe_server& effect)
+    {
+        const protocol::probe_order& order = effect.order;
+        probe_report report{order.probe, order.server, std::nullopt};
+        for (int attempt = 0; attempt < PROBE_ATTEMPTS && !report.status; ++attempt) {
+            const http::call_result got =
+                http::call_once(order.address.address, order.address.port, "GET", "/v1/status", "", PROBE_TIMEOUT);
+            report.status = handle_failure(
+                [&]() -> result<std::optional<protocol::server_report>> {
+                    if (got.status != http::call_status::answered) {
+                        return fail("probe", order.server.value, got.reason);
+                    }
+                    return decode_report(got.answer.body, order.server.value);
+                },
+                [](const failure&) { return std::optional<protocol::server_report>{}; });
+        }
+        post(routing::probe_finished{effect.asked_by, std::move(report)});
+    }
+
+    static result<std::optional<protocol::server_report>> decode_report(const std::string& body,
+                                                                        const std::string& peer)
+    {
+        BOOST_LEAF_AUTO(document, codec::parse_json(body, codec::CALLER_INPUT_LIMITS, peer));
+        BOOST_LEAF_AUTO(report, codec::decode<protocol::server_report>(document, peer));
+        return std::optional(std::move(report));
+    }
+
+    void tell(const routing::tell_server& effect)
+    {
+        const protocol::takeover_order& order = effect.order;
+        const bool promotes = order.kind == protocol::takeover_kind::promote;
+        const std::string body =
+            promotes ? codec::encode(database::promotion{order.term}).dump()
+                     : codec::encode(database::following{order.term, order.primary_address, order.start}).dump();
+        takeover_report report{order.order, order.group, order.server, order.kind, order.term, false, 0};
+        const http::call_result got =
+            http::call_once(order.address.address, order.address.port, "POST",
+                            promotes ? "/v1/promote" : "/v1/follow", body, TAKEOVER_TIMEOUT);
+        handle_failure(
+            [&]() -> result<void> {
+                if (got.status != http::call_status::answered) {
+                    return fail("takeover", order.server.value, got.reason);
+                }
+                BOOST_LEAF_AUTO(document,
+                                codec::parse_json(got.answer.body, codec::CALLER_INPUT_LIMITS, order.server.value));
+                BOOST_LEAF_AUTO(answer, codec::decode<database::takeover_answer>(document, order.server.value));
+                report.done = answer.is_done && answer.term == order.term;
+                report.start = answer.start;
+                return {};
+            },
+            [&](const failure& what) {
+                m_log.write({logging::log_level::warning, what.step, what.peer, what.reason});
+            });
+        post(routing::takeover_finished{effect.asked_by, std::move(report)});
+    }
+
+    http::response serve(const http::request& asked)
+    {
+        http::response answer = route(asked);
+        answer.closes = answer.closes || m_is_draining;
+        return answer;
+    }
+
+    http::response route(const http::request& asked)
+    {
+        if (asked.is_body_too_large) {
+            return detail::encode_bad_request({"decode_request", "caller", "the body is larger than the limit"}, 413);
+        }
+        if (detail::is_caller_path(asked.path)) {
+            return serve_caller(asked);
+        }
+        const std::string target = asked.method + " " + asked.path;
+        if (target == "POST /v1/announcements") {
+            return take_announcement(asked);
+        }
+        if (target == "GET /health") {
+            const std::string state = m_is_draining ? "draining" : m_is_ready ? "ready" : "not_ready";
+            return detail::plain_page(state == "ready" ? 200 : 503, R"({"state":")" + state + "\"}");
+        }
+        if (target == "GET /metrics") {
+            const auto state = present_state();
+            detail::set_gauges(m_metrics, state, m_calls.size());
+            http::response page = detail::plain_page(200, m_metrics.exposition());
+            page.content_type = "text/plain; version=0.0.4";
+            return page;
+        }
+        if (target == "GET /v1/status") {
+            return detail::plain_page(200, detail::status_page(present_state(), millisecond_clock::now()));
+        }
+        return detail::encode_bad_request({"decode_request", "caller", "no such resource"}, 404);
+    }
+
+    /// The control thread's state, copied by it on request.
+    routing::entry_state present_state()
+    {
+        std::unique_lock lock(m_page_mutex);
+        m_page_wanted = true;
+        post(routing::time_passed{});
+        m_page_changed.wait_for(lock, TAKEOVER_TIMEOUT, [this] { return !m_page_wanted; });
+        return m_page;
+    }
+
+    http::response serve_caller(const http::request& asked)
+    {
+        const auto began = std::chrono::steady_clock::now();
+        std::string class_label = "unknown";
+        http::response answer = handle_failure(
+            [&]() -> result<http::response> {
+                BOOST_LEAF_AUTO(decoded, detail::decode_request(asked));
+                class_label = m_is_ready ? decoded.class_of_request.value : class_label;
+                decoded.request = m_calls.open();
+                const std::uint64_t number = decoded.request;
+                post(std::move(decoded));
+                return finish_call(number, class_label);
+            },
+            [&](const failure& what) { return detail::encode_bad_request(what, 400); });
+        const std::chrono::duration<double, std::milli> took = std::chrono::steady_clock::now() - began;
+        m_metrics.observe_ms("hickorymount_request_duration_ms", detail::class_labels(class_label), took.count());
+        return answer;
+    }
+
+    http::response finish_call(std::uint64_t number, std::string& class_label)
+    {
+        std::optional<routing::caller_outcome> outcome = m_calls.wait(number, CALLER_TIMEOUT);
+        if (!outcome) {
+            outcome = routing::outcome_unknown{"answer", "", "the entry host stopped"};
+        }
+        auto* answer = std::get_if<routing::whole_answer>(&*outcome);
+        const bool is_late = answer != nullptr && answer->valid_until && millisecond_clock::now() >= *answer->valid_until;
+        if (is_late) {
+            outcome = routing::outcome_unknown{"answer", answer->served_by.value,
+                                               "the lease ran out before the answer could go out"};
+        }
+        if (const auto* refused = std::get_if<routing::not_run>(&*outcome);
+            refused != nullptr && refused->reason == routing::refusal::unknown_class) {
+            class_label = "unknown";
+        }
+        detail::count_outcome(m_metrics, class_label, *outcome);
+        http::response made = detail::encode_outcome(*outcome);
+        made.headers[detail::REQUEST_HEADER] =
+            fmt::format("{}.{}.{}", m_self.name.value, m_self.incarnation.value, number);
+        return made;
+    }
+
+    http::response take_announcement(const http::request& asked)
+    {
+        return handle_failure(
+            [&]() -> result<http::response> {
+                BOOST_LEAF_AUTO(document, codec::parse_json(asked.body, codec::CALLER_INPUT_LIMITS, "backend server"));
+                BOOST_LEAF_AUTO(report, codec::decode<protocol::server_report>(document, "backend server"));
+                post(routing::announced{std::move(report)});
+                return detail::plain_page(200, "{}");
+            },
+            [&](const failure& what) { return detail::encode_bad_request(what, 400); });
+    }
+
+    settings::entry_settings m_own;
+    directory::entry_key m_self;
+    logging::log_writer m_log;
+    metrics::metric_registry m_metrics;
+    routing::position_policy m_policy;
+    node::node_state m_state;
+    runtime::call_desk<routing::caller_outcome> m_calls;
+    std::atomic<bool> m_is_ready{false};
+    std::atomic<bool> m_is_draining{false};
+    std::atomic<bool> m_page_wanted{false};
+    std::mutex m_page_mutex;
+    std::condition_variable m_page_changed;
+    routing::entry_state m_page;
+    std::mutex m_drained_mutex;
+    std::condition_variable m_drained_changed;
+    bool m_is_drained = false;
+    bool m_is_stopped = false;
+    std::unique_ptr<http::server> m_server;
+    std::unique_ptr<link::peer_transport> m_transport;
+    runtime::control_thread<node::node_event> m_control;
+    runtime::worker_pool m_administration;
+    backend_connections m_backends;
+};
+
+} // namespace
+
+result<std::unique_ptr<entry_service>> start_entry(const settings::entry_settings& own)
+{
+    auto started = std::make_unique<entry_process>(own);
+    BOOST_LEAF_CHECK(started->start());
+    return std::unique_ptr<entry_service>(std::move(started));
+}
+
+} // namespace hickorymount::gateway
--- /dev/null
+++ b/src/gateway/internal/storage_thread.cpp
@@ -0,0 +1,103 @@
+#include "gateway/internal/storage_thread.h"
+
+#include <utility>
+
+namespace hickorymount::gateway::detail {
+
+namespace {
+
+consensus::sync_id id_of(const storage_write& what)
+{
+    return std::visit([](const auto& each) { return each.id; }, what);
+}
+
+} // namespace
+
+storage_thread::storage_thread(std::unique_ptr<storage::disk> files, synced_function on_synced,
+                               failed_function on_failed)
+    : m_files(std::move(files)), m_storage(*m_files), m_on_synced(std::move(on_synced)),
+      m_on_failed(std::move(on_failed))
+{
+}
+
+storage_thread::~storage_thread()
+{
+    stop();
+}
+
+result<consensus::stored_state> storage_thread::load(const folder_identity& fresh_identity)
+{
+    return m_storage.load(fresh_identity);
+}
+
+void storage_thread::start()
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+void storage_thread::write(storage_write what)
+{
+    const std::lock_guard lock(m_mutex);
+    m_writes.push_back(std::move(what));
+    m_posted.notify_one();
+}
+
+void storage_thread::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_is_stopping = true;
+        m_posted.notify_one();
+    }
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void storage_thread::run()
+{
+    for (;;) {
+        std::vector<storage_write> batch;
+        {
+            std::unique_lock lock(m_mutex);
+            m_posted.wait(lock, [this] { return m_is_stopping || !m_writes.empty(); });
+            if (m_writes.empty()) {
+                return;
+            }
+            batch.swap(m_writes);
+        }
+        const bool is_written = handle_failure(
+            [&]() -> result<bool> {
+                BOOST_LEAF_CHECK(write_batch(batch));
+                return true;
+            },
+            [&](const failure& what) {
+                m_on_failed(what);
+                return false;
+            });
+        if (!is_written) {
+            return;
+        }
+        m_on_synced(id_of(batch.back()));
+    }
+}
+
+result<void> storage_thread::write_batch(const std::vector<storage_write>& batch)
+{
+    bool has_unsynced = false;
+    for (const storage_write& each : batch) {
+        if (const auto* entries = std::get_if<consensus::persist_log>(&each)) {
+            BOOST_LEAF_CHECK(m_storage.append(*entries));
+            has_unsynced = true;
+        } else {
+            BOOST_LEAF_CHECK(m_storage.replace(std::get<consensus::persist_snapshot>(each)));
+            has_unsynced = false;
+        }
+    }
+    if (has_unsynced) {
+        BOOST_LEAF_CHECK(m_storage.sync());
+    }
+    return {};
+}
+
+} // namespace hickorymount::gateway::detail
--- /dev/null
+++ b/src/operations/internal/control_client.cpp
@@ -0,0 +1,138 @@
+#include "operations/control_client.h"
+
+#include <chrono>
+#include <thread>
+#include <utility>
+
+#include "codec/json_codec.h"
+#include "gateway/operator_types.h"
+#include "http/client.h"
+#include "supervision/descriptions.h"
+
+#include <fmt/format.h>
+
+namespace hickorymount::operations {
+
+namespace {
+
+constexpr milliseconds CALL_TIMEOUT{10'000};
+constexpr milliseconds LEADER_TIMEOUT{8000};
+constexpr milliseconds RETRY_PAUSE{100};
+constexpr int STATUS_OK = 200;
+constexpr int STATUS_CONFLICT = 409;
+
+template <class T>
+result<T> decode_answer(const std::string& body)
+{
+    BOOST_LEAF_AUTO(document, codec::parse_json(body, codec::PEER_INPUT_LIMITS, "control"));
+    return codec::decode<T>(document, "control");
+}
+
+bool is_leader(const http::call_result& got)
+{
+    if (got.answer.status != STATUS_OK) {
+        return false;
+    }
+    const codec::json document = codec::json::parse(got.answer.body, nullptr, false);
+    return document.is_object() && document.value("is_leader", true);
+}
+
+} // namespace
+
+control_client::control_client(std::vector<protocol::endpoint> control_hosts)
+    : m_control_hosts(std::move(control_hosts))
+{
+}
+
+result<consensus::membership> control_client::form() const
+{
+    consensus::membership members;
+    for (const protocol::endpoint& host : m_control_hosts) {
+        const http::call_result got =
+            http::call_once(host.address, host.port, "GET", "/v1/identity", "", CALL_TIMEOUT);
+        if (got.status != http::call_status::answered) {
+            return fail("form", to_string(host), got.reason);
+        }
+        BOOST_LEAF_AUTO(member, decode_answer<consensus::member>(got.answer.body));
+        members.voters.push_back(std::move(member));
+    }
+    const std::string body = codec::encode(members).dump();
+    for (const protocol::endpoint& host : m_control_hosts) {
+        const http::call_result got = http::call_once(host.address, host.port, "POST", "/v1/form", body, CALL_TIMEOUT);
+        if (got.status != http::call_status::answered || got.answer.status != STATUS_OK) {
+            return fail("form", to_string(host), got.reason + got.answer.body);
+        }
+    }
+    BOOST_LEAF_CHECK(status());
+    return members;
+}
+
+result<supervision::status_summary> control_client::status() const
+{
+    BOOST_LEAF_AUTO(body, ask_leader("GET", "/v1/status", ""));
+    return decode_answer<supervision::status_summary>(body);
+}
+
+result<configuration::versioned_configuration> control_client::configuration() const
+{
+    BOOST_LEAF_AUTO(body, ask_leader("GET", "/v1/configuration", ""));
+    return decode_answer<configuration::versioned_configuration>(body);
+}
+
+result<supervision::configuration_answer> control_client::apply(const directory::change_configuration& change) const
+{
+    BOOST_LEAF_AUTO(body, ask_leader("POST", "/v1/configuration", codec::encode(change).dump()));
+    return decode_answer<supervision::configuration_answer>(body);
+}
+
+result<supervision::switch_answer> control_client::change_primary(const group_name& group,
+                                                                  const backend_server_name& target) const
+{
+    const gateway::switch_order order{group, target};
+    BOOST_LEAF_AUTO(body, ask_leader("POST", "/v1/switch", codec::encode(order).dump()));
+    return decode_answer<supervision::switch_answer>(body);
+}
+
+result<std::string> control_client::ask_leader(const std::string& method, const std::string& path,
+                                               const std::string& body) const
+{
+    const time_point give_up_at = millisecond_clock::now() + LEADER_TIMEOUT;
+    std::string last = "no control host is known";
+    do {
+        for (const protocol::endpoint& host : m_control_hosts) {
+            const http::call_result got =
+                http::call_once(host.address, host.port, method, path, body, CALL_TIMEOUT);
+            const bool is_answer = got.status == http::call_status::answered &&
+                                   (is_leader(got) || got.answer.status == STATUS_CONFLICT);
+            if (is_answer) {
+                return got.answer.body;
+            }
+            if (got.status == http::call_status::answered && got.answer.status == 400) {
+                return fail("ask", to_string(host), got.answer.body);
+            }
+            last = to_string(host) + ": " + got.reason + got.answer.body;
+        }
+        std::this_thread::sleep_for(RETRY_PAUSE);
+    } while (millisecond_clock::now() < give_up_at);
+    return fail("ask", "control", "no leader answered; last: " + last);
+}
+
+result<std::vector<protocol::endpoint>> parse_endpoints(std::string text)
+{
+    std::vector<protocol::endpoint> parsed;
+    while (!text.empty()) {
+        const std::size_t end = std::min(text.find(','), text.size());
+        const auto one = protocol::parse_endpoint(text.substr(0, end));
+        if (!one) {
+            return fail("command_line", text.substr(0, end), "expected an IP number and port");
+        }
+        parsed.push_back(*one);
+        text.erase(0, end + 1);
+    }
+    if (parsed.empty()) {
+        return fail("command_line", "", "expected one address:port or more");
+    }
+    return parsed;
+}
+
+} // namespace hickorymount::operations
--- /dev/null
+++ b/src/routing/descriptions.h
@@ -0,0 +1,339 @@
+#pragma once
+
+#include "codec/description.h"
+#include "logging/descriptions.h"
+#include "protocol/descriptions.h"
+#include "routing/types.h"
+
+namespace hickorymount::codec {
+
+template <>
+struct description<routing::operation>
+{
+    static constexpr auto enumerators =
+        std::tuple{enumerator{"run", routing::operation::run}, enumerator{"begin", routing::operation::begin},
+                   enumerator{"commit", routing::operation::commit},
+                   enumerator{"rollback", routing::operation::rollback}};
+};
+
+template <>
+struct description<routing::refusal>
+{
+    static constexpr auto enumerators =
+        std::tuple{enumerator{"draining", routing::refusal::draining},
+                   enumerator{"not_ready", routing::refusal::not_ready},
+                   enumerator{"unknown_group", routing::refusal::unknown_group},
+                   enumerator{"unknown_class", routing::refusal::unknown_class},
+                   enumerator{"class_not_allowed", routing::refusal::class_not_allowed},
+                   enumerator{"deadline_passed", routing::refusal::deadline_passed},
+                   enumerator{"queue_full", routing::refusal::queue_full},
+                   enumerator{"session_position_lost", routing::refusal::session_position_lost},
+                   enumerator{"transaction_unknown", routing::refusal::transaction_unknown},
+                   enumerator{"transaction_elsewhere", routing::refusal::transaction_elsewhere},
+                   enumerator{"transaction_ended", routing::refusal::transaction_ended},
+                   enumerator{"transaction_busy", routing::refusal::transaction_busy},
+                   enumerator{"key_missing", routing::refusal::key_missing},
+                   enumerator{"key_malformed", routing::refusal::key_malformed},
+                   enumerator{"key_too_old", routing::refusal::key_too_old},
+                   enumerator{"key_reused", routing::refusal::key_reused},
+                   enumerator{"key_not_allowed", routing::refusal::key_not_allowed},
+                   enumerator{"control_unavailable", routing::refusal::control_unavailable},
+                   enumerator{"retries_exhausted", routing::refusal::retries_exhausted},
+                   enumerator{"backend_server_refused", routing::refusal::backend_server_refused}};
+};
+
+template <>
+struct description<routing::request_stage>
+{
+    static constexpr auto enumerators =
+        std::tuple{enumerator{"claiming", routing::request_stage::claiming},
+                   enumerator{"queued", routing::request_stage::queued},
+                   enumerator{"running", routing::request_stage::running},
+                   enumerator{"replicating", routing::request_stage::replicating}};
+};
+
+template <>
+struct description<routing::alarm_kind>
+{
+    static constexpr auto enumerators =
+        std::tuple{enumerator{"deadline", routing::alarm_kind::deadline},
+                   enumerator{"slow_statement", routing::alarm_kind::slow_statement},
+                   enumerator{"claim_resend", routing::alarm_kind::claim_resend},
+                   enumerator{"queue_retry", routing::alarm_kind::queue_retry},
+                   enumerator{"transaction_idle", routing::alarm_kind::transaction_idle}};
+};
+
+template <>
+struct description<routing::server_refusal>
+{
+    static constexpr auto enumerators =
+        std::tuple{enumerator{"leaving", routing::server_refusal::leaving},
+                   enumerator{"not_primary", routing::server_refusal::not_primary},
+                   enumerator{"wrong_term", routing::server_refusal::wrong_term},
+                   enumerator{"behind", routing::server_refusal::behind},
+                   enumerator{"busy", routing::server_refusal::busy},
+                   enumerator{"too_many_connections", routing::server_refusal::too_many_connections},
+                   enumerator{"no_transaction", routing::server_refusal::no_transaction}};
+};
+
+template <>
+struct description<routing::caller_request>
+{
+    using type = routing::caller_request;
+    static constexpr std::string_view name = "caller_request";
+    static constexpr auto members = std::tuple{member{"request", &type::request},
+                                               member{"group", &type::group},
+                                               member{"class_of_request", &type::class_of_request},
+                                               member{"what", &type::what},
+                                               member{"statement", &type::statement},
+                                               member{"transaction", &type::transaction},
+                                               member{"token", &type::token},
+                                               member{"key", &type::key},
+                                               member{"timeout", &type::timeout}};
+};
+
+template <>
+struct description<routing::whole_answer>
+{
+    using type = routing::whole_answer;
+    static constexpr std::string_view name = "whole_answer";
+    static constexpr auto members = std::tuple{member{"body", &type::body},
+                                               member{"token", &type::token},
+                                               member{"served_by", &type::served_by},
+                                               member{"role", &type::role},
+                                               member{"transaction", &type::transaction},
+                                               member{"is_repeated", &type::is_repeated},
+                                               member{"valid_until", &type::valid_until}};
+};
+
+template <>
+struct description<routing::not_run>
+{
+    using type = routing::not_run;
+    static constexpr std::string_view name = "not_run";
+    static constexpr auto members =
+        std::tuple{member{"reason", &type::reason}, member{"step", &type::step}, member{"peer", &type::peer},
+                   member{"detail", &type::detail}, member{"token", &type::token}};
+};
+
+template <>
+struct description<routing::outcome_unknown>
+{
+    using type = routing::outcome_unknown;
+    static constexpr std::string_view name = "outcome_unknown";
+    static constexpr auto members =
+        std::tuple{member{"step", &type::step}, member{"peer", &type::peer}, member{"detail", &type::detail}};
+};
+
+template <>
+struct description<routing::entry_started>
+{
+    using type = routing::entry_started;
+    static constexpr std::string_view name = "entry_started";
+    static constexpr auto members = std::tuple{member{"self", &type::self}, member{"zone", &type::zone},
+                                               member{"control_hosts", &type::control_hosts}};
+};
+
+template <>
+struct description<routing::control_message>
+{
+    using type = routing::control_message;
+    static constexpr std::string_view name = "control_message";
+    static constexpr auto members =
+        std::tuple{member{"from", &type::from}, member{"content", &type::content}};
+};
+
+template <>
+struct description<routing::control_connected>
+{
+    using type = routing::control_connected;
+    static constexpr std::string_view name = "control_connected";
+    static constexpr auto members = std::tuple{member{"host", &type::host}};
+};
+
+template <>
+struct description<routing::announced>
+{
+    using type = routing::announced;
+    static constexpr std::string_view name = "announced";
+    static constexpr auto members = std::tuple{member{"report", &type::report}};
+};
+
+template <>
+struct description<routing::statement_answered>
+{
+    using type = routing::statement_answered;
+    static constexpr std::string_view name = "statement_answered";
+    static constexpr auto members =
+        std::tuple{member{"request", &type::request}, member{"connection", &type::connection},
+                   member{"at", &type::at}, member{"age", &type::age}, member{"body", &type::body}};
+};
+
+template <>
+struct description<routing::statement_refused>
+{
+    using type = routing::statement_refused;
+    static constexpr std::string_view name = "statement_refused";
+    static constexpr auto members =
+        std::tuple{member{"request", &type::request}, member{"connection", &type::connection},
+                   member{"reason", &type::reason}, member{"at", &type::at}};
+};
+
+template <>
+struct description<routing::statement_not_sent>
+{
+    using type = routing::statement_not_sent;
+    static constexpr std::string_view name = "statement_not_sent";
+    static constexpr auto members =
+        std::tuple{member{"request", &type::request}, member{"connection", &type::connection},
+                   member{"reason", &type::reason}};
+};
+
+template <>
+struct description<routing::statement_lost>
+{
+    using type = routing::statement_lost;
+    static constexpr std::string_view name = "statement_lost";
+    static constexpr auto members =
+        std::tuple{member{"request", &type::request}, member{"connection", &type::connection},
+                   member{"reason", &type::reason}};
+};
+
+template <>
+struct description<routing::connection_opened>
+{
+    using type = routing::connection_opened;
+    static constexpr std::string_view name = "connection_opened";
+    static constexpr auto members =
+        std::tuple{member{"server", &type::server}, member{"connection", &type::connection}};
+};
+
+template <>
+struct description<routing::connection_ended>
+{
+    using type = routing::connection_ended;
+    static constexpr std::string_view name = "connection_ended";
+    static constexpr auto members =
+        std::tuple{member{"server", &type::server}, member{"connection", &type::connection},
+                   member{"reason", &type::reason}};
+};
+
+template <>
+struct description<routing::probe_finished>
+{
+    using type = routing::probe_finished;
+    static constexpr std::string_view name = "probe_finished";
+    static constexpr auto members =
+        std::tuple{member{"asked_by", &type::asked_by}, member{"report", &type::report}};
+};
+
+template <>
+struct description<routing::takeover_finished>
+{
+    using type = routing::takeover_finished;
+    static constexpr std::string_view name = "takeover_finished";
+    static constexpr auto members =
+        std::tuple{member{"asked_by", &type::asked_by}, member{"report", &type::report}};
+};
+
+template <>
+struct description<routing::time_passed>
+{
+    static constexpr std::string_view name = "time_passed";
+    static constexpr auto members = std::tuple{};
+};
+
+template <>
+struct description<routing::drain_asked>
+{
+    static constexpr std::string_view name = "drain_asked";
+    static constexpr auto members = std::tuple{};
+};
+
+template <>
+struct description<routing::entry_event>
+{
+    using type = routing::entry_event;
+    static constexpr std::string_view name = "entry_event";
+    static constexpr auto members =
+        std::tuple{member{"now", &type::now}, member{"wall", &type::wall}, member{"what", &type::what}};
+};
+
+template <>
+struct description<routing::run_statement>
+{
+    using type = routing::run_statement;
+    static constexpr std::string_view name = "run_statement";
+    static constexpr auto members = std::tuple{member{"request", &type::request},
+                                               member{"server", &type::server},
+                                               member{"connection", &type::connection},
+                                               member{"what", &type::what},
+                                               member{"kind", &type::kind},
+                                               member{"is_in_transaction", &type::is_in_transaction},
+                                               member{"statement", &type::statement},
+                                               member{"term", &type::term},
+                                               member{"least_position", &type::least_position},
+                                               member{"timeout", &type::timeout}};
+};
+
+template <>
+struct description<routing::open_connection>
+{
+    using type = routing::open_connection;
+    static constexpr std::string_view name = "open_connection";
+    static constexpr auto members =
+        std::tuple{member{"server", &type::server}, member{"address", &type::address},
+                   member{"connection", &type::connection}};
+};
+
+template <>
+struct description<routing::close_connection>
+{
+    using type = routing::close_connection;
+    static constexpr std::string_view name = "close_connection";
+    static constexpr auto members = std::tuple{member{"connection", &type::connection}};
+};
+
+template <>
+struct description<routing::send_to_control>
+{
+    using type = routing::send_to_control;
+    static constexpr std::string_view name = "send_to_control";
+    static constexpr auto members = std::tuple{member{"to", &type::to}, member{"content", &type::content}};
+};
+
+template <>
+struct description<routing::answer_caller>
+{
+    using type = routing::answer_caller;
+    static constexpr std::string_view name = "answer_caller";
+    static constexpr auto members =
+        std::tuple{member{"request", &type::request}, member{"outcome", &type::outcome}};
+};
+
+template <>
+struct description<routing::probe_server>
+{
+    using type = routing::probe_server;
+    static constexpr std::string_view name = "probe_server";
+    static constexpr auto members =
+        std::tuple{member{"asked_by", &type::asked_by}, member{"order", &type::order}};
+};
+
+template <>
+struct description<routing::tell_server>
+{
+    using type = routing::tell_server;
+    static constexpr std::string_view name = "tell_server";
+    static constexpr auto members =
+        std::tuple{member{"asked_by", &type::asked_by}, member{"order", &type::order}};
+};
+
+template <>
+struct description<routing::drained>
+{
+    static constexpr std::string_view name = "drained";
+    static constexpr auto members = std::tuple{};
+};
+
+} // namespace hickorymount::codec
--- /dev/null
+++ b/src/routing/internal/entry_step.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "routing/read_policy.h"
+#include "routing/types.h"
+
+namespace hickorymount::routing::detail {
+
+/// What the handlers of one event share: the state being made, the time, and the effects.
+class entry_step
+{
+public:
+    entry_step(entry_state initial, time_point present, unix_milliseconds wall_clock, const read_policy& reads)
+        : state(std::move(initial)), now(present), wall(wall_clock), policy(reads)
+    {
+    }
+
+    void send(const host_name& to, protocol::message content)
+    {
+        effects.emplace_back(send_to_control{to, std::move(content)});
+    }
+
+    /// Sends to the leader, or to every control host while the leader is not known.
+    void send_to_leader(const protocol::message& content)
+    {
+        if (state.leader) {
+            send(*state.leader, content);
+            return;
+        }
+        for (const host_name& host : state.control_hosts) {
+            send(host, content);
+        }
+    }
+
+    void log(logging::log_level level, std::string step, std::string peer, std::string text)
+    {
+        effects.emplace_back(logging::log_record{level, std::move(step), std::move(peer), std::move(text)});
+    }
+
+    void set_alarm(alarm what) { state.alarms = std::move(state.alarms).set(std::move(what), true); }
+
+    void set_group(const group_name& name, group_state group)
+    {
+        state.groups = std::move(state.groups).set(name, std::move(group));
+    }
+
+    void set_server(const backend_server_name& name, server_state server)
+    {
+        state.servers = std::move(state.servers).set(name, std::move(server));
+    }
+
+    void set_request(request_state request)
+    {
+        const request_number number = request.asked.request;
+        state.requests = std::move(state.requests).set(number, std::move(request));
+    }
+
+    [[nodiscard]] bool has_lease() const { return now < state.lease.valid_until; }
+
+    /// True while writes of the group's present term may be acknowledged.
+    [[nodiscard]] bool is_term_usable(const group_state& group) const
+    {
+        return has_lease() && group.record.phase == directory::group_phase::open &&
+               group.record.term > group.closed_term;
+    }
+
+    std::uint64_t next_number() { return state.next_number++; }
+
+    entry_state state;
+    time_point now;
+    unix_milliseconds wall;
+    const read_policy& policy;
+    std::vector<entry_effect> effects;
+};
+
+} // namespace hickorymount::routing::detail
--- /dev/null
+++ b/src/routing/internal/lease_holder.cpp
@@ -0,0 +1,125 @@
+#include "routing/internal/lease_holder.h"
+
+#include <algorithm>
+
+namespace hickorymount::routing::detail {
+
+namespace {
+
+constexpr std::size_t MAX_REMEMBERED_RENEWALS = 16;
+/// Hosts that are no leaders may name one another; a hint is followed this often at most.
+constexpr milliseconds HINT_INTERVAL{100};
+
+} // namespace
+
+lease_holder::lease_holder(entry_step& step, connection_keeper& connections)
+    : m_step(step), m_connections(connections)
+{
+}
+
+void lease_holder::handle(const host_name& from, const protocol::lease_grant& grant)
+{
+    lease_state& lease = m_step.state.lease;
+    const auto sent = lease.sent.find(grant.sequence);
+    if (grant.entry != m_step.state.self || sent == lease.sent.end()) {
+        return;
+    }
+    m_step.state.leader = from;
+    const time_point valid_until = sent->second + grant.duration - LEASE_DRIFT_MARGIN;
+    lease.valid_until = std::max(lease.valid_until, valid_until);
+    lease.sent.erase(lease.sent.begin(), std::next(sent));
+    lease.last_grant = m_step.now;
+    if (!lease.was_valid && m_step.has_lease()) {
+        m_step.log(logging::log_level::information, "lease_granted", from.value, "");
+    }
+    lease.was_valid = m_step.has_lease();
+    for (const auto& [server, share] : grant.connections) {
+        m_connections.set_share(server, share);
+    }
+}
+
+void lease_holder::handle(const host_name& from, const protocol::not_leader& answer)
+{
+    const bool is_believed = !m_step.state.leader || *m_step.state.leader == from;
+    const bool is_due = m_step.now - m_step.state.lease.hinted_at >= HINT_INTERVAL;
+    if (!answer.leader || *answer.leader == from || !is_believed || !is_due) {
+        return;
+    }
+    m_step.state.leader = answer.leader;
+    m_step.state.lease.hinted_at = m_step.now;
+    renew();
+}
+
+void lease_holder::connected(const host_name& host)
+{
+    if (!m_step.state.leader || *m_step.state.leader == host) {
+        renew();
+    }
+}
+
+void lease_holder::pass_time()
+{
+    lease_state& lease = m_step.state.lease;
+    if (lease.was_valid && !m_step.has_lease()) {
+        lease.was_valid = false;
+        m_step.log(logging::log_level::warning, "lease_lost", m_step.state.leader.value_or(host_name{}).value, "");
+        m_connections.end_all();
+    }
+    if (m_step.now >= lease.renew_at) {
+        renew();
+    }
+    if (!m_step.state.unsent_reports.empty() && m_step.now >= m_step.state.reports_due) {
+        send_reports();
+    }
+}
+
+void lease_holder::renew()
+{
+    lease_state& lease = m_step.state.lease;
+    if (m_step.now - std::max(lease.last_grant, lease.hinted_at) > LEADER_SILENCE) {
+        m_step.state.leader.reset();
+    }
+    protocol::lease_request request;
+    request.entry = m_step.state.self;
+    request.zone = m_step.state.zone;
+    request.sequence = lease.next_sequence++;
+    request.revision = m_step.state.revision;
+    request.version = m_step.state.configuration->version;
+    request.held_connections = m_connections.held();
+    request.wanted_connections = m_connections.wanted();
+    m_connections.reset_peaks();
+    lease.sent[request.sequence] = m_step.now;
+    if (lease.sent.size() > MAX_REMEMBERED_RENEWALS) {
+        lease.sent.erase(lease.sent.begin());
+    }
+    lease.renew_at = m_step.now + LEASE_RENEWAL_INTERVAL;
+    m_step.send_to_leader(request);
+}
+
+void lease_holder::give_back()
+{
+    m_step.state.lease.valid_until = {};
+    m_step.state.lease.was_valid = false;
+    m_connections.end_all();
+    m_step.send_to_leader(protocol::lease_return{m_step.state.self});
+}
+
+void lease_holder::note_report(const protocol::server_report& report)
+{
+    if (m_step.state.unsent_reports.empty()) {
+        m_step.state.reports_due = m_step.now + REPORT_INTERVAL;
+    }
+    m_step.state.unsent_reports.insert_or_assign(report.name, report);
+}
+
+void lease_holder::send_reports()
+{
+    protocol::server_reports batch;
+    for (auto& [name, report] : m_step.state.unsent_reports) {
+        batch.reports.push_back(report);
+    }
+    m_step.state.unsent_reports.clear();
+    m_step.send_to_leader(batch);
+}
+
+} // namespace hickorymount::routing::detail
--- /dev/null
+++ b/src/routing/internal/read_policy.cpp
@@ -0,0 +1,57 @@
+#include "routing/read_policy.h"
+
+#include <tuple>
+
+namespace hickorymount::routing {
+
+namespace {
+
+/// Connections to the primary that reads leave to writes.
+constexpr std::uint32_t RESERVED_FOR_WRITES = 1;
+
+bool has_room(const read_candidate& candidate)
+{
+    const bool is_shared = candidate.free_connections + candidate.busy_connections > RESERVED_FOR_WRITES;
+    const std::uint32_t reserved = candidate.is_primary && is_shared ? RESERVED_FOR_WRITES : 0;
+    return candidate.free_connections > reserved;
+}
+
+/// Lower is better.
+auto cost(const read_candidate& candidate)
+{
+    return std::tuple(candidate.is_primary, !candidate.covers, !candidate.is_same_zone, candidate.busy_connections);
+}
+
+} // namespace
+
+read_choice position_policy::choose(const std::vector<read_candidate>& candidates) const
+{
+    std::optional<std::size_t> best;
+    bool is_covered_by_replica = false;
+    for (std::size_t at = 0; at < candidates.size(); ++at) {
+        const read_candidate& candidate = candidates[at];
+        if (!candidate.is_fresh || !(candidate.covers || candidate.probably_covers)) {
+            continue;
+        }
+        is_covered_by_replica = is_covered_by_replica || (!candidate.is_primary && candidate.covers);
+        const bool is_better = has_room(candidate) && (!best || cost(candidate) < cost(candidates[*best]));
+        best = is_better ? at : best;
+    }
+    // A full replica that covers the read is worth a wait in the queue; the primary is for what only it can do.
+    if (best && candidates[*best].is_primary && is_covered_by_replica) {
+        return {};
+    }
+    return {best};
+}
+
+read_choice primary_policy::choose(const std::vector<read_candidate>& candidates) const
+{
+    for (std::size_t at = 0; at < candidates.size(); ++at) {
+        if (candidates[at].is_primary && has_room(candidates[at])) {
+            return {at};
+        }
+    }
+    return {};
+}
+
+} // namespace hickorymount::routing
--- /dev/null
+++ b/src/routing/internal/reduce.cpp
@@ -0,0 +1,199 @@
+#include "routing/reduce.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "routing/internal/connection_keeper.h"
+#include "routing/internal/entry_step.h"
+#include "routing/internal/lease_holder.h"
+#include "routing/internal/request_desk.h"
+#include "routing/internal/view_keeper.h"
+
+namespace hickorymount::routing {
+
+namespace {
+
+/// Routes one event to the handlers.
+class entry_host
+{
+public:
+    entry_host(entry_state state, const entry_event& what, const read_policy& policy)
+        : m_step(std::move(state), what.now, what.wall, policy), m_connections(m_step), m_lease(m_step, m_connections),
+          m_requests(m_step, m_connections), m_view(m_step, m_connections, m_lease, m_requests)
+    {
+    }
+
+    entry_transition run(const entry_event_kind& what)
+    {
+        std::visit([this](const auto& each) { apply(each); }, what);
+        ring_alarms();
+        m_view.check_holds();
+        finish_drain();
+        const time_point wake = next_wake();
+        return {std::move(m_step.state), std::move(m_step.effects), wake};
+    }
+
+private:
+    void apply(const entry_started& started)
+    {
+        m_step.state = entry_state{};
+        m_step.state.self = started.self;
+        m_step.state.zone = started.zone;
+        m_step.state.control_hosts = started.control_hosts;
+        m_lease.renew();
+    }
+
+    void apply(const control_message& message)
+    {
+        std::visit([&](const auto& content) { receive(message.from, content); }, message.content);
+    }
+
+    template <class Other>
+    void receive(const host_name& /*from*/, const Other& /*content*/)
+    {
+    }
+
+    void receive(const host_name& from, const protocol::lease_grant& grant) { m_lease.handle(from, grant); }
+    void receive(const host_name& from, const protocol::not_leader& answer) { m_lease.handle(from, answer); }
+    void receive(const host_name& from, const protocol::view_update& update) { m_view.handle(from, update); }
+    void receive(const host_name& from, const protocol::close_order& order) { m_view.handle(from, order); }
+    void receive(const host_name& from, const protocol::resume_order& order) { m_view.handle(from, order); }
+    void receive(const host_name& from, const protocol::server_reports& reports) { m_view.handle(from, reports); }
+    void receive(const host_name& /*from*/, const protocol::claim_reply& reply) { m_requests.handle(reply); }
+
+    void receive(const host_name& from, const protocol::probe_order& order)
+    {
+        protocol::probe_order known = order;
+        if (const server_state* server = m_step.state.servers.find(order.server); known.address.port == 0) {
+            known.address = server == nullptr ? known.address : server->report.address;
+        }
+        if (known.address.port != 0) {
+            m_step.effects.emplace_back(probe_server{from, std::move(known)});
+        }
+    }
+
+    void receive(const host_name& from, const protocol::takeover_order& order)
+    {
+        m_step.effects.emplace_back(tell_server{from, order});
+    }
+
+    void apply(const control_connected& connected) { m_lease.connected(connected.host); }
+
+    void apply(const announced& announcement)
+    {
+        m_lease.note_report(announcement.report);
+        m_view.take_report(announcement.report);
+    }
+
+    void apply(const caller_request& asked) { m_requests.handle(asked); }
+
+    template <class Result>
+    void apply_result(const Result& what)
+    {
+        const request_state* request = m_step.state.requests.find(what.request);
+        const group_name group = request == nullptr ? group_name{} : request->asked.group;
+        m_requests.handle(what);
+        m_requests.dispatch(group);
+    }
+
+    void apply(const statement_answered& what) { apply_result(what); }
+    void apply(const statement_refused& what) { apply_result(what); }
+    void apply(const statement_not_sent& what) { apply_result(what); }
+    void apply(const statement_lost& what) { apply_result(what); }
+
+    void apply(const connection_opened& opened)
+    {
+        m_connections.opened(opened.server, opened.connection);
+        if (const server_state* server = m_step.state.servers.find(opened.server)) {
+            m_requests.dispatch(group_name{server->report.group});
+        }
+    }
+
+    void apply(const connection_ended& ended) { m_connections.forget(ended.server, ended.connection); }
+
+    void apply(const probe_finished& finished) { m_step.send(finished.asked_by, finished.report); }
+    void apply(const takeover_finished& finished) { m_step.send(finished.asked_by, finished.report); }
+
+    void apply(const time_passed& /*passed*/)
+    {
+        const bool renews = m_step.now >= m_step.state.lease.renew_at;
+        m_lease.pass_time();
+        m_requests.resend_records();
+        if (renews) {
+            m_connections.adjust_all();
+            m_view.forget_silent_servers();
+        }
+    }
+
+    void apply(const drain_asked& /*asked*/) { m_step.state.is_draining = true; }
+
+    void ring_alarms()
+    {
+        while (!m_step.state.alarms.empty() && m_step.state.alarms.begin()->first.at <= m_step.now) {
+            const alarm due = m_step.state.alarms.begin()->first;
+            m_step.state.alarms = std::move(m_step.state.alarms).erase(due);
+            m_requests.ring(due);
+        }
+    }
+
+    void finish_drain()
+    {
+        const bool is_done = m_step.state.is_draining && !m_step.state.is_drained && m_step.state.requests.empty() &&
+                             m_step.state.transactions.empty() && m_step.state.records.empty();
+        if (is_done) {
+            m_step.state.is_drained = true;
+            m_lease.give_back();
+            m_step.effects.emplace_back(drained{});
+        }
+    }
+
+    [[nodiscard]] time_point next_wake() const
+    {
+        time_point wake = m_step.state.lease.renew_at;
+        if (m_step.state.lease.was_valid) {
+            wake = std::min(wake, m_step.state.lease.valid_until);
+        }
+        if (!m_step.state.alarms.empty()) {
+            wake = std::min(wake, m_step.state.alarms.begin()->first.at);
+        }
+        if (!m_step.state.unsent_reports.empty()) {
+            wake = std::min(wake, m_step.state.reports_due);
+        }
+        if (!m_step.state.records.empty()) {
+            wake = std::min(wake, m_step.now + CLAIM_RESEND_INTERVAL);
+        }
+        return wake;
+    }
+
+    detail::entry_step m_step;
+    detail::connection_keeper m_connections;
+    detail::lease_holder m_lease;
+    detail::request_desk m_requests;
+    detail::view_keeper m_view;
+};
+
+} // namespace
+
+entry_transition reduce(entry_state state, const entry_event& what, const read_policy& policy)
+{
+    return entry_host(std::move(state), what, policy).run(what.what);
+}
+
+bool is_ready(const entry_state& state, time_point now)
+{
+    return !state.is_draining && state.configuration->version > 0 && now < state.lease.valid_until;
+}
+
+std::string_view to_string(refusal reason)
+{
+    static constexpr std::array<std::string_view, 20> NAMES{
+        "draining",         "not_ready",           "unknown_group",     "unknown_class",    "class_not_allowed",
+        "deadline_passed",  "queue_full",          "session_position_lost", "transaction_unknown",
+        "transaction_elsewhere", "transaction_ended", "transaction_busy", "key_missing",    "key_malformed",
+        "key_too_old",      "key_reused",          "key_not_allowed",   "control_unavailable", "retries_exhausted",
+        "backend_server_refused"};
+    return NAMES[static_cast<std::size_t>(reason)];
+}
+
+} // namespace hickorymount::routing
--- /dev/null
+++ b/src/routing/types.h
@@ -0,0 +1,522 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/identifier.h"
+#include "base/millisecond_clock.h"
+#include "base/shared_map.h"
+#include "base/shared_value.h"
+#include "configuration/types.h"
+#include "directory/types.h"
+#include "logging/types.h"
+#include "protocol/types.h"
+#include "session/types.h"
+
+/// What an entry host decides: where each request runs, and whether its answer may go out.
+namespace hickorymount::routing {
+
+using directory::entry_key;
+using protocol::group_term;
+
+/// Numbers the requests of one entry host's process.
+using request_number = std::uint64_t;
+/// Numbers the connections to backend servers of one entry host's process.
+using connection_number = std::uint64_t;
+
+inline constexpr milliseconds LEASE_RENEWAL_INTERVAL{400};
+/// A renewal unanswered for this long goes to all control hosts.
+inline constexpr milliseconds LEADER_SILENCE{600};
+/// Subtracted from a lease: the clocks of two hosts may differ in rate by 1% each.
+inline constexpr milliseconds LEASE_DRIFT_MARGIN{40};
+/// Reports of backend servers are passed on in batches of this interval.
+inline constexpr milliseconds REPORT_INTERVAL{20};
+/// A statement that the primary has not answered for this long makes it suspect.
+inline constexpr milliseconds SLOW_STATEMENT{300};
+inline constexpr milliseconds SUSPICION_INTERVAL{200};
+inline constexpr milliseconds CLAIM_RESEND_INTERVAL{250};
+/// How long a backend server that refused a statement is left alone.
+inline constexpr milliseconds REFUSAL_PAUSE{20};
+inline constexpr milliseconds CONNECTION_RETRY_PAUSE{500};
+/// A transaction without a statement for this long is ended.
+inline constexpr milliseconds TRANSACTION_IDLE_TIMEOUT{10'000};
+/// A drain that control does not end is ended by the entry host itself.
+inline constexpr milliseconds HOLD_LIMIT{4000};
+/// A backend server that has not been heard for this long gets no reads.
+inline constexpr milliseconds REPORT_STALE{1000};
+/// A backend server that has not been heard for this long is forgotten.
+inline constexpr milliseconds REPORT_FORGOTTEN{60'000};
+/// Claims are remembered this much longer than the retention, for clocks that differ.
+inline constexpr milliseconds KEY_CLOCK_MARGIN{600'000};
+inline constexpr milliseconds STATEMENT_TIMEOUT_MAX{10'000};
+inline constexpr int MAX_ATTEMPTS = 8;
+/// One retry of a statement that may have run costs as much as this many requests earn.
+inline constexpr std::int64_t RETRY_COST = 10;
+inline constexpr std::int64_t RETRY_BUDGET_MAX = 500;
+
+enum class operation { run, begin, commit, rollback };
+
+/// A caller's request, decoded.
+struct caller_request
+{
+    request_number request = 0;
+    group_name group;
+    class_name class_of_request;
+    operation what = operation::run;
+    std::string statement;
+    std::optional<transaction_id> transaction;
+    session::token token;
+    std::optional<request_key> key;
+    /// The caller's own time limit; zero for the class's.
+    milliseconds timeout{0};
+
+    friend bool operator==(const caller_request&, const caller_request&) = default;
+};
+
+enum class refusal {
+    draining,
+    not_ready,
+    unknown_group,
+    unknown_class,
+    class_not_allowed,
+    deadline_passed,
+    queue_full,
+    session_position_lost,
+    transaction_unknown,
+    transaction_elsewhere,
+    transaction_ended,
+    transaction_busy,
+    key_missing,
+    key_malformed,
+    key_too_old,
+    key_reused,
+    key_not_allowed,
+    control_unavailable,
+    retries_exhausted,
+    backend_server_refused
+};
+
+/// The whole answer to the request.
+struct whole_answer
+{
+    std::string body;
+    session::token token;
+    backend_server_name served_by;
+    protocol::server_role role = protocol::server_role::primary;
+    std::optional<transaction_id> transaction;
+    /// The answer was recorded for an earlier request with the same key.
+    bool is_repeated = false;
+    /// The answer may not go out at or after this time.
+    std::optional<time_point> valid_until;
+
+    friend bool operator==(const whole_answer&, const whole_answer&) = default;
+};
+
+/// The request did not run.
+struct not_run
+{
+    refusal reason = refusal::not_ready;
+    std::string step;
+    std::string peer;
+    std::string detail;
+    /// Set where the session has to go on with another token.
+    std::optional<session::token> token;
+
+    friend bool operator==(const not_run&, const not_run&) = default;
+};
+
+/// The request may have run.
+struct outcome_unknown
+{
+    std::string step;
+    std::string peer;
+    std::string detail;
+
+    friend bool operator==(const outcome_unknown&, const outcome_unknown&) = default;
+};
+
+using caller_outcome = std::variant<whole_answer, not_run, outcome_unknown>;
+
+enum class request_stage { claiming, queued, running, replicating };
+
+/// A request that has no outcome yet.
+struct request_state
+{
+    caller_request asked;
+    configuration::class_settings settings;
+    request_stage stage = request_stage::queued;
+    time_point received_at{};
+    time_point deadline{};
+    int attempts = 0;
+    backend_server_name server;
+    connection_number connection = 0;
+    group_term term = 0;
+    time_point sent_at{};
+    /// Replicas that were asked and had not the position needed.
+    std::set<backend_server_name> behind;
+    /// The primary's answer, while a replica's confirmation is awaited.
+    std::optional<whole_answer> answer;
+    session::group_position written;
+    bool is_claimed = false;
+    /// The number of its claim's call to control; zero without one.
+    std::uint64_t claim_call = 0;
+    /// An earlier attempt was sent and has no proof that it did not run.
+    bool may_have_run = false;
+
+    friend bool operator==(const request_state&, const request_state&) = default;
+};
+
+/// The connections of this entry host to one backend server.
+struct connection_set
+{
+    std::uint32_t share = 0;
+    std::vector<connection_number> idle;
+    std::set<connection_number> busy;
+    std::set<connection_number> opening;
+    /// Given up, and not closed yet.
+    std::set<connection_number> closing;
+    std::uint32_t peak_busy = 0;
+    time_point open_after{};
+
+    friend bool operator==(const connection_set&, const connection_set&) = default;
+};
+
+struct server_state
+{
+    protocol::server_report report;
+    time_point heard_at{};
+    /// Log records a second, as seen between reports.
+    std::int64_t records_per_second = 0;
+    time_point avoid_until{};
+    connection_set connections;
+
+    friend bool operator==(const server_state&, const server_state&) = default;
+};
+
+struct group_state
+{
+    directory::group_record record;
+    /// No write of this term, or of one before it, is acknowledged any more.
+    group_term closed_term = 0;
+    /// Writes of this term are held back for a planned change.
+    group_term held_term = 0;
+    time_point held_since{};
+    bool is_hold_confirmed = false;
+    time_point suspicion_sent{};
+    std::set<backend_server_name> members;
+    std::vector<request_number> queue;
+
+    friend bool operator==(const group_state&, const group_state&) = default;
+};
+
+struct transaction_state
+{
+    group_name group;
+    class_name class_of_request;
+    backend_server_name server;
+    connection_number connection = 0;
+    group_term term = 0;
+    bool is_busy = false;
+    time_point last_used{};
+
+    friend bool operator==(const transaction_state&, const transaction_state&) = default;
+};
+
+enum class alarm_kind { deadline, slow_statement, claim_resend, queue_retry, transaction_idle };
+
+/// Something to look at when its time has come. Alarms that no longer apply are ignored.
+struct alarm
+{
+    time_point at{};
+    alarm_kind kind = alarm_kind::deadline;
+    request_number request = 0;
+    group_name group;
+    transaction_id transaction;
+
+    friend auto operator<=>(const alarm&, const alarm&) = default;
+    friend bool operator==(const alarm&, const alarm&) = default;
+};
+
+struct lease_state
+{
+    time_point valid_until{};
+    std::uint64_t next_sequence = 1;
+    /// When each unanswered request was sent.
+    std::map<std::uint64_t, time_point> sent;
+    time_point renew_at{};
+    time_point last_grant{};
+    time_point hinted_at{};
+    bool was_valid = false;
+
+    friend bool operator==(const lease_state&, const lease_state&) = default;
+};
+
+/// A recorded outcome or a withdrawal that control has not confirmed.
+struct pending_record
+{
+    protocol::claim_call call;
+    time_point resend_at{};
+    time_point give_up_at{};
+
+    friend bool operator==(const pending_record&, const pending_record&) = default;
+};
+
+struct entry_state
+{
+    entry_key self;
+    availability_zone zone;
+    std::vector<host_name> control_hosts;
+    std::optional<host_name> leader;
+    shared_value<configuration::versioned_configuration> configuration;
+    protocol::view_revision revision = 0;
+    shared_map<group_name, group_state> groups;
+    shared_map<backend_server_name, server_state> servers;
+    lease_state lease;
+    shared_map<request_number, request_state> requests;
+    shared_map<std::pair<group_name, class_name>, std::uint32_t> waiting;
+    shared_map<transaction_id, transaction_state> transactions;
+    shared_map<alarm, bool> alarms;
+    /// Claims that wait for control's answer, by the number of the call.
+    shared_map<std::uint64_t, request_number> claims;
+    shared_map<std::uint64_t, pending_record> records;
+    std::map<backend_server_name, protocol::server_report> unsent_reports;
+    time_point reports_due{};
+    /// Groups whose writes are held back for a planned change.
+    std::set<group_name> held_groups;
+    std::uint64_t next_number = 1;
+    std::int64_t retry_budget = RETRY_BUDGET_MAX;
+    bool is_draining = false;
+    bool is_drained = false;
+
+    friend bool operator==(const entry_state&, const entry_state&) = default;
+};
+
+struct entry_started
+{
+    entry_key self;
+    availability_zone zone;
+    std::vector<host_name> control_hosts;
+
+    friend bool operator==(const entry_started&, const entry_started&) = default;
+};
+
+struct control_message
+{
+    host_name from;
+    protocol::message content;
+
+    friend bool operator==(const control_message&, const control_message&) = default;
+};
+
+/// A control host can be reached again.
+struct control_connected
+{
+    host_name host;
+
+    friend bool operator==(const control_connected&, const control_connected&) = default;
+};
+
+struct announced
+{
+    protocol::server_report report;
+
+    friend bool operator==(const announced&, const announced&) = default;
+};
+
+/// The backend server ran the statement and answered whole.
+struct statement_answered
+{
+    request_number request = 0;
+    connection_number connection = 0;
+    session::group_position at;
+    milliseconds age{0};
+    std::string body;
+
+    friend bool operator==(const statement_answered&, const statement_answered&) = default;
+};
+
+enum class server_refusal { leaving, not_primary, wrong_term, behind, busy, too_many_connections, no_transaction };
+
+/// The backend server refused the statement before running it. The connection stays usable.
+struct statement_refused
+{
+    request_number request = 0;
+    connection_number connection = 0;
+    server_refusal reason = server_refusal::busy;
+    session::group_position at;
+
+    friend bool operator==(const statement_refused&, const statement_refused&) = default;
+};
+
+/// The statement was never sent. The connection is gone.
+struct statement_not_sent
+{
+    request_number request = 0;
+    connection_number connection = 0;
+    std::string reason;
+
+    friend bool operator==(const statement_not_sent&, const statement_not_sent&) = default;
+};
+
+/// The statement was sent, and no whole answer came. The connection is gone.
+struct statement_lost
+{
+    request_number request = 0;
+    connection_number connection = 0;
+    std::string reason;
+
+    friend bool operator==(const statement_lost&, const statement_lost&) = default;
+};
+
+struct connection_opened
+{
+    backend_server_name server;
+    connection_number connection = 0;
+
+    friend bool operator==(const connection_opened&, const connection_opened&) = default;
+};
+
+/// The connection could not be opened, or was closed.
+struct connection_ended
+{
+    backend_server_name server;
+    connection_number connection = 0;
+    std::string reason;
+
+    friend bool operator==(const connection_ended&, const connection_ended&) = default;
+};
+
+struct probe_finished
+{
+    host_name asked_by;
+    protocol::probe_report report;
+
+    friend bool operator==(const probe_finished&, const probe_finished&) = default;
+};
+
+struct takeover_finished
+{
+    host_name asked_by;
+    protocol::takeover_report report;
+
+    friend bool operator==(const takeover_finished&, const takeover_finished&) = default;
+};
+
+struct time_passed
+{
+    friend bool operator==(const time_passed&, const time_passed&) = default;
+};
+
+/// Finish what is in flight and take nothing new.
+struct drain_asked
+{
+    friend bool operator==(const drain_asked&, const drain_asked&) = default;
+};
+
+using entry_event_kind =
+    std::variant<entry_started, control_message, control_connected, announced, caller_request, statement_answered,
+                 statement_refused, statement_not_sent, statement_lost, connection_opened, connection_ended,
+                 probe_finished, takeover_finished, time_passed, drain_asked>;
+
+struct entry_event
+{
+    time_point now{};
+    unix_milliseconds wall{0};
+    entry_event_kind what;
+
+    friend bool operator==(const entry_event&, const entry_event&) = default;
+};
+
+/// Runs a statement on an open connection.
+struct run_statement
+{
+    request_number request = 0;
+    backend_server_name server;
+    connection_number connection = 0;
+    operation what = operation::run;
+    configuration::statement_kind kind = configuration::statement_kind::read;
+    bool is_in_transaction = false;
+    std::string statement;
+    group_term term = 0;
+    /// The backend server refuses when it holds less.
+    protocol::log_position least_position = 0;
+    milliseconds timeout{0};
+
+    friend bool operator==(const run_statement&, const run_statement&) = default;
+};
+
+struct open_connection
+{
+    backend_server_name server;
+    protocol::endpoint address;
+    connection_number connection = 0;
+
+    friend bool operator==(const open_connection&, const open_connection&) = default;
+};
+
+struct close_connection
+{
+    connection_number connection = 0;
+
+    friend bool operator==(const close_connection&, const close_connection&) = default;
+};
+
+/// Sends to one control host.
+struct send_to_control
+{
+    host_name to;
+    protocol::message content;
+
+    friend bool operator==(const send_to_control&, const send_to_control&) = default;
+};
+
+struct answer_caller
+{
+    request_number request = 0;
+    caller_outcome outcome;
+
+    friend bool operator==(const answer_caller&, const answer_caller&) = default;
+};
+
+struct probe_server
+{
+    host_name asked_by;
+    protocol::probe_order order;
+
+    friend bool operator==(const probe_server&, const probe_server&) = default;
+};
+
+struct tell_server
+{
+    host_name asked_by;
+    protocol::takeover_order order;
+
+    friend bool operator==(const tell_server&, const tell_server&) = default;
+};
+
+/// Nothing is in flight any more and the lease is given back.
+struct drained
+{
+    friend bool operator==(const drained&, const drained&) = default;
+};
+
+using entry_effect = std::variant<run_statement, open_connection, close_connection, send_to_control, answer_caller,
+                                  probe_server, tell_server, drained, logging::log_record>;
+
+struct entry_transition
+{
+    entry_state state;
+    std::vector<entry_effect> effects;
+    /// When the next time_passed is due.
+    time_point wake_at{};
+
+    friend bool operator==(const entry_transition&, const entry_transition&) = default;
+};
+
+} // namespace hickorymount::routing
--- a/src/session/descriptions.h
+++ b/src/session/descriptions.h
@@ -10,7 +10,8 @@
 {
     using type = session::group_position;
     static constexpr std::string_view name = "group_position";
-    static constexpr auto members = std::tuple{member{"term", &type::term}, member{"position", &type::position}};
+    static constexpr auto members =
+        std::tuple{member{"term", &type::term}, member{"position", &type::position}};
 };
 
 template <>
@@ -18,7 +19,8 @@
 {
     using type = session::term_start;
     static constexpr std::string_view name = "term_start";
-    static constexpr auto members = std::tuple{member{"term", &type::term}, member{"position", &type::position}};
+    static constexpr auto members =
+        std::tuple{member{"term", &type::term}, member{"position", &type::position}};
 };
 
 template <>
--- /dev/null
+++ b/src/supervision/internal/lease_keeper.cpp
@@ -0,0 +1,232 @@
+#include "supervision/internal/lease_keeper.h"
+
+#include <algorithm>
+
+#include "consensus/reduce.h"
+
+namespace hickorymount::supervision::detail {
+
+namespace {
+
+/// A request that waits longer than this has been sent again.
+constexpr milliseconds PENDING_GRANT_TIMEOUT{1000};
+
+std::uint32_t value_or_zero(const std::map<backend_server_name, std::uint32_t>& counts, const backend_server_name& key)
+{
+    const auto found = counts.find(key);
+    return found == counts.end() ? 0 : found->second;
+}
+
+} // namespace
+
+lease_keeper::lease_keeper(supervision_step& step)
+    : m_step(step)
+{
+}
+
+void lease_keeper::start_leading()
+{
+    // An earlier leader may have granted a lease up to the moment of this election.
+    for (const auto& [entry, record] : m_step.directory().entry_hosts) {
+        entry_status status;
+        status.zone = record.zone;
+        status.lease_end = m_step.around.consensus.leading_since + LEASE_DURATION;
+        m_step.state.entries = std::move(m_step.state.entries).set(entry, status);
+    }
+}
+
+void lease_keeper::handle(const host_name& from, const protocol::lease_request& request)
+{
+    if (request.entry.name != from) {
+        return;
+    }
+    const entry_key& entry = request.entry;
+    if (!m_step.directory().entry_hosts.contains(entry) && m_step.state.admitting.insert(entry).second) {
+        m_step.propose(directory::admit_entry_host{entry, request.zone});
+    }
+    if (const entry_status* known = m_step.state.entries.find(entry)) {
+        entry_status status = *known;
+        status.last_heard = m_step.now();
+        status.version = request.version;
+        status.revision = request.revision;
+        status.held = request.held_connections;
+        status.wanted = request.wanted_connections;
+        m_step.state.entries = std::move(m_step.state.entries).set(entry, std::move(status));
+    }
+    auto& grants = m_step.state.grants;
+    grants.erase(std::remove_if(grants.begin(), grants.end(),
+                                [&](const pending_grant& each) { return each.request.entry == entry; }),
+                 grants.end());
+    grants.push_back({request, m_step.around.consensus.round, m_step.now()});
+}
+
+void lease_keeper::handle(const protocol::lease_return& returned)
+{
+    if (m_step.directory().entry_hosts.contains(returned.entry) &&
+        m_step.state.dismissing.insert(returned.entry).second) {
+        m_step.propose(directory::dismiss_entry_host{returned.entry});
+    }
+}
+
+void lease_keeper::handle(const directory::admit_entry_host& admitted)
+{
+    m_step.state.admitting.erase(admitted.entry);
+    if (!m_step.state.entries.contains(admitted.entry)) {
+        entry_status status;
+        status.zone = admitted.zone;
+        m_step.state.entries = std::move(m_step.state.entries).set(admitted.entry, status);
+    }
+    m_step.log(logging::log_level::information, "admit_entry_host", admitted.entry.name.value,
+               "incarnation=" + admitted.entry.incarnation.value);
+}
+
+void lease_keeper::handle(const directory::dismiss_entry_host& dismissed)
+{
+    m_step.state.dismissing.erase(dismissed.entry);
+    m_step.state.entries = std::move(m_step.state.entries).erase(dismissed.entry);
+    m_step.log(logging::log_level::information, "dismiss_entry_host", dismissed.entry.name.value,
+               "incarnation=" + dismissed.entry.incarnation.value);
+}
+
+void lease_keeper::issue_due_grants()
+{
+    std::vector<pending_grant> waiting;
+    for (const pending_grant& pending : m_step.state.grants) {
+        const entry_key& entry = pending.request.entry;
+        const bool is_admitted = m_step.state.entries.contains(entry) && m_step.directory().entry_hosts.contains(entry);
+        const bool is_confirmed = consensus::is_confirmed_since(m_step.around.consensus, pending.after_round);
+        if (is_admitted && is_confirmed && !is_held_back(entry)) {
+            issue(pending);
+        } else if (m_step.now() - pending.received_at < PENDING_GRANT_TIMEOUT) {
+            waiting.push_back(pending);
+        }
+    }
+    m_step.state.grants = std::move(waiting);
+}
+
+void lease_keeper::dismiss_expired()
+{
+    for (const auto& [entry, status] : m_step.state.entries) {
+        const bool is_gone = m_step.now() - status.lease_end > DISMISS_AFTER &&
+                             m_step.now() - status.last_heard > DISMISS_AFTER;
+        if (is_gone && m_step.now() - m_step.state.leading_since > LEASE_DURATION + DISMISS_AFTER &&
+            m_step.state.dismissing.insert(entry).second) {
+            m_step.propose(directory::dismiss_entry_host{entry});
+        }
+    }
+}
+
+std::set<entry_key> lease_keeper::leased() const
+{
+    std::set<entry_key> keys;
+    for (const auto& [entry, status] : m_step.state.entries) {
+        if (status.lease_end > m_step.now()) {
+            keys.insert(entry);
+        }
+    }
+    return keys;
+}
+
+std::vector<host_name> lease_keeper::live_hosts() const
+{
+    std::vector<std::pair<time_point, host_name>> heard;
+    for (const auto& [entry, status] : m_step.state.entries) {
+        if (status.lease_end > m_step.now() && status.last_heard > m_step.state.leading_since) {
+            heard.emplace_back(status.last_heard, entry.name);
+        }
+    }
+    std::sort(heard.begin(), heard.end(), std::greater<>());
+    std::vector<host_name> names;
+    for (auto& [at, name] : heard) {
+        if (std::find(names.begin(), names.end(), name) == names.end()) {
+            names.push_back(std::move(name));
+        }
+    }
+    return names;
+}
+
+void lease_keeper::issue(const pending_grant& pending)
+{
+    const entry_key& entry = pending.request.entry;
+    entry_status status = *m_step.state.entries.find(entry);
+    if (pending.request.revision < m_step.state.revision) {
+        send_view(entry.name);
+    }
+    protocol::lease_grant grant{entry, pending.request.sequence, LEASE_DURATION, shares_for(pending.request)};
+    for (const auto& [server, share] : grant.connections) {
+        status.held[server] = std::max(share, value_or_zero(pending.request.held_connections, server));
+    }
+    status.lease_end = std::max(status.lease_end, pending.received_at + LEASE_DURATION);
+    status.last_heard = std::max(status.last_heard, pending.received_at);
+    status.version = pending.request.version;
+    status.revision = pending.request.revision;
+    status.wanted = pending.request.wanted_connections;
+    m_step.state.entries = std::move(m_step.state.entries).set(entry, std::move(status));
+    m_step.send(entry.name, std::move(grant));
+}
+
+void lease_keeper::send_view(const host_name& to)
+{
+    protocol::view_update view{0, m_step.state.revision, m_step.directory().configuration, {}};
+    for (const auto& [name, record] : m_step.directory().groups) {
+        view.groups.push_back({name, record});
+    }
+    m_step.send(to, std::move(view));
+    protocol::server_reports known;
+    for (const auto& [name, status] : m_step.state.servers) {
+        known.reports.push_back(status.report);
+    }
+    m_step.send(to, std::move(known));
+}
+
+bool lease_keeper::is_held_back(const entry_key& entry) const
+{
+    const auto& changes = m_step.state.changes;
+    return std::any_of(changes.begin(), changes.end(), [&](const auto& each) {
+        return each.second.stage == change_stage::revoking && each.second.awaiting.contains(entry);
+    });
+}
+
+std::map<backend_server_name, std::uint32_t> lease_keeper::shares_for(const protocol::lease_request& request) const
+{
+    std::map<backend_server_name, std::uint32_t> shares;
+    const auto& groups = m_step.directory().configuration->content.groups;
+    for (const auto& [server, status] : m_step.state.servers) {
+        const auto group = groups.find(status.report.group);
+        if (group != groups.end()) {
+            shares[server] = share_for(request, server, group->second.connections);
+        }
+    }
+    return shares;
+}
+
+std::uint32_t lease_keeper::share_for(const protocol::lease_request& request, const backend_server_name& server,
+                                      std::uint32_t limit) const
+{
+    const std::uint32_t held = value_or_zero(request.held_connections, server);
+    std::uint32_t held_by_others = 0;
+    std::uint32_t wanted_by_all = 0;
+    std::uint32_t live = 0;
+    for (const auto& [entry, status] : m_step.state.entries) {
+        const bool is_self = entry == request.entry;
+        if (!is_self && status.lease_end <= m_step.now()) {
+            continue;
+        }
+        const bool is_unknown = !is_self && status.last_heard <= m_step.state.leading_since;
+        if (is_unknown) {
+            return held;
+        }
+        ++live;
+        wanted_by_all += std::max(1U, is_self ? value_or_zero(request.wanted_connections, server)
+                                              : value_or_zero(status.wanted, server));
+        held_by_others += is_self ? 0 : value_or_zero(status.held, server);
+    }
+    const std::uint32_t wanted = std::max(1U, value_or_zero(request.wanted_connections, server));
+    const std::uint32_t spare = wanted_by_all < limit ? (limit - wanted_by_all) / std::max(1U, live) : 0;
+    const std::uint32_t target =
+        wanted_by_all <= limit ? wanted + spare : std::max(1U, limit * wanted / wanted_by_all);
+    const std::uint32_t available = limit > held_by_others ? limit - held_by_others : 0;
+    return std::min(target, available);
+}
+
+} // namespace hickorymount::supervision::detail
--- /dev/null
+++ b/src/supervision/internal/lease_keeper.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <map>
+#include <set>
+
+#include "supervision/internal/supervision_step.h"
+
+namespace hickorymount::supervision::detail {
+
+/// Grants leases and connection shares to entry hosts, and forgets entry hosts that are gone.
+class lease_keeper
+{
+public:
+    explicit lease_keeper(supervision_step& step);
+
+    void start_leading();
+    void handle(const host_name& from, const protocol::lease_request& request);
+    void handle(const protocol::lease_return& returned);
+    void handle(const directory::admit_entry_host& admitted);
+    void handle(const directory::dismiss_entry_host& dismissed);
+
+    /// Answers the requests that a majority has confirmed by now.
+    void issue_due_grants();
+    void dismiss_expired();
+
+    /// Processes that may hold a lease now.
+    [[nodiscard]] std::set<entry_key> leased() const;
+
+    /// Entry hosts that hold a lease and were heard under this leader, most recently heard first.
+    [[nodiscard]] std::vector<host_name> live_hosts() const;
+
+private:
+    void issue(const pending_grant& pending);
+    void send_view(const host_name& to);
+    [[nodiscard]] bool is_held_back(const entry_key& entry) const;
+    [[nodiscard]] std::map<backend_server_name, std::uint32_t> shares_for(const protocol::lease_request& request) const;
+    [[nodiscard]] std::uint32_t share_for(const protocol::lease_request& request, const backend_server_name& server,
+                                          std::uint32_t limit) const;
+
+    supervision_step& m_step;
+};
+
+} // namespace hickorymount::supervision::detail
--- /dev/null
+++ b/src/supervision/internal/primary_changer.cpp
@@ -0,0 +1,603 @@
+#include "supervision/internal/primary_changer.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "supervision/reduce.h"
+
+#include <fmt/format.h>
+
+namespace hickorymount::supervision::detail {
+
+namespace {
+
+using directory::group_phase;
+using directory::group_record;
+using protocol::server_report;
+using protocol::server_role;
+
+constexpr milliseconds ADOPTION_PAUSE{500};
+
+bool is_primary_of(const server_report& report, protocol::group_term term)
+{
+    return report.role == server_role::primary && report.at.term == term;
+}
+
+} // namespace
+
+primary_changer::primary_changer(supervision_step& step, const lease_keeper& leases)
+    : m_step(step), m_leases(leases)
+{
+}
+
+void primary_changer::handle(const host_name& from, const protocol::server_reports& passed_on)
+{
+    for (const server_report& report : passed_on.reports) {
+        take_report(from, report);
+    }
+}
+
+void primary_changer::handle(const host_name& /*from*/, const protocol::suspicion& suspected)
+{
+    const group_record* record = m_step.directory().groups.find(suspected.group);
+    const bool fits = record != nullptr && record->phase == group_phase::open && record->term == suspected.term &&
+                      record->primary == suspected.server;
+    if (fits) {
+        start_confirming(suspected.group, *record, suspected.reason);
+    }
+}
+
+void primary_changer::handle(const host_name& from, const protocol::probe_report& probed)
+{
+    for (const auto& [group, change] : m_step.state.changes) {
+        if (change.probe != probed.probe) {
+            continue;
+        }
+        group_change next = change;
+        const group_name name = group;
+        if (probed.status && probed.status->name == probed.server) {
+            next.positions.insert_or_assign(probed.server, *probed.status);
+        }
+        switch (change.stage) {
+        case change_stage::confirming:
+            count_confirmation(from, name, std::move(next), probed);
+            return;
+        case change_stage::collecting:
+            finish_collecting_if_done(name, std::move(next));
+            return;
+        case change_stage::catching_up:
+            finish_catching_up_if_done(name, std::move(next));
+            return;
+        default:
+            return;
+        }
+    }
+}
+
+void primary_changer::handle(const host_name& /*from*/, const protocol::close_confirmation& confirmed)
+{
+    const group_change* change = m_step.state.changes.find(confirmed.group);
+    if (change == nullptr || change->term != confirmed.term) {
+        return;
+    }
+    const change_stage expected = confirmed.drain ? change_stage::holding : change_stage::revoking;
+    if (change->stage != expected) {
+        return;
+    }
+    group_change next = *change;
+    next.awaiting.erase(confirmed.entry);
+    finish_revoking_if_done(confirmed.group, std::move(next));
+}
+
+void primary_changer::handle(const host_name& /*from*/, const protocol::takeover_report& reported)
+{
+    const group_change* change = m_step.state.changes.find(reported.group);
+    const bool fits = change != nullptr && change->stage == change_stage::promoting &&
+                      change->order == reported.order && reported.kind == protocol::takeover_kind::promote;
+    if (!fits) {
+        return;
+    }
+    group_change next = *change;
+    if (!reported.done) {
+        retry_promotion(reported.group, std::move(next));
+        return;
+    }
+    next.start = reported.start;
+    next.times.promoted = m_step.now();
+    const directory::open_term command{reported.group, next.next_term, next.candidate, next.start};
+    set_stage(reported.group, std::move(next), change_stage::opening);
+    m_step.propose(command);
+}
+
+void primary_changer::handle(const directory::open_term& opened)
+{
+    const group_record* record = m_step.directory().groups.find(opened.group);
+    if (record == nullptr || record->phase != group_phase::open || record->term != opened.term) {
+        return;
+    }
+    if (const group_change* change = m_step.state.changes.find(opened.group)) {
+        const change_times& times = change->times;
+        m_step.log(logging::log_level::information, "primary_changed", opened.primary.value,
+                   fmt::format("group={} term={} start={} planned={} reason=\"{}\" detection_ms={} revocation_ms={} "
+                               "positions_ms={} promotion_ms={} opening_ms={}",
+                               opened.group.value, opened.term, opened.start, change->target.has_value(),
+                               change->reason, (times.confirmed - times.suspected).count(),
+                               (times.revoked - times.confirmed).count(), (times.collected - times.revoked).count(),
+                               (times.promoted - times.collected).count(), (m_step.now() - times.promoted).count()));
+    }
+    m_step.state.changes = std::move(m_step.state.changes).erase(opened.group);
+    const std::vector<host_name> live = m_leases.live_hosts();
+    for (const auto& [name, status] : m_step.state.servers) {
+        if (status.report.group == opened.group && name != opened.primary && !live.empty()) {
+            send_follow(live.front(), status.report, *record);
+        }
+    }
+}
+
+void primary_changer::handle(const directory::close_term& closed)
+{
+    const group_change* change = m_step.state.changes.find(closed.group);
+    if (change != nullptr && change->stage == change_stage::closing && change->term == closed.term) {
+        start_revoking(closed.group, *change);
+    }
+}
+
+void primary_changer::handle(const directory::name_candidate& named)
+{
+    const group_change* change = m_step.state.changes.find(named.group);
+    const bool fits =
+        change != nullptr && change->stage == change_stage::naming && change->next_term == named.term;
+    if (fits) {
+        group_change next = *change;
+        next.attempts = 0;
+        set_stage(named.group, next, change_stage::promoting);
+        send_promotion(named.group, *m_step.state.changes.find(named.group));
+    }
+}
+
+bool primary_changer::start_planned(const group_name& group, const backend_server_name& target,
+                                    const std::string& reason)
+{
+    const group_record* record = m_step.directory().groups.find(group);
+    const server_status* status = m_step.state.servers.find(target);
+    const bool is_possible = record != nullptr && record->phase == group_phase::open && record->primary != target &&
+                             status != nullptr && status->report.group == group && !status->report.leaving &&
+                             !m_step.state.changes.contains(group);
+    if (!is_possible) {
+        return false;
+    }
+    group_change change;
+    change.term = record->term;
+    change.reason = reason;
+    change.target = target;
+    change.is_primary_candidate = true;
+    change.awaiting = m_leases.leased();
+    change.times.suspected = m_step.now();
+    change.sent_at = m_step.now();
+    set_stage(group, std::move(change), change_stage::holding);
+    m_step.send_to_all(protocol::close_order{group, record->term, true});
+    return true;
+}
+
+void primary_changer::pass_time()
+{
+    for (const auto& [group, record] : m_step.directory().groups) {
+        check_group(group, record);
+    }
+    const shared_map<group_name, group_change> changes = m_step.state.changes;
+    for (const auto& [group, change] : changes) {
+        advance(group, change);
+    }
+}
+
+void primary_changer::take_report(const host_name& from, const server_report& report)
+{
+    if (!m_step.directory().configuration->content.groups.contains(report.group)) {
+        return;
+    }
+    const server_status* known = m_step.state.servers.find(report.name);
+    if (known != nullptr && !protocol::is_newer(report, known->report)) {
+        return;
+    }
+    server_status status = known == nullptr ? server_status{} : *known;
+    status.report = report;
+    status.heard_at = m_step.now();
+    m_step.state.servers = std::move(m_step.state.servers).set(report.name, std::move(status));
+    m_step.state.unsent_reports.insert(report.name);
+    adopt_first_primary(report);
+    correct_follower(from, report);
+}
+
+void primary_changer::adopt_first_primary(const server_report& report)
+{
+    const bool is_first = report.role == server_role::primary && report.at.term > 0 &&
+                          !m_step.directory().groups.contains(report.group) && !is_paused(report.group);
+    if (is_first) {
+        pause(report.group, ADOPTION_PAUSE);
+        m_step.propose(directory::open_term{report.group, report.at.term, report.name, 0});
+    }
+}
+
+void primary_changer::correct_follower(const host_name& through, const server_report& report)
+{
+    const group_record* record = m_step.directory().groups.find(report.group);
+    if (record == nullptr || record->phase != group_phase::open) {
+        return;
+    }
+    if (record->primary == report.name) {
+        if (!is_primary_of(report, record->term)) {
+            start_confirming(report.group, *record, "the primary reports another role or term");
+        }
+        return;
+    }
+    const bool is_astray = report.role == server_role::primary || report.at.term < record->term;
+    const server_status* status = m_step.state.servers.find(report.name);
+    if (is_astray && m_step.now() - status->follow_sent >= FOLLOW_INTERVAL) {
+        send_follow(through, report, *record);
+    }
+}
+
+void primary_changer::send_follow(const host_name& through, const server_report& follower, const group_record& record)
+{
+    const server_status* primary = m_step.state.servers.find(record.primary);
+    const server_status* known = m_step.state.servers.find(follower.name);
+    if (primary == nullptr || known == nullptr || record.starts.empty()) {
+        return;
+    }
+    server_status status = *known;
+    status.follow_sent = m_step.now();
+    m_step.state.servers = std::move(m_step.state.servers).set(follower.name, std::move(status));
+    protocol::takeover_order order;
+    order.order = m_step.next_number();
+    order.kind = protocol::takeover_kind::follow;
+    order.group = follower.group;
+    order.server = follower.name;
+    order.address = follower.address;
+    order.term = record.term;
+    order.primary_address = m_step.state.servers.find(record.primary)->report.address;
+    order.start = record.starts.back().position;
+    m_step.send(through, std::move(order));
+}
+
+void primary_changer::check_group(const group_name& group, const group_record& record)
+{
+    if (m_step.state.changes.contains(group)) {
+        return;
+    }
+    if (record.phase != group_phase::open) {
+        // A change that an earlier leader began.
+        group_change change;
+        change.term = record.term;
+        change.reason = "continued after a change of leader";
+        change.is_primary_candidate = true;
+        change.times.suspected = change.times.confirmed = m_step.now();
+        start_revoking(group, std::move(change));
+        return;
+    }
+    const server_status* primary = m_step.state.servers.find(record.primary);
+    const time_point heard = std::max(primary == nullptr ? time_point{} : primary->heard_at, m_step.state.leading_since);
+    if (m_step.now() - heard > REPORT_SILENCE) {
+        start_confirming(group, record, "no report from the primary");
+        return;
+    }
+    if (primary == nullptr || !primary->report.leaving || is_paused(group)) {
+        return;
+    }
+    const auto replicas = candidates(group, group_change{});
+    const auto furthest = std::max_element(replicas.begin(), replicas.end(),
+                                           [](const auto& left, const auto& right) { return left.at < right.at; });
+    if (furthest != replicas.end()) {
+        start_planned(group, furthest->name, "the primary is leaving");
+    }
+}
+
+void primary_changer::start_confirming(const group_name& group, const group_record& record, const std::string& reason)
+{
+    const std::vector<host_name> live = m_leases.live_hosts();
+    if (m_step.state.changes.contains(group) || is_paused(group) || live.empty()) {
+        return;
+    }
+    group_change change;
+    change.term = record.term;
+    change.reason = reason;
+    change.probe = m_step.next_number();
+    change.asked = std::set<host_name>(live.begin(), live.end());
+    change.times.suspected = m_step.now();
+    probe(record.primary, change.probe, live);
+    set_stage(group, std::move(change), change_stage::confirming);
+}
+
+void primary_changer::count_confirmation(const host_name& from, const group_name& group, group_change change,
+                                         const protocol::probe_report& probed)
+{
+    if (!change.asked.contains(from)) {
+        return;
+    }
+    const bool is_serving = probed.status && is_primary_of(*probed.status, change.term);
+    (is_serving ? change.reached : change.failed).insert(from);
+    const std::size_t majority = change.asked.size() / 2 + 1;
+    if (change.failed.size() >= majority) {
+        change.times.confirmed = m_step.now();
+        start_closing(group, std::move(change));
+        return;
+    }
+    if (change.asked.size() - change.reached.size() < majority) {
+        give_up(group, change, "most entry hosts reach the primary");
+        return;
+    }
+    set_change(group, std::move(change));
+}
+
+void primary_changer::start_closing(const group_name& group, group_change change)
+{
+    const directory::close_term command{group, change.term};
+    m_step.log(logging::log_level::warning, "close_term", group.value,
+               fmt::format("term={} reason=\"{}\"", change.term, change.reason));
+    set_stage(group, std::move(change), change_stage::closing);
+    m_step.propose(command);
+}
+
+void primary_changer::start_revoking(const group_name& group, group_change change)
+{
+    change.awaiting = m_leases.leased();
+    change.sent_at = m_step.now();
+    const protocol::close_order order{group, change.term, false};
+    set_stage(group, std::move(change), change_stage::revoking);
+    m_step.send_to_all(order);
+    finish_revoking_if_done(group, *m_step.state.changes.find(group));
+}
+
+void primary_changer::finish_revoking_if_done(const group_name& group, group_change change)
+{
+    const std::set<entry_key> leased = m_leases.leased();
+    std::erase_if(change.awaiting, [&](const entry_key& entry) { return !leased.contains(entry); });
+    if (!change.awaiting.empty()) {
+        set_change(group, std::move(change));
+        return;
+    }
+    if (change.stage == change_stage::holding) {
+        start_catching_up(group, std::move(change));
+        return;
+    }
+    change.times.revoked = m_step.now();
+    if (change.target) {
+        change.times.collected = m_step.now();
+        const backend_server_name target = *change.target;
+        start_naming(group, std::move(change), target);
+        return;
+    }
+    start_collecting(group, std::move(change));
+}
+
+void primary_changer::start_collecting(const group_name& group, group_change change)
+{
+    change.positions.clear();
+    change.probe = m_step.next_number();
+    change.sent_at = m_step.now();
+    std::vector<host_name> through = m_leases.live_hosts();
+    through.resize(std::min(through.size(), PROBES_FOR_POSITION));
+    for (const server_report& candidate : candidates(group, change)) {
+        probe(candidate.name, change.probe, through);
+    }
+    set_stage(group, std::move(change), change_stage::collecting);
+}
+
+void primary_changer::finish_collecting_if_done(const group_name& group, group_change change)
+{
+    const auto asked = candidates(group, change);
+    std::vector<server_report> answered;
+    for (const server_report& candidate : asked) {
+        const auto found = change.positions.find(candidate.name);
+        if (found != change.positions.end() && !found->second.leaving) {
+            answered.push_back(found->second);
+        }
+    }
+    const bool is_late = m_step.now() - change.stage_since >= collect_timeout();
+    if (answered.empty() || (answered.size() < asked.size() && !is_late)) {
+        set_change(group, std::move(change));
+        return;
+    }
+    if (answered.size() < asked.size()) {
+        m_step.log(logging::log_level::warning, "collect_positions", group.value,
+                   fmt::format("answered={} asked={}", answered.size(), asked.size()));
+    }
+    const auto furthest = std::max_element(answered.begin(), answered.end(),
+                                           [](const auto& left, const auto& right) { return left.at < right.at; });
+    change.times.collected = m_step.now();
+    start_naming(group, std::move(change), furthest->name);
+}
+
+void primary_changer::start_naming(const group_name& group, group_change change, const backend_server_name& candidate)
+{
+    change.candidate = candidate;
+    change.next_term = m_step.directory().groups.find(group)->last_named_term + 1;
+    const directory::name_candidate command{group, change.next_term, candidate};
+    set_stage(group, std::move(change), change_stage::naming);
+    m_step.propose(command);
+}
+
+void primary_changer::send_promotion(const group_name& group, group_change change)
+{
+    const std::vector<host_name> live = m_leases.live_hosts();
+    const server_status* status = m_step.state.servers.find(change.candidate);
+    if (live.empty() || status == nullptr) {
+        return;
+    }
+    protocol::takeover_order order;
+    order.order = m_step.next_number();
+    order.kind = protocol::takeover_kind::promote;
+    order.group = group;
+    order.server = change.candidate;
+    order.address = status->report.address;
+    order.term = change.next_term;
+    change.order = order.order;
+    change.sent_at = m_step.now();
+    m_step.send(live[static_cast<std::size_t>(change.attempts) % live.size()], std::move(order));
+    set_change(group, std::move(change));
+}
+
+void primary_changer::retry_promotion(const group_name& group, group_change change)
+{
+    if (++change.attempts < TAKEOVER_ATTEMPTS) {
+        send_promotion(group, std::move(change));
+        return;
+    }
+    m_step.log(logging::log_level::warning, "promote", change.candidate.value, "group=" + group.value + " given up");
+    change.target.reset();
+    start_collecting(group, std::move(change));
+}
+
+void primary_changer::start_catching_up(const group_name& group, group_change change)
+{
+    change.positions.clear();
+    change.probe = m_step.next_number();
+    change.sent_at = m_step.now();
+    const std::vector<host_name> live = m_leases.live_hosts();
+    const group_record* record = m_step.directory().groups.find(group);
+    if (record != nullptr && !live.empty()) {
+        probe(record->primary, change.probe, {live.front()});
+        probe(*change.target, change.probe, {live.front()});
+    }
+    const bool is_first = change.stage == change_stage::holding;
+    if (is_first) {
+        set_stage(group, std::move(change), change_stage::catching_up);
+    } else {
+        set_change(group, std::move(change));
+    }
+}
+
+void primary_changer::finish_catching_up_if_done(const group_name& group, group_change change)
+{
+    const group_record* record = m_step.directory().groups.find(group);
+    const auto primary = change.positions.find(record->primary);
+    const auto target = change.positions.find(*change.target);
+    const bool is_known = primary != change.positions.end() && target != change.positions.end();
+    if (is_known && is_primary_of(primary->second, change.term) && target->second.at >= primary->second.at) {
+        change.times.confirmed = m_step.now();
+        start_closing(group, std::move(change));
+        return;
+    }
+    set_change(group, std::move(change));
+}
+
+void primary_changer::advance(const group_name& group, const group_change& change)
+{
+    const milliseconds in_stage = m_step.now() - change.stage_since;
+    const milliseconds since_sent = m_step.now() - change.sent_at;
+    switch (change.stage) {
+    case change_stage::confirming:
+        if (in_stage >= CONFIRM_TIMEOUT) {
+            give_up(group, change, "not confirmed in time");
+        }
+        return;
+    case change_stage::holding:
+        if (in_stage >= HOLD_TIMEOUT) {
+            give_up(group, change, "writes in flight did not end in time");
+            return;
+        }
+        finish_revoking_if_done(group, change);
+        return;
+    case change_stage::catching_up:
+        if (in_stage >= HOLD_TIMEOUT) {
+            give_up(group, change, "the target did not catch up in time");
+        } else if (since_sent >= SUPERVISION_INTERVAL) {
+            start_catching_up(group, change);
+        }
+        return;
+    case change_stage::revoking: {
+        group_change next = change;
+        if (since_sent >= CLOSE_RESEND_INTERVAL) {
+            next.sent_at = m_step.now();
+            m_step.send_to_all(protocol::close_order{group, change.term, false});
+        }
+        finish_revoking_if_done(group, std::move(next));
+        return;
+    }
+    case change_stage::collecting:
+        if (change.positions.empty() && since_sent >= PROBE_RESEND_INTERVAL) {
+            start_collecting(group, change);
+            return;
+        }
+        finish_collecting_if_done(group, change);
+        return;
+    case change_stage::promoting:
+        if (since_sent >= TAKEOVER_TIMEOUT) {
+            retry_promotion(group, change);
+        }
+        return;
+    case change_stage::closing:
+    case change_stage::naming:
+    case change_stage::opening:
+        return;
+    }
+}
+
+void primary_changer::give_up(const group_name& group, const group_change& change, const std::string& reason)
+{
+    m_step.log(logging::log_level::information, "change_given_up", group.value,
+               fmt::format("term={} stage={} reason=\"{}\"", change.term, to_string(change.stage), reason));
+    m_step.state.changes = std::move(m_step.state.changes).erase(group);
+    if (change.target) {
+        m_step.send_to_all(protocol::resume_order{group, change.term});
+        pause(group, PLANNED_RETRY_PAUSE);
+        return;
+    }
+    pause(group, CONFIRM_PAUSE);
+}
+
+void primary_changer::probe(const backend_server_name& server, std::uint64_t number,
+                            const std::vector<host_name>& through)
+{
+    const server_status* status = m_step.state.servers.find(server);
+    const protocol::endpoint address = status == nullptr ? protocol::endpoint{} : status->report.address;
+    for (const host_name& host : through) {
+        m_step.send(host, protocol::probe_order{number, server, address});
+    }
+}
+
+void primary_changer::set_stage(const group_name& group, group_change change, change_stage stage)
+{
+    change.stage = stage;
+    change.stage_since = m_step.now();
+    set_change(group, std::move(change));
+}
+
+void primary_changer::set_change(const group_name& group, group_change change)
+{
+    m_step.state.changes = std::move(m_step.state.changes).set(group, std::move(change));
+}
+
+void primary_changer::pause(const group_name& group, milliseconds duration)
+{
+    m_step.state.paused = std::move(m_step.state.paused).set(group, m_step.now() + duration);
+}
+
+bool primary_changer::is_paused(const group_name& group) const
+{
+    const time_point* until = m_step.state.paused.find(group);
+    return until != nullptr && *until > m_step.now();
+}
+
+std::vector<server_report> primary_changer::candidates(const group_name& group, const group_change& change) const
+{
+    const group_record* record = m_step.directory().groups.find(group);
+    std::vector<server_report> reports;
+    for (const auto& [name, status] : m_step.state.servers) {
+        const bool is_lost = record != nullptr && name == record->primary && !change.is_primary_candidate;
+        if (status.report.group == group && !is_lost && !status.report.leaving) {
+            reports.push_back(status.report);
+        }
+    }
+    return reports;
+}
+
+milliseconds primary_changer::collect_timeout() const
+{
+    const auto& classes = m_step.directory().configuration->content.classes;
+    const bool needs_replica = std::any_of(classes.begin(), classes.end(), [](const auto& each) {
+        return each.second.acknowledged_by == configuration::acknowledgement::replica;
+    });
+    return needs_replica ? COLLECT_TIMEOUT_REPLICA_ACKNOWLEDGED : COLLECT_TIMEOUT;
+}
+
+} // namespace hickorymount::supervision::detail
--- /dev/null
+++ b/src/supervision/types.h
@@ -0,0 +1,384 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/identifier.h"
+#include "base/millisecond_clock.h"
+#include "base/shared_map.h"
+#include "consensus/types.h"
+#include "directory/types.h"
+#include "logging/types.h"
+#include "protocol/types.h"
+
+/// What the leading control host does beyond the log: leases, connection shares, changes of primary,
+/// claims and the operators' changes. All of it is rebuilt after a change of leader.
+namespace hickorymount::supervision {
+
+using directory::entry_key;
+
+/// A lease lasts this long by the leader's clock.
+inline constexpr milliseconds LEASE_DURATION{2000};
+/// Entry hosts stop this much earlier: clocks may differ in rate by 1% each.
+inline constexpr milliseconds LEASE_DRIFT_MARGIN{40};
+inline constexpr milliseconds SUPERVISION_INTERVAL{25};
+/// Silence of a primary, at all entry hosts together, that starts a check.
+inline constexpr milliseconds REPORT_SILENCE{350};
+/// A check that is not decided by then is given up.
+inline constexpr milliseconds CONFIRM_TIMEOUT{800};
+inline constexpr milliseconds CONFIRM_PAUSE{100};
+inline constexpr milliseconds CLOSE_RESEND_INTERVAL{100};
+/// Longest wait for the positions of all replicas.
+inline constexpr milliseconds COLLECT_TIMEOUT{300};
+/// The same, where a class has its writes acknowledged by a replica.
+inline constexpr milliseconds COLLECT_TIMEOUT_REPLICA_ACKNOWLEDGED{1000};
+inline constexpr milliseconds PROBE_RESEND_INTERVAL{250};
+inline constexpr milliseconds TAKEOVER_TIMEOUT{400};
+inline constexpr milliseconds FOLLOW_INTERVAL{200};
+/// Longest time for which a planned change holds new writes back.
+inline constexpr milliseconds HOLD_TIMEOUT{2500};
+inline constexpr milliseconds PLANNED_RETRY_PAUSE{5000};
+/// A dead entry host is forgotten this long after its lease ran out.
+inline constexpr milliseconds DISMISS_AFTER{3000};
+inline constexpr milliseconds IN_FORCE_TIMEOUT{5000};
+inline constexpr milliseconds CLAIM_EXPIRY_INTERVAL{60'000};
+inline constexpr std::size_t PROBES_FOR_POSITION = 3;
+inline constexpr int TAKEOVER_ATTEMPTS = 3;
+
+/// What the leader knows of one entry host's process.
+struct entry_status
+{
+    availability_zone zone;
+    /// By then its lease, if it has one, has run out.
+    time_point lease_end{};
+    time_point last_heard{};
+    configuration::configuration_version version = 0;
+    protocol::view_revision revision = 0;
+    /// Most connections it may hold to each backend server until its next report.
+    std::map<backend_server_name, std::uint32_t> held;
+    std::map<backend_server_name, std::uint32_t> wanted;
+
+    friend bool operator==(const entry_status&, const entry_status&) = default;
+};
+
+struct server_status
+{
+    protocol::server_report report;
+    time_point heard_at{};
+    time_point follow_sent{};
+
+    friend bool operator==(const server_status&, const server_status&) = default;
+};
+
+/// A lease request that waits for a majority to confirm the leader, or for its sender's admission.
+struct pending_grant
+{
+    protocol::lease_request request;
+    consensus::round_number after_round = 0;
+    time_point received_at{};
+
+    friend bool operator==(const pending_grant&, const pending_grant&) = default;
+};
+
+enum class change_stage {
+    /// Entry hosts check whether the primary is lost.
+    confirming,
+    /// Planned: entry hosts finish writes in flight and hold new ones.
+    holding,
+    /// Planned: the target reaches the primary's position.
+    catching_up,
+    /// The closing of the term is being agreed on.
+    closing,
+    /// Entry hosts confirm that the term is closed, or their leases run out.
+    revoking,
+    /// Replicas are asked for their positions.
+    collecting,
+    /// The candidate is being agreed on.
+    naming,
+    /// The candidate takes over.
+    promoting,
+    /// The new term is being agreed on.
+    opening
+};
+
+/// When each stage of a change began, for the report on it.
+struct change_times
+{
+    time_point suspected{};
+    time_point confirmed{};
+    time_point revoked{};
+    time_point collected{};
+    time_point promoted{};
+
+    friend bool operator==(const change_times&, const change_times&) = default;
+};
+
+/// One change of primary in progress.
+struct group_change
+{
+    change_stage stage = change_stage::confirming;
+    protocol::group_term term = 0;
+    std::string reason;
+    /// The present primary may answer and stay a candidate: nothing says that it is lost.
+    bool is_primary_candidate = false;
+    /// Set for a planned change, until the target proves unable.
+    std::optional<backend_server_name> target;
+    time_point stage_since{};
+    time_point sent_at{};
+    change_times times;
+    std::uint64_t probe = 0;
+    std::set<host_name> asked;
+    std::set<host_name> failed;
+    std::set<host_name> reached;
+    std::set<entry_key> awaiting;
+    std::map<backend_server_name, protocol::server_report> positions;
+    backend_server_name candidate;
+    protocol::group_term next_term = 0;
+    protocol::log_position start = 0;
+    std::uint64_t order = 0;
+    int attempts = 0;
+
+    friend bool operator==(const group_change&, const group_change&) = default;
+};
+
+/// Who waits for what a proposed command comes to.
+struct claim_caller
+{
+    host_name entry;
+    std::uint64_t call = 0;
+
+    friend bool operator==(const claim_caller&, const claim_caller&) = default;
+};
+
+struct operator_caller
+{
+    std::uint64_t request = 0;
+
+    friend bool operator==(const operator_caller&, const operator_caller&) = default;
+};
+
+using command_caller = std::variant<std::monostate, claim_caller, operator_caller>;
+
+/// An operator whose accepted change is not yet in force everywhere.
+struct pending_in_force
+{
+    std::uint64_t request = 0;
+    configuration::configuration_version version = 0;
+    time_point give_up_at{};
+
+    friend bool operator==(const pending_in_force&, const pending_in_force&) = default;
+};
+
+struct supervision_state
+{
+    bool is_leading = false;
+    time_point leading_since{};
+    protocol::view_revision revision = 0;
+    shared_map<entry_key, entry_status> entries;
+    shared_map<backend_server_name, server_status> servers;
+    /// Entry hosts whose admission was proposed.
+    std::set<entry_key> admitting;
+    std::set<entry_key> dismissing;
+    std::vector<pending_grant> grants;
+    shared_map<group_name, group_change> changes;
+    /// No change of the group starts before then.
+    shared_map<group_name, time_point> paused;
+    /// Reports that entry hosts have not been sent yet.
+    std::set<backend_server_name> unsent_reports;
+    std::vector<pending_in_force> in_force;
+    std::uint64_t next_number = 1;
+    time_point expire_claims_at{};
+
+    friend bool operator==(const supervision_state&, const supervision_state&) = default;
+};
+
+/// The parts of the control host that supervision reads but does not change.
+struct surroundings
+{
+    const directory::directory_state& directory;
+    const consensus::consensus_state& consensus;
+    time_point now{};
+    unix_milliseconds wall{0};
+};
+
+struct entry_message
+{
+    host_name from;
+    protocol::message content;
+
+    friend bool operator==(const entry_message&, const entry_message&) = default;
+};
+
+/// A committed command and what it came to.
+struct command_applied
+{
+    consensus::log_index index = 0;
+    directory::command command;
+    directory::command_report report;
+    command_caller caller;
+
+    friend bool operator==(const command_applied&, const command_applied&) = default;
+};
+
+struct configuration_asked
+{
+    std::uint64_t request = 0;
+    directory::change_configuration change;
+
+    friend bool operator==(const configuration_asked&, const configuration_asked&) = default;
+};
+
+struct switch_asked
+{
+    std::uint64_t request = 0;
+    group_name group;
+    backend_server_name target;
+
+    friend bool operator==(const switch_asked&, const switch_asked&) = default;
+};
+
+struct status_asked
+{
+    std::uint64_t request = 0;
+
+    friend bool operator==(const status_asked&, const status_asked&) = default;
+};
+
+struct configuration_shown
+{
+    std::uint64_t request = 0;
+
+    friend bool operator==(const configuration_shown&, const configuration_shown&) = default;
+};
+
+struct time_passed
+{
+    friend bool operator==(const time_passed&, const time_passed&) = default;
+};
+
+/// The log moved on, or leadership changed.
+struct log_progressed
+{
+    friend bool operator==(const log_progressed&, const log_progressed&) = default;
+};
+
+using supervision_event = std::variant<entry_message, command_applied, configuration_asked, switch_asked,
+                                       status_asked, configuration_shown, time_passed, log_progressed>;
+
+/// Sends to one entry host, or to all with a live lease when `to` is empty.
+struct send_to_entry
+{
+    host_name to;
+    protocol::message content;
+
+    friend bool operator==(const send_to_entry&, const send_to_entry&) = default;
+};
+
+struct propose
+{
+    directory::command command;
+    command_caller caller;
+
+    friend bool operator==(const propose&, const propose&) = default;
+};
+
+struct entry_summary
+{
+    host_name name;
+    incarnation_id incarnation;
+    availability_zone zone;
+    bool is_live = false;
+    configuration::configuration_version version = 0;
+
+    friend bool operator==(const entry_summary&, const entry_summary&) = default;
+};
+
+struct group_summary
+{
+    group_name name;
+    directory::group_record record;
+    /// The stage of a change in progress, or empty.
+    std::string change;
+
+    friend bool operator==(const group_summary&, const group_summary&) = default;
+};
+
+/// What an operator sees of the system.
+struct status_summary
+{
+    host_name host;
+    bool is_leader = false;
+    std::optional<host_name> leader;
+    consensus::log_term term = 0;
+    consensus::log_index commit = 0;
+    consensus::membership members;
+    configuration::configuration_version version = 0;
+    std::vector<entry_summary> entry_hosts;
+    std::vector<group_summary> groups;
+    std::vector<protocol::server_report> backend_servers;
+    std::uint64_t claims = 0;
+
+    friend bool operator==(const status_summary&, const status_summary&) = default;
+};
+
+struct refused_answer
+{
+    std::string reason;
+    std::optional<host_name> leader;
+
+    friend bool operator==(const refused_answer&, const refused_answer&) = default;
+};
+
+struct configuration_answer
+{
+    directory::change_outcome outcome = directory::change_outcome::conflict;
+    configuration::configuration_version version = 0;
+    bool is_in_force = false;
+    /// Entry hosts that hold a lease and have not confirmed the version.
+    std::vector<host_name> waiting_for;
+
+    friend bool operator==(const configuration_answer&, const configuration_answer&) = default;
+};
+
+struct switch_answer
+{
+    group_name group;
+    bool is_started = false;
+
+    friend bool operator==(const switch_answer&, const switch_answer&) = default;
+};
+
+struct shown_configuration
+{
+    configuration::versioned_configuration configuration;
+
+    friend bool operator==(const shown_configuration&, const shown_configuration&) = default;
+};
+
+using operator_answer =
+    std::variant<refused_answer, configuration_answer, switch_answer, status_summary, shown_configuration>;
+
+struct answer_operator
+{
+    std::uint64_t request = 0;
+    operator_answer answer;
+
+    friend bool operator==(const answer_operator&, const answer_operator&) = default;
+};
+
+using supervision_effect = std::variant<send_to_entry, propose, answer_operator, logging::log_record>;
+
+struct supervision_transition
+{
+    supervision_state state;
+    std::vector<supervision_effect> effects;
+
+    friend bool operator==(const supervision_transition&, const supervision_transition&) = default;
+};
+
+} // namespace hickorymount::supervision
