--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -18,9 +18,10 @@
     endif()
     cmake_parse_arguments(PARSE_ARGV 1 tests "" "" "SOURCES;LINKS")
     add_executable(${name}_tests ${tests_SOURCES})
-    target_compile_options(${name}_tests PRIVATE ${HICKORYMOUNT_WARNINGS})
+    # GoogleTest's macros for tables shadow a parameter.
+    target_compile_options(${name}_tests PRIVATE ${HICKORYMOUNT_WARNINGS} -Wno-shadow)
     target_link_libraries(${name}_tests PRIVATE hickorymount_${name} ${tests_LINKS} GTest::gtest_main)
-    gtest_discover_tests(${name}_tests DISCOVERY_TIMEOUT 60 PROPERTIES TIMEOUT 120)
+    gtest_discover_tests(${name}_tests NO_PRETTY_VALUES DISCOVERY_TIMEOUT 60 PROPERTIES TIMEOUT 120)
 endfunction()
 
 # hickorymount_benchmark(NAME SOURCES… LINKS …)
--- a/src/app/controld/main.cpp
+++ b/src/app/controld/main.cpp
@@ -1,14 +1,13 @@
-#include <csignal>
-#include <cstdlib>
-
-#include <unistd.h>
-
 #include "command_line/command_line.h"
 #include "gateway/control_service.h"
 #include "runtime/stop_signal.h"
 #include "settings/types.h"
 
+#include <csignal>
+#include <cstdlib>
+
 #include <fmt/format.h>
+#include <unistd.h>
 
 using namespace hickorymount;
 
--- a/src/app/ctl/main.cpp
+++ b/src/app/ctl/main.cpp
@@ -1,12 +1,3 @@
-#include <array>
-#include <cstdlib>
-#include <functional>
-#include <random>
-
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include "codec/json_codec.h"
 #include "command_line/command_line.h"
 #include "configuration/descriptions.h"
@@ -15,15 +6,23 @@
 #include "settings/types.h"
 #include "supervision/descriptions.h"
 
+#include <array>
+#include <cstdlib>
+#include <functional>
+#include <random>
+
+#include <arpa/inet.h>
 #include <fmt/format.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace hickorymount;
 
 namespace {
 
-constexpr int EXIT_CONFLICT = 2;
-constexpr int EXIT_NOT_IN_FORCE = 3;
-constexpr const char* CONTROL_HELP = "control hosts' operator addresses, separated by commas";
+constexpr int exit_conflict = 2;
+constexpr int exit_not_in_force = 3;
+constexpr const char* control_help = "control hosts' operator addresses, separated by commas";
 
 using words = std::vector<std::string>;
 
@@ -31,7 +30,7 @@
 result<words> parse_with_control(const words& arguments, const std::string& usage, std::string& control)
 {
     command_line::command_line options(usage);
-    options.add("control", control, CONTROL_HELP, "ADDRESS:PORT,…");
+    options.add("control", control, control_help, "ADDRESS:PORT,…");
     return options.parse(arguments);
 }
 
@@ -54,7 +53,8 @@
         for (const configuration::questionnaire_problem& problem : *problems) {
             fmt::print(stderr, "{}\n", to_string(problem));
         }
-        return fail("questionnaire", file, fmt::format("{} problem(s); nothing was changed", problems->size()));
+        return fail("questionnaire", file,
+                    fmt::format("{} problem(s); nothing was changed", problems->size()));
     }
     return std::get<configuration::configuration>(made);
 }
@@ -102,9 +102,10 @@
     std::string id;
     int base = -1;
     command_line::command_line options("--control HOSTS QUESTIONNAIRE");
-    options.add("control", control, CONTROL_HELP, "ADDRESS:PORT,…");
+    options.add("control", control, control_help, "ADDRESS:PORT,…");
     options.add("change-id", id, "the change's own id; the same id again gets the same answer", "ID");
-    options.add("base", base, "the version that the change is based on; without it, the present one", "VERSION");
+    options.add("base", base, "the version that the change is based on; without it, the present one",
+                "VERSION");
     BOOST_LEAF_AUTO(rest, options.parse(arguments));
     BOOST_LEAF_AUTO(made, generate_from(rest));
     BOOST_LEAF_AUTO(client, client_for(control));
@@ -118,20 +119,23 @@
     }
     BOOST_LEAF_AUTO(answer, client.apply(change));
     if (answer.outcome == directory::change_outcome::conflict) {
-        fmt::print(stderr, "change {}: conflict: based on version {}, but version {} is in force; nothing was changed\n",
-                   change.id.value, change.base, answer.version);
-        return EXIT_CONFLICT;
+        fmt::print(
+            stderr,
+            "change {}: conflict: based on version {}, but version {} is in force; nothing was changed\n",
+            change.id.value, change.base, answer.version);
+        return exit_conflict;
     }
     if (!answer.is_in_force) {
         std::vector<std::string> names;
         for (const host_name& host : answer.waiting_for) {
             names.push_back(host.value);
         }
-        fmt::print(stderr, "change {}: accepted as version {}; waiting for {}\n", change.id.value, answer.version,
-                   fmt::join(names, ", "));
-        return EXIT_NOT_IN_FORCE;
+        fmt::print(stderr, "change {}: accepted as version {}; waiting for {}\n", change.id.value,
+                   answer.version, fmt::join(names, ", "));
+        return exit_not_in_force;
     }
-    fmt::print("change {}: version {} is in force on every live entry host\n", change.id.value, answer.version);
+    fmt::print("change {}: version {} is in force on every live entry host\n", change.id.value,
+               answer.version);
     return EXIT_SUCCESS;
 }
 
@@ -165,7 +169,7 @@
     BOOST_LEAF_AUTO(client, client_for(control));
     BOOST_LEAF_AUTO(answer, client.change_primary(group_name{rest[0]}, backend_server_name{rest[1]}));
     fmt::print("{}\n", answer.is_started ? "started" : "not possible now");
-    return answer.is_started ? EXIT_SUCCESS : EXIT_CONFLICT;
+    return answer.is_started ? EXIT_SUCCESS : exit_conflict;
 }
 
 /// Prints loopback ports that the kernel finds free, for scripts that start several processes.
@@ -182,7 +186,8 @@
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t size = sizeof(address);
-        const bool is_bound = opened >= 0 && ::bind(opened, reinterpret_cast<sockaddr*>(&address), size) == 0 &&
+        const bool is_bound = opened >= 0 &&
+                              ::bind(opened, reinterpret_cast<sockaddr*>(&address), size) == 0 &&
                               ::getsockname(opened, reinterpret_cast<sockaddr*>(&address), &size) == 0;
         if (!is_bound) {
             return fail("free_ports", "", "no free port");
@@ -203,7 +208,7 @@
     result<int> (*run)(const words&);
 };
 
-constexpr std::array<command, 8> COMMANDS{{
+constexpr std::array<command, 8> commands{{
     {"check", "check a questionnaire", check},
     {"generate", "print the configuration generated from a questionnaire", generate},
     {"diff", "show what a questionnaire would change", diff},
@@ -217,7 +222,7 @@
 void print_commands()
 {
     fmt::print("usage: hickorymountctl COMMAND [OPTION…]\n\n");
-    for (const command& each : COMMANDS) {
+    for (const command& each : commands) {
         fmt::print("  {:<11} {}\n", each.name, each.summary);
     }
     fmt::print("\nhickorymountctl COMMAND --help shows a command's options.\n");
@@ -226,7 +231,7 @@
 result<int> run(words arguments)
 {
     const std::string name = arguments.size() > 1 ? arguments[1] : "--help";
-    for (const command& each : COMMANDS) {
+    for (const command& each : commands) {
         if (name == each.name) {
             arguments.erase(arguments.begin());
             return each.run(arguments);
--- a/src/app/entryd/main.cpp
+++ b/src/app/entryd/main.cpp
@@ -1,10 +1,10 @@
-#include <cstdlib>
-
 #include "command_line/command_line.h"
 #include "gateway/entry_service.h"
 #include "runtime/stop_signal.h"
 #include "settings/types.h"
 
+#include <cstdlib>
+
 #include <fmt/format.h>
 
 using namespace hickorymount;
--- a/src/app/stand_in/main.cpp
+++ b/src/app/stand_in/main.cpp
@@ -1,9 +1,9 @@
-#include <cstdlib>
-
 #include "command_line/command_line.h"
 #include "database/database_service.h"
 #include "runtime/stop_signal.h"
 
+#include <cstdlib>
+
 #include <fmt/format.h>
 
 using namespace hickorymount;
@@ -35,7 +35,8 @@
     options.add("group", made.settings.group.value, "its database group", "GROUP");
     options.add("zone", made.settings.zone.value, "its availability zone", "ZONE");
     options.add("listen", listen, "its address; port 0 lets the kernel choose", "ADDRESS:PORT");
-    options.add("primary", primary, "the first primary; without it this is the first primary", "ADDRESS:PORT");
+    options.add("primary", primary, "the first primary; without it this is the first primary",
+                "ADDRESS:PORT");
     options.add("announce-to", announce_to, "entry hosts, separated by commas", "ADDRESS:PORT,…");
     options.add("slots", slots, "statements that run at once", "COUNT");
     options.add("connections", connections, "connections accepted", "COUNT");
--- a/src/configuration/internal/questionnaire.cpp
+++ b/src/configuration/internal/questionnaire.cpp
@@ -1,14 +1,14 @@
 #include "configuration/questionnaire.h"
 
+#include "codec/json_codec.h"
+#include "configuration/descriptions.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
 #include <initializer_list>
 #include <set>
 
-#include "codec/json_codec.h"
-#include "configuration/descriptions.h"
-
 #include <fmt/format.h>
 #include <toml++/toml.h>
 
@@ -16,15 +16,15 @@
 
 namespace {
 
-constexpr std::int64_t MAX_ENTRY_HOSTS = 500;
-constexpr std::int64_t MAX_INSTANCES = 9;
-constexpr std::int64_t MAX_SLOTS = 1'000;
-constexpr std::int64_t MAX_CONNECTIONS = 10'000;
-constexpr std::int64_t MAX_QUEUE = 100'000;
-constexpr milliseconds MAX_CONNECTION_COST{60'000};
-constexpr milliseconds MAX_DEADLINE{600'000};
-constexpr milliseconds MAX_READ_AGE{24LL * 3'600'000};
-constexpr milliseconds MAX_KEY_RETENTION{30LL * 24 * 3'600'000};
+constexpr std::int64_t max_entry_hosts = 500;
+constexpr std::int64_t max_instances = 9;
+constexpr std::int64_t max_slots = 1'000;
+constexpr std::int64_t max_connections = 10'000;
+constexpr std::int64_t max_queue = 100'000;
+constexpr milliseconds max_connection_cost{60'000};
+constexpr milliseconds max_deadline{600'000};
+constexpr milliseconds max_read_age{24LL * 3'600'000};
+constexpr milliseconds max_key_retention{30LL * 24 * 3'600'000};
 
 struct duration_unit
 {
@@ -32,7 +32,7 @@
     std::int64_t milliseconds;
 };
 
-constexpr std::array<duration_unit, 4> DURATION_UNITS{
+constexpr std::array<duration_unit, 4> duration_units{
     {{"ms", 1}, {"s", 1'000}, {"min", 60'000}, {"h", 3'600'000}}};
 
 std::optional<milliseconds> parse_duration(std::string_view text)
@@ -43,8 +43,8 @@
         return std::nullopt;
     }
     const std::string_view suffix(rest, static_cast<std::size_t>(text.data() + text.size() - rest));
-    for (const duration_unit& unit : DURATION_UNITS) {
-        if (unit.suffix == suffix && std::abs(count) <= MAX_KEY_RETENTION.count()) {
+    for (const duration_unit& unit : duration_units) {
+        if (unit.suffix == suffix && std::abs(count) <= max_key_retention.count()) {
             return milliseconds{count * unit.milliseconds};
         }
     }
@@ -55,10 +55,7 @@
 class questionnaire_reader
 {
 public:
-    explicit questionnaire_reader(std::string file)
-        : m_file(std::move(file))
-    {
-    }
+    explicit questionnaire_reader(std::string file) : m_file(std::move(file)) {}
 
     questionnaire_result read(const toml::table& document)
     {
@@ -147,7 +144,8 @@
         const auto text = node.value_exact<std::string>();
         const auto duration = text ? parse_duration(*text) : std::nullopt;
         if (!duration) {
-            report(node, fmt::format("'{}' to be a duration such as \"250ms\", \"5s\", \"10min\" or \"24h\"", key));
+            report(node,
+                   fmt::format("'{}' to be a duration such as \"250ms\", \"5s\", \"10min\" or \"24h\"", key));
             return milliseconds{0};
         }
         if (*duration < milliseconds{0} || *duration > most) {
@@ -159,7 +157,8 @@
 
     template <class Value>
     Value read_choice(const toml::table& table, std::string_view key,
-                      std::initializer_list<std::pair<std::string_view, Value>> choices, std::optional<Value> fallback)
+                      std::initializer_list<std::pair<std::string_view, Value>> choices,
+                      std::optional<Value> fallback)
     {
         const toml::node* node = fallback ? table.get(key) : required(table, key);
         if (node == nullptr) {
@@ -191,7 +190,7 @@
         refuse_unknown(*table, {"name", "tenant", "availability_zones", "entry_hosts"});
         m_configuration.deployment = read_name(*table, "name");
         m_configuration.tenant = tenant_name{read_name(*table, "tenant")};
-        m_configuration.entry_hosts = read_count(*table, "entry_hosts", MAX_ENTRY_HOSTS);
+        m_configuration.entry_hosts = read_count(*table, "entry_hosts", max_entry_hosts);
         read_zones(*table);
     }
 
@@ -239,10 +238,10 @@
             refuse_unknown(table, {"name", "instances", "slots", "connections", "connection_cost"});
             const group_name name{read_name(table, "name")};
             const group_settings settings{
-                .instances = read_count(table, "instances", MAX_INSTANCES),
-                .slots = read_count(table, "slots", MAX_SLOTS),
-                .connections = read_count(table, "connections", MAX_CONNECTIONS),
-                .connection_cost = read_duration(table, "connection_cost", MAX_CONNECTION_COST),
+                .instances = read_count(table, "instances", max_instances),
+                .slots = read_count(table, "slots", max_slots),
+                .connections = read_count(table, "connections", max_connections),
+                .connection_cost = read_duration(table, "connection_cost", max_connection_cost),
             };
             if (!m_configuration.groups.emplace(name, settings).second) {
                 report(table, fmt::format("each service once; '{}' stands twice", name.value));
@@ -267,18 +266,19 @@
         class_settings settings;
         settings.kind = read_choice<statement_kind>(
             table, "kind", {{"read", statement_kind::read}, {"write", statement_kind::write}}, std::nullopt);
-        settings.deadline = read_duration(table, "deadline", MAX_DEADLINE);
-        settings.queue_limit = read_count(table, "queue_limit", MAX_QUEUE);
+        settings.deadline = read_duration(table, "deadline", max_deadline);
+        settings.queue_limit = read_count(table, "queue_limit", max_queue);
         settings.acknowledged_by = read_choice<acknowledgement>(
-            table, "acknowledged_by", {{"primary", acknowledgement::primary}, {"replica", acknowledgement::replica}},
+            table, "acknowledged_by",
+            {{"primary", acknowledgement::primary}, {"replica", acknowledgement::replica}},
             acknowledgement::primary);
         settings.repeatable =
             read_choice<bool>(table, "repeat", {{"allowed", true}, {"never", false}}, std::optional(true));
         if (const toml::node* node = table.get("max_age")) {
-            settings.max_age = duration_of(*node, "max_age", MAX_READ_AGE);
+            settings.max_age = duration_of(*node, "max_age", max_read_age);
         }
         if (const toml::node* node = table.get("key_retention")) {
-            settings.key_retention = duration_of(*node, "key_retention", MAX_KEY_RETENTION);
+            settings.key_retention = duration_of(*node, "key_retention", max_key_retention);
         }
         check_class(table, settings);
         return settings;
@@ -306,7 +306,8 @@
             refuse("key_retention", "'key_retention' only beside repeat = \"never\"");
         }
         if (!settings.repeatable && settings.key_retention < settings.deadline) {
-            refuse("key_retention", "'key_retention' of at least the class's deadline beside repeat = \"never\"");
+            refuse("key_retention",
+                   "'key_retention' of at least the class's deadline beside repeat = \"never\"");
         }
     }
 
@@ -318,10 +319,12 @@
         }
         for (const toml::node& service : *services) {
             const toml::table& table = *service.as_table();
-            const group_settings& settings = m_configuration.groups.at(group_name{*table["name"].value<std::string>()});
+            const group_settings& settings =
+                m_configuration.groups.at(group_name{*table["name"].value<std::string>()});
             if (settings.connections < m_configuration.entry_hosts) {
                 report(*table.get("connections"),
-                       fmt::format("'connections' of at least {}, one for each entry host", m_configuration.entry_hosts));
+                       fmt::format("'connections' of at least {}, one for each entry host",
+                                   m_configuration.entry_hosts));
             }
             if (settings.slots > settings.connections) {
                 report(*table.get("slots"), "'slots' of no more than 'connections'");
@@ -347,8 +350,9 @@
         return questionnaire_reader(file).read(toml::parse(toml_text, file));
     } catch (const toml::parse_error& problem) {
         const toml::source_position at = problem.source().begin;
-        return std::vector{questionnaire_problem{
-            file, at.line, at.column, fmt::format("valid TOML: {}", std::string_view(problem.description()))}};
+        return std::vector{
+            questionnaire_problem{file, at.line, at.column,
+                                  fmt::format("valid TOML: {}", std::string_view(problem.description()))}};
     }
 }
 
--- a/src/configuration/questionnaire.h
+++ b/src/configuration/questionnaire.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "configuration/types.h"
+
 #include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
 
-#include "configuration/types.h"
-
 namespace hickorymount::configuration {
 
 using questionnaire_result = std::variant<configuration, std::vector<questionnaire_problem>>;
--- a/src/configuration/types.h
+++ b/src/configuration/types.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "base/identifier.h"
+#include "base/millisecond_clock.h"
+
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -7,15 +10,20 @@
 #include <string>
 #include <vector>
 
-#include "base/identifier.h"
-#include "base/millisecond_clock.h"
-
 namespace hickorymount::configuration {
 
-enum class statement_kind { read, write };
+enum class statement_kind
+{
+    read,
+    write
+};
 
 /// When a write is acknowledged: by the primary alone, or once a replica holds it too.
-enum class acknowledgement { primary, replica };
+enum class acknowledgement
+{
+    primary,
+    replica
+};
 
 /// What the questionnaire says of one class of requests.
 struct class_settings
--- a/src/consensus/internal/consensus_reducer.cpp
+++ b/src/consensus/internal/consensus_reducer.cpp
@@ -1,11 +1,11 @@
 #include "consensus/internal/consensus_reducer.h"
 
+#include "consensus/reduce.h"
+
 #include <algorithm>
 #include <functional>
 #include <utility>
 
-#include "consensus/reduce.h"
-
 namespace hickorymount::consensus::detail {
 
 namespace {
@@ -55,7 +55,7 @@
     m_state.durable = last_index();
     reload_members();
     arm_election();
-    m_state.join_at = m_now + JOIN_INTERVAL;
+    m_state.join_at = m_now + join_interval;
     if (m_state.latest->last_index > 0) {
         m_effects.emplace_back(replace_directory{m_state.latest});
     }
@@ -134,7 +134,7 @@
         return;
     }
     if (m_now >= m_state.join_at) {
-        m_state.join_at = m_now + JOIN_INTERVAL;
+        m_state.join_at = m_now + join_interval;
         for (const host_name& contact : m_state.contacts) {
             send(contact, join_request{m_state.self});
         }
@@ -153,7 +153,7 @@
     next.members = m_state.members;
     next.directory = what.directory;
     m_state.latest = shared_value(std::move(next));
-    drop_entries_up_to(m_state.commit > KEPT_BEHIND_SNAPSHOT ? m_state.commit - KEPT_BEHIND_SNAPSHOT : 0);
+    drop_entries_up_to(m_state.commit > kept_behind_snapshot ? m_state.commit - kept_behind_snapshot : 0);
     save_snapshot();
 }
 
@@ -198,7 +198,8 @@
     }
     const role wanted = answer.pre_vote ? role::pre_candidate : role::candidate;
     const log_term asked = answer.pre_vote ? m_state.hard.term + 1 : m_state.hard.term;
-    if (m_state.current_role != wanted || answer.term != asked || !answer.granted || !is_voter(answer.voter)) {
+    if (m_state.current_role != wanted || answer.term != asked || !answer.granted ||
+        !is_voter(answer.voter)) {
         return;
     }
     if (!contains(m_state.votes, answer.voter)) {
@@ -372,7 +373,9 @@
     }
     m_state.leader = leader.name;
     m_state.last_leader_contact = m_now;
-    m_state.join_at = m_now + JOIN_INTERVAL;
+    if (is_member(m_state.self)) {
+        m_state.join_at = m_now + join_interval;
+    }
     arm_election();
     return true;
 }
@@ -381,7 +384,7 @@
 {
     std::size_t heard = is_voter(m_state.self) ? 1 : 0;
     for (const auto& [name, follower] : m_state.followers) {
-        const bool answered = m_now - follower.last_answer <= ELECTION_TIMEOUT_MAX;
+        const bool answered = m_now - follower.last_answer <= election_timeout_max;
         heard += answered && is_voter(follower.who) ? 1 : 0;
     }
     if (heard < majority()) {
@@ -525,7 +528,7 @@
 
 void consensus_reducer::broadcast()
 {
-    m_state.heartbeat_at = m_now + HEARTBEAT_INTERVAL;
+    m_state.heartbeat_at = m_now + heartbeat_interval;
     ++m_state.round;
     persist();
     for (auto& [name, follower] : m_state.followers) {
@@ -539,7 +542,7 @@
 {
     const bool needs_snapshot =
         follower.next <= m_state.latest->last_index && !m_state.log.contains(follower.next);
-    if (needs_snapshot && m_now - follower.snapshot_sent >= SNAPSHOT_RESEND_INTERVAL) {
+    if (needs_snapshot && m_now - follower.snapshot_sent >= snapshot_resend_interval) {
         send_snapshot(follower);
         return;
     }
@@ -547,11 +550,11 @@
         return;
     }
     const log_index previous = needs_snapshot ? m_state.latest->last_index : follower.next - 1;
-    append_request request{m_state.hard.term, m_state.self, previous, term_at(previous), {}, m_state.commit,
-                           m_state.round};
+    append_request request{m_state.hard.term, m_state.self, previous, term_at(previous), {},
+                           m_state.commit,    m_state.round};
     const bool may_carry = !needs_snapshot && (!follower.awaiting_answer || is_heartbeat);
     for (auto each = m_state.log.lower_bound(follower.next);
-         may_carry && each != m_state.log.end() && request.entries.size() < MAX_ENTRIES_IN_MESSAGE; ++each) {
+         may_carry && each != m_state.log.end() && request.entries.size() < max_entries_in_message; ++each) {
         request.entries.push_back(each->second);
     }
     if (request.entries.empty() && !is_heartbeat) {
@@ -693,12 +696,13 @@
     if (m_state.current_role == role::leader) {
         return true;
     }
-    return m_state.leader && m_now - m_state.last_leader_contact < ELECTION_TIMEOUT_MIN;
+    return m_state.leader && m_now - m_state.last_leader_contact < election_timeout_min;
 }
 
 void consensus_reducer::arm_election()
 {
-    std::uniform_int_distribution<std::int64_t> spread(ELECTION_TIMEOUT_MIN.count(), ELECTION_TIMEOUT_MAX.count());
+    std::uniform_int_distribution<std::int64_t> spread(election_timeout_min.count(),
+                                                       election_timeout_max.count());
     m_state.election_at = m_now + milliseconds{spread(m_state.random)};
 }
 
--- a/src/consensus/internal/reduce.cpp
+++ b/src/consensus/internal/reduce.cpp
@@ -1,10 +1,10 @@
 #include "consensus/reduce.h"
 
+#include "consensus/internal/consensus_reducer.h"
+
 #include <algorithm>
 #include <utility>
 
-#include "consensus/internal/consensus_reducer.h"
-
 namespace hickorymount::consensus {
 
 transition reduce(consensus_state state, const event& what)
@@ -16,7 +16,8 @@
 
 bool is_serving(const consensus_state& state)
 {
-    return state.current_role == role::leader && state.own_term_start > 0 && state.commit >= state.own_term_start;
+    return state.current_role == role::leader && state.own_term_start > 0 &&
+           state.commit >= state.own_term_start;
 }
 
 bool is_confirmed_since(const consensus_state& state, round_number round)
--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -1,5 +1,11 @@
 #pragma once
 
+#include "base/identifier.h"
+#include "base/millisecond_clock.h"
+#include "base/shared_map.h"
+#include "base/shared_value.h"
+#include "directory/types.h"
+
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -7,12 +13,6 @@
 #include <variant>
 #include <vector>
 
-#include "base/identifier.h"
-#include "base/millisecond_clock.h"
-#include "base/shared_map.h"
-#include "base/shared_value.h"
-#include "directory/types.h"
-
 /// The replicated log of the control hosts. The rules are those of Raft
 /// (Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm", 2014), with pre-vote,
 /// check-quorum, learners and one-at-a-time membership change (Ongaro's dissertation, chapters 4 and 9).
@@ -23,16 +23,16 @@
 using sync_id = std::uint64_t;
 using round_number = std::uint64_t;
 
-inline constexpr milliseconds HEARTBEAT_INTERVAL{50};
-inline constexpr milliseconds ELECTION_TIMEOUT_MIN{300};
-inline constexpr milliseconds ELECTION_TIMEOUT_MAX{600};
-inline constexpr milliseconds JOIN_INTERVAL{500};
-inline constexpr milliseconds SNAPSHOT_RESEND_INTERVAL{1000};
-inline constexpr std::size_t MAX_ENTRIES_IN_MESSAGE = 128;
+inline constexpr milliseconds heartbeat_interval{50};
+inline constexpr milliseconds election_timeout_min{300};
+inline constexpr milliseconds election_timeout_max{600};
+inline constexpr milliseconds join_interval{500};
+inline constexpr milliseconds snapshot_resend_interval{1000};
+inline constexpr std::size_t max_entries_in_message = 128;
 /// Applied entries beyond the last snapshot that cause the next one.
-inline constexpr log_index SNAPSHOT_ENTRIES = 512;
+inline constexpr log_index snapshot_entries = 512;
 /// Entries kept behind a snapshot for followers that are slightly behind.
-inline constexpr log_index KEPT_BEHIND_SNAPSHOT = 64;
+inline constexpr log_index kept_behind_snapshot = 64;
 
 /// A control host: its address name and the identity of its data folder.
 struct member
@@ -167,7 +167,13 @@
 using message =
     std::variant<vote_request, vote_answer, append_request, append_answer, install_request, join_request>;
 
-enum class role { follower, pre_candidate, candidate, leader };
+enum class role
+{
+    follower,
+    pre_candidate,
+    candidate,
+    leader
+};
 
 /// A leader's knowledge of one follower.
 struct follower_progress
--- a/src/database/database_service.h
+++ b/src/database/database_service.h
@@ -1,13 +1,13 @@
 #pragma once
 
+#include "base/error.h"
+#include "database/types.h"
+
 #include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "base/error.h"
-#include "database/types.h"
-
 namespace hickorymount::database {
 
 struct service_options
--- a/src/database/internal/database_service.cpp
+++ b/src/database/internal/database_service.cpp
@@ -1,10 +1,5 @@
 #include "database/database_service.h"
 
-#include <atomic>
-#include <mutex>
-#include <thread>
-#include <utility>
-
 #include "base/millisecond_clock.h"
 #include "codec/json_codec.h"
 #include "database/descriptions.h"
@@ -15,20 +10,25 @@
 #include "runtime/control_thread.h"
 #include "runtime/periodic_thread.h"
 
+#include <atomic>
+#include <mutex>
+#include <thread>
+#include <utility>
+
 #include <fmt/format.h>
 
 namespace hickorymount::database {
 
 namespace {
 
-constexpr milliseconds ANNOUNCE_INTERVAL{100};
-constexpr milliseconds ANNOUNCE_TIMEOUT{500};
-constexpr milliseconds PULL_INTERVAL{10};
-constexpr milliseconds PULL_TIMEOUT{500};
-constexpr milliseconds CALL_TIMEOUT{60'000};
+constexpr milliseconds announce_interval{100};
+constexpr milliseconds announce_timeout{500};
+constexpr milliseconds pull_interval{10};
+constexpr milliseconds pull_timeout{500};
+constexpr milliseconds call_timeout{60'000};
 /// Threads beyond the connection limit, for status, replication and refusals.
-constexpr unsigned SPARE_THREADS = 24;
-constexpr unsigned KEEP_ALIVE_TIMEOUT_MS = 600'000;
+constexpr unsigned spare_threads = 24;
+constexpr unsigned keep_alive_timeout_ms = 600'000;
 
 http::response json_response(int status, const codec::json& body)
 {
@@ -42,9 +42,12 @@
 {
 public:
     explicit database_process(service_options options)
-        : m_options(std::move(options)), m_control([this](database_event event) { return step(std::move(event)); },
-                                                   [] { return database_event{millisecond_clock::now(), time_passed{}}; }),
-          m_announcer(ANNOUNCE_INTERVAL, [this] { announce(); }), m_puller(PULL_INTERVAL, [this] { pull(); })
+        : m_options(std::move(options)),
+          m_control([this](database_event event) { return step(std::move(event)); },
+                    [] {
+                        return database_event{millisecond_clock::now(), time_passed{}};
+                    }),
+          m_announcer(announce_interval, [this] { announce(); }), m_puller(pull_interval, [this] { pull(); })
     {
     }
     ~database_process() override { database_process::stop(); }
@@ -56,12 +59,13 @@
         http::server_options options;
         options.address = m_options.settings.address.address;
         options.port = m_options.settings.address.port;
-        options.threads = m_options.settings.connections + SPARE_THREADS;
+        options.threads = m_options.settings.connections + spare_threads;
         options.kept_alive_connections = options.threads;
-        options.keep_alive_timeout_ms = KEEP_ALIVE_TIMEOUT_MS;
-        BOOST_LEAF_ASSIGN(m_server, http::start_server(
-                                        options, [this](const http::request& asked) { return serve(asked); },
-                                        [this](std::uint64_t connection) { post(connection_closed{connection}); }));
+        options.keep_alive_timeout_ms = keep_alive_timeout_ms;
+        BOOST_LEAF_ASSIGN(m_server,
+                          http::start_server(
+                              options, [this](const http::request& asked) { return serve(asked); },
+                              [this](std::uint64_t connection) { post(connection_closed{connection}); }));
         m_options.settings.address.port = m_server->port();
         m_options.settings.started_at = unix_now();
         m_control.start();
@@ -99,7 +103,11 @@
         return next.wake_at;
     }
 
-    void carry_out(answer_call&& effect) { m_calls.answer(effect.call, std::move(effect)); }
+    void carry_out(answer_call&& effect)
+    {
+        const call_number number = effect.call;
+        m_calls.answer(number, std::move(effect));
+    }
 
     void carry_out(standing_changed&& effect)
     {
@@ -123,7 +131,7 @@
     {
         const call_number number = m_calls.open();
         post(make_event(number));
-        std::optional<answer_call> answer = m_calls.wait(number, CALL_TIMEOUT);
+        std::optional<answer_call> answer = m_calls.wait(number, call_timeout);
         if (answer) {
             const milliseconds early = answer->not_before - millisecond_clock::now();
             std::this_thread::sleep_for(std::max(early, milliseconds{0}));
@@ -143,12 +151,17 @@
     {
         const std::string target = asked.method + " " + asked.path;
         if (target == "POST /v1/connections") {
-            return respond(call([&](call_number number) { return connection_asked{number, asked.connection}; }));
+            return respond(call([&](call_number number) {
+                return connection_asked{number, asked.connection};
+            }));
         }
         if (target == "POST /v1/statements") {
-            BOOST_LEAF_AUTO(document, codec::parse_json(asked.body, codec::CALLER_INPUT_LIMITS, "entry host"));
+            BOOST_LEAF_AUTO(document,
+                            codec::parse_json(asked.body, codec::caller_input_limits, "entry host"));
             BOOST_LEAF_AUTO(what, codec::decode<statement>(document, "entry host"));
-            return respond(call([&](call_number number) { return statement_call{number, asked.connection, what}; }));
+            return respond(call([&](call_number number) {
+                return statement_call{number, asked.connection, what};
+            }));
         }
         if (target == "GET /v1/status") {
             return respond(call([&](call_number number) { return report_asked{number}; }));
@@ -158,17 +171,19 @@
             return respond(call([&](call_number number) { return log_asked{number, after}; }));
         }
         if (target == "POST /v1/promote") {
-            BOOST_LEAF_AUTO(document, codec::parse_json(asked.body, codec::CALLER_INPUT_LIMITS, "entry host"));
+            BOOST_LEAF_AUTO(document,
+                            codec::parse_json(asked.body, codec::caller_input_limits, "entry host"));
             BOOST_LEAF_AUTO(what, codec::decode<promotion>(document, "entry host"));
             return respond(call([&](call_number number) { return promote_asked{number, what}; }));
         }
         if (target == "POST /v1/follow") {
-            BOOST_LEAF_AUTO(document, codec::parse_json(asked.body, codec::CALLER_INPUT_LIMITS, "entry host"));
+            BOOST_LEAF_AUTO(document,
+                            codec::parse_json(asked.body, codec::caller_input_limits, "entry host"));
             BOOST_LEAF_AUTO(what, codec::decode<following>(document, "entry host"));
             return respond(call([&](call_number number) { return follow_asked{number, what}; }));
         }
         if (target == "POST /v1/faults") {
-            BOOST_LEAF_AUTO(named, codec::parse_json(asked.body, codec::CALLER_INPUT_LIMITS, "tester"));
+            BOOST_LEAF_AUTO(named, codec::parse_json(asked.body, codec::caller_input_limits, "tester"));
             codec::json document = codec::encode(fault_settings{});
             document.update(named);
             BOOST_LEAF_AUTO(faults, codec::decode<fault_settings>(document, "tester"));
@@ -192,8 +207,14 @@
     {
         return json_response(answer.is_accepted ? 200 : 503, codec::encode(answer));
     }
-    static http::response respond_to(const statement_rejected& answer) { return json_response(409, codec::encode(answer)); }
-    static http::response respond_to(const report_answer& answer) { return json_response(200, codec::encode(answer.report)); }
+    static http::response respond_to(const statement_rejected& answer)
+    {
+        return json_response(409, codec::encode(answer));
+    }
+    static http::response respond_to(const report_answer& answer)
+    {
+        return json_response(200, codec::encode(answer.report));
+    }
 
     template <class Answer>
     static http::response respond_to(const Answer& answer)
@@ -215,7 +236,7 @@
         for (std::size_t attempt = 0; attempt < m_options.announce_to.size(); ++attempt) {
             const endpoint& to = m_options.announce_to[m_next_announcement++ % m_options.announce_to.size()];
             const http::call_result sent =
-                http::call_once(to.address, to.port, "POST", "/v1/announcements", body, ANNOUNCE_TIMEOUT);
+                http::call_once(to.address, to.port, "POST", "/v1/announcements", body, announce_timeout);
             if (sent.status == http::call_status::answered && sent.answer.status == 200) {
                 return;
             }
@@ -243,11 +264,12 @@
         arrived.asked_at = millisecond_clock::now();
         arrived.after = m_received;
         const http::call_result got =
-            m_pull_connection->call("GET", fmt::format("/v1/log?{}", arrived.after), {}, "", PULL_TIMEOUT);
+            m_pull_connection->call("GET", fmt::format("/v1/log?{}", arrived.after), {}, "", pull_timeout);
         if (got.status != http::call_status::answered || got.answer.status != 200) {
             return fail("pull", to_string(primary), got.reason);
         }
-        BOOST_LEAF_AUTO(document, codec::parse_json(got.answer.body, codec::PEER_INPUT_LIMITS, to_string(primary)));
+        BOOST_LEAF_AUTO(document,
+                        codec::parse_json(got.answer.body, codec::peer_input_limits, to_string(primary)));
         BOOST_LEAF_AUTO(answer, codec::decode<log_answer>(document, to_string(primary)));
         if (answer.role == server_role::primary) {
             arrived.term = answer.term;
--- a/src/database/internal/reduce.cpp
+++ b/src/database/internal/reduce.cpp
@@ -1,15 +1,15 @@
 #include "database/reduce.h"
 
+#include "database/internal/statement_text.h"
+
 #include <algorithm>
 #include <utility>
 
-#include "database/internal/statement_text.h"
-
 namespace hickorymount::database {
 
 namespace {
 
-constexpr std::size_t MAX_RECORDS_IN_ANSWER = 1000;
+constexpr std::size_t max_records_in_answer = 1000;
 
 /// Number of the newest record of a log whose positions are consecutive from 1.
 log_position last_position(const database_state& state)
@@ -21,10 +21,7 @@
 class database
 {
 public:
-    database(database_state state, time_point now)
-        : m_state(std::move(state)), m_now(now)
-    {
-    }
+    database(database_state state, time_point now) : m_state(std::move(state)), m_now(now) {}
 
     void apply(const database_started& started)
     {
@@ -114,7 +111,7 @@
     {
         log_answer found{m_state.term, m_state.role, {}};
         for (auto each = m_state.log.lower_bound(asked.after + 1);
-             each != m_state.log.end() && found.records.size() < MAX_RECORDS_IN_ANSWER; ++each) {
+             each != m_state.log.end() && found.records.size() < max_records_in_answer; ++each) {
             found.records.push_back(each->second);
         }
         answer(asked.call, std::move(found));
@@ -122,7 +119,8 @@
 
     void apply(const records_arrived& arrived)
     {
-        const bool fits_term = arrived.term == m_state.term || (m_state.log.empty() && arrived.term > m_state.term);
+        const bool fits_term =
+            arrived.term == m_state.term || (m_state.log.empty() && arrived.term > m_state.term);
         const bool is_expected = m_state.role == server_role::replica && fits_term &&
                                  arrived.after == received_position() && !m_state.faults.is_replication_cut;
         if (!is_expected) {
@@ -130,8 +128,8 @@
         }
         m_state.term = std::max(m_state.term, arrived.term);
         const milliseconds lag = m_state.faults.replication_lag.value_or(m_state.settings.replication_lag);
-        m_state.arrived.push_back(
-            {m_now + lag, arrived.asked_at, arrived.term, arrived.after + arrived.records.size(), arrived.records});
+        m_state.arrived.push_back({m_now + lag, arrived.asked_at, arrived.term,
+                                   arrived.after + arrived.records.size(), arrived.records});
         apply_arrived();
     }
 
@@ -165,14 +163,15 @@
     [[nodiscard]] std::optional<server_refusal> refusal_of(const statement_call& call) const
     {
         const statement& what = call.what;
-        const bool needs_primary =
-            what.kind == configuration::statement_kind::write || what.what != operation::run || what.is_in_transaction;
+        const bool needs_primary = what.kind == configuration::statement_kind::write ||
+                                   what.what != operation::run || what.is_in_transaction;
         if (!m_state.connections.contains(call.connection)) {
             return server_refusal::too_many_connections;
         }
         if (what.is_in_transaction) {
-            return m_state.transactions.contains(call.connection) ? std::nullopt
-                                                                  : std::optional(server_refusal::no_transaction);
+            return m_state.transactions.contains(call.connection)
+                       ? std::nullopt
+                       : std::optional(server_refusal::no_transaction);
         }
         if (m_state.faults.is_leaving && m_state.role == server_role::replica) {
             return server_refusal::leaving;
@@ -201,8 +200,9 @@
     void finish_due()
     {
         for (;;) {
-            const auto due = std::find_if(m_state.running.begin(), m_state.running.end(),
-                                          [&](const running_statement& each) { return each.done_at <= m_now; });
+            const auto due =
+                std::find_if(m_state.running.begin(), m_state.running.end(),
+                             [&](const running_statement& each) { return each.done_at <= m_now; });
             if (due == m_state.running.end()) {
                 return;
             }
@@ -290,8 +290,9 @@
                     store(record);
                 }
             }
-            const bool is_all = batch.records.size() < MAX_RECORDS_IN_ANSWER;
-            m_state.fresh_as_of = is_all ? std::max(m_state.fresh_as_of, batch.asked_at) : m_state.fresh_as_of;
+            const bool is_all = batch.records.size() < max_records_in_answer;
+            m_state.fresh_as_of =
+                is_all ? std::max(m_state.fresh_as_of, batch.asked_at) : m_state.fresh_as_of;
         }
     }
 
@@ -315,10 +316,7 @@
         }
     }
 
-    void end_transactions()
-    {
-        m_state.transactions.clear();
-    }
+    void end_transactions() { m_state.transactions.clear(); }
 
     protocol::server_report next_report()
     {
@@ -341,7 +339,8 @@
         const time_point at = std::max(m_now + delay + m_state.faults.late, m_state.frozen_until);
         const bool is_statement = std::holds_alternative<statement_done>(content);
         const bool is_for_entry = !std::holds_alternative<log_answer>(content);
-        m_effects.emplace_back(answer_call{call, std::move(content), at, is_statement && m_state.faults.is_short,
+        m_effects.emplace_back(answer_call{call, std::move(content), at,
+                                           is_statement && m_state.faults.is_short,
                                            is_for_entry && m_state.faults.is_deaf});
     }
 
--- a/src/database/internal/statement_text.cpp
+++ b/src/database/internal/statement_text.cpp
@@ -13,11 +13,12 @@
 
 using nlohmann::json;
 
-std::optional<std::string> current_value(const std::string& key, const shared_map<std::string, std::string>& data,
+std::optional<std::string> current_value(const std::string& key,
+                                         const shared_map<std::string, std::string>& data,
                                          const std::vector<change>& pending)
 {
-    const auto newest = std::find_if(pending.rbegin(), pending.rend(),
-                                     [&](const change& each) { return each.key == key; });
+    const auto newest =
+        std::find_if(pending.rbegin(), pending.rend(), [&](const change& each) { return each.key == key; });
     if (newest != pending.rend()) {
         return newest->value;
     }
--- a/src/database/internal/statement_text.h
+++ b/src/database/internal/statement_text.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "database/types.h"
+
 #include <string>
 #include <vector>
 
-#include "database/types.h"
-
 namespace hickorymount::database::detail {
 
 /// What one statement came to: its JSON body, and the changes it makes.
--- a/src/database/types.h
+++ b/src/database/types.h
@@ -1,5 +1,12 @@
 #pragma once
 
+#include "base/identifier.h"
+#include "base/millisecond_clock.h"
+#include "base/shared_map.h"
+#include "protocol/types.h"
+#include "routing/types.h"
+#include "session/types.h"
+
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -8,13 +15,6 @@
 #include <variant>
 #include <vector>
 
-#include "base/identifier.h"
-#include "base/millisecond_clock.h"
-#include "base/shared_map.h"
-#include "protocol/types.h"
-#include "routing/types.h"
-#include "session/types.h"
-
 /// A small emulator of a backend server: one instance of a database group with a log, asynchronous
 /// replication, connections, slots, transactions and faults.
 namespace hickorymount::database {
@@ -264,8 +264,8 @@
 };
 
 using database_event_kind =
-    std::variant<database_started, connection_asked, connection_closed, statement_call, report_asked, promote_asked,
-                 follow_asked, log_asked, records_arrived, faults_set, time_passed>;
+    std::variant<database_started, connection_asked, connection_closed, statement_call, report_asked,
+                 promote_asked, follow_asked, log_asked, records_arrived, faults_set, time_passed>;
 
 struct database_event
 {
--- a/src/directory/internal/reduce.cpp
+++ b/src/directory/internal/reduce.cpp
@@ -15,7 +15,7 @@
 {
     state.changes = std::move(state.changes).set(id, answer);
     state.change_order = std::move(state.change_order).set(state.next_change++, id);
-    if (state.change_order.size() > MAX_REMEMBERED_CHANGES) {
+    if (state.change_order.size() > max_remembered_changes) {
         const auto oldest = *state.change_order.begin();
         state.changes = std::move(state.changes).erase(oldest.second);
         state.change_order = std::move(state.change_order).erase(oldest.first);
@@ -40,8 +40,7 @@
 
 directory_transition apply(directory_state state, const admit_entry_host& admitted)
 {
-    state.entry_hosts =
-        std::move(state.entry_hosts).set(admitted.entry, entry_record{admitted.zone});
+    state.entry_hosts = std::move(state.entry_hosts).set(admitted.entry, entry_record{admitted.zone});
     return unchanged(std::move(state));
 }
 
@@ -67,7 +66,7 @@
     record.last_named_term = opened.term;
     record.candidate = {};
     record.starts.push_back({opened.term, opened.start});
-    if (record.starts.size() > MAX_TERM_STARTS) {
+    if (record.starts.size() > max_term_starts) {
         record.starts.erase(record.starts.begin());
     }
     state.groups = std::move(state.groups).set(opened.group, std::move(record));
--- a/src/directory/types.h
+++ b/src/directory/types.h
@@ -1,11 +1,5 @@
 #pragma once
 
-#include <cstdint>
-#include <optional>
-#include <string>
-#include <variant>
-#include <vector>
-
 #include "base/identifier.h"
 #include "base/millisecond_clock.h"
 #include "base/shared_map.h"
@@ -13,6 +7,12 @@
 #include "configuration/types.h"
 #include "session/types.h"
 
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
 namespace hickorymount::directory {
 
 using configuration::configuration_version;
@@ -21,7 +21,12 @@
 
 /// open: the term's primary accepts writes. closed: no write of the term is acknowledged any more.
 /// promoting: a candidate was named for the next term.
-enum class group_phase { open, closed, promoting };
+enum class group_phase
+{
+    open,
+    closed,
+    promoting
+};
 
 /// What control has agreed on for one group.
 struct group_record
@@ -33,18 +38,22 @@
     /// The highest term ever named; each candidate gets one of its own.
     group_term last_named_term = 0;
     backend_server_name candidate;
-    /// Newest last; bounded by MAX_TERM_STARTS.
+    /// Newest last; bounded by max_term_starts.
     std::vector<session::term_start> starts;
 
     friend bool operator==(const group_record&, const group_record&) = default;
 };
 
 /// Terms whose start is remembered for each group. A session from an older term is told that it is lost.
-inline constexpr std::size_t MAX_TERM_STARTS = 64;
+inline constexpr std::size_t max_term_starts = 64;
 /// Answered changes of configuration that are remembered for resends.
-inline constexpr std::size_t MAX_REMEMBERED_CHANGES = 4096;
+inline constexpr std::size_t max_remembered_changes = 4096;
 
-enum class change_outcome { accepted, conflict };
+enum class change_outcome
+{
+    accepted,
+    conflict
+};
 
 /// The first answer to a change of configuration; a resend gets it again.
 struct change_answer
@@ -209,8 +218,8 @@
 
 /// Everything that can be agreed on.
 using command =
-    std::variant<change_configuration, admit_entry_host, dismiss_entry_host, open_term, close_term, name_candidate,
-                 claim_request, record_outcome, withdraw_claim, expire_claims>;
+    std::variant<change_configuration, admit_entry_host, dismiss_entry_host, open_term, close_term,
+                 name_candidate, claim_request, record_outcome, withdraw_claim, expire_claims>;
 
 /// The agreed state. Every control host that has applied the same commands holds an equal value.
 struct directory_state
@@ -227,7 +236,8 @@
     friend bool operator==(const directory_state&, const directory_state&) = default;
 };
 
-enum class claim_verdict {
+enum class claim_verdict
+{
     /// The caller of this claim runs the statement.
     granted,
     /// The key has run; its answer is recorded.
--- a/src/framework/base/error.h
+++ b/src/framework/base/error.h
@@ -38,7 +38,9 @@
 {
     return leaf::try_handle_all(
         std::forward<Attempt>(attempt), [&](const failure& what) { return recover(what); },
-        [&] { return recover(failure{"unknown", "", "an error without a description"}); });
+        [&] {
+            return recover(failure{"unknown", "", "an error without a description"});
+        });
 }
 
 } // namespace hickorymount
--- a/src/framework/base/shared_map.h
+++ b/src/framework/base/shared_map.h
@@ -18,7 +18,7 @@
     using value_type = std::pair<Key, Value>;
 
 private:
-    static constexpr std::size_t CHUNK_ENTRIES = 32;
+    static constexpr std::size_t chunk_entries = 32;
 
     using chunk = std::vector<value_type>;
     using chunk_pointer = std::shared_ptr<chunk>;
@@ -70,10 +70,7 @@
         std::size_t m_entry = 0;
     };
 
-    shared_map()
-        : m_chunks(std::make_shared<spine>())
-    {
-    }
+    shared_map() : m_chunks(std::make_shared<spine>()) {}
 
     [[nodiscard]] std::size_t size() const { return m_size; }
     [[nodiscard]] bool empty() const { return m_size == 0; }
@@ -128,7 +125,7 @@
         }
         entries.emplace(entry, std::move(key), std::move(value));
         ++m_size;
-        if (entries.size() > CHUNK_ENTRIES) {
+        if (entries.size() > chunk_entries) {
             split(at);
         }
         return std::move(*this);
@@ -163,15 +160,16 @@
     template <class Entries>
     static auto lower_entry(Entries& entries, const Key& key)
     {
-        return std::lower_bound(entries.begin(), entries.end(), key,
-                                [](const value_type& entry, const Key& wanted) { return entry.first < wanted; });
+        return std::lower_bound(
+            entries.begin(), entries.end(), key,
+            [](const value_type& entry, const Key& wanted) { return entry.first < wanted; });
     }
 
     [[nodiscard]] std::size_t chunk_for(const Key& key) const
     {
-        const auto after =
-            std::upper_bound(m_chunks->begin(), m_chunks->end(), key,
-                             [](const Key& wanted, const chunk_pointer& entries) { return wanted < entries->front().first; });
+        const auto after = std::upper_bound(
+            m_chunks->begin(), m_chunks->end(), key,
+            [](const Key& wanted, const chunk_pointer& entries) { return wanted < entries->front().first; });
         return after == m_chunks->begin() ? 0 : static_cast<std::size_t>(after - m_chunks->begin()) - 1;
     }
 
@@ -195,7 +193,8 @@
     {
         chunk& low = *(*m_chunks)[at];
         const auto middle = low.begin() + static_cast<std::ptrdiff_t>(low.size() / 2);
-        auto high = std::make_shared<chunk>(std::make_move_iterator(middle), std::make_move_iterator(low.end()));
+        auto high =
+            std::make_shared<chunk>(std::make_move_iterator(middle), std::make_move_iterator(low.end()));
         low.erase(middle, low.end());
         m_chunks->insert(m_chunks->begin() + static_cast<std::ptrdiff_t>(at) + 1, std::move(high));
     }
--- a/src/framework/base/shared_value.h
+++ b/src/framework/base/shared_value.h
@@ -10,15 +10,9 @@
 class shared_value
 {
 public:
-    shared_value()
-        : m_value(std::make_shared<const T>())
-    {
-    }
+    shared_value() : m_value(std::make_shared<const T>()) {}
 
-    explicit shared_value(T value)
-        : m_value(std::make_shared<const T>(std::move(value)))
-    {
-    }
+    explicit shared_value(T value) : m_value(std::make_shared<const T>(std::move(value))) {}
 
     const T& operator*() const { return *m_value; }
     const T* operator->() const { return m_value.get(); }
--- a/src/framework/codec/description.h
+++ b/src/framework/codec/description.h
@@ -24,15 +24,24 @@
     Enum value;
 };
 
+template <class Enum>
+enumerator(std::string_view, Enum) -> enumerator<Enum>;
+
 /// Names a type and its members for the codec. Specializations give `name` and either `members`
 /// (a tuple of `member`) or `enumerators` (a tuple of `enumerator`).
 template <class T>
 struct description;
 
 template <class T>
-concept described_struct = requires { description<T>::members; };
+concept described_struct = requires
+{
+    description<T>::members;
+};
 
 template <class T>
-concept described_enum = requires { description<T>::enumerators; };
+concept described_enum = requires
+{
+    description<T>::enumerators;
+};
 
 } // namespace hickorymount::codec
--- a/src/framework/codec/internal/json_codec.cpp
+++ b/src/framework/codec/internal/json_codec.cpp
@@ -8,10 +8,7 @@
 class depth_guard
 {
 public:
-    explicit depth_guard(int limit)
-        : m_limit(limit)
-    {
-    }
+    explicit depth_guard(int limit) : m_limit(limit) {}
 
     bool operator()(int depth, json::parse_event_t /*event*/, json& /*parsed*/)
     {
@@ -31,10 +28,7 @@
     using base = nlohmann::detail::json_sax_dom_parser<json>;
 
 public:
-    bounded_builder(json& document, int limit)
-        : base(document, true), m_limit(limit)
-    {
-    }
+    bounded_builder(json& document, int limit) : base(document, true), m_limit(limit) {}
 
     bool start_object(std::size_t count) { return enter() && base::start_object(count); }
     bool start_array(std::size_t count) { return enter() && base::start_array(count); }
--- a/src/framework/codec/json_codec.h
+++ b/src/framework/codec/json_codec.h
@@ -1,5 +1,11 @@
 #pragma once
 
+#include "base/error.h"
+#include "base/identifier.h"
+#include "base/shared_map.h"
+#include "base/shared_value.h"
+#include "codec/description.h"
+
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -11,12 +17,6 @@
 #include <variant>
 #include <vector>
 
-#include "base/error.h"
-#include "base/identifier.h"
-#include "base/shared_map.h"
-#include "base/shared_value.h"
-#include "codec/description.h"
-
 #include <nlohmann/json.hpp>
 
 namespace hickorymount::codec {
@@ -32,8 +32,8 @@
     friend bool operator==(const input_limits&, const input_limits&) = default;
 };
 
-inline constexpr input_limits CALLER_INPUT_LIMITS{.bytes = 1 << 20, .depth = 16};
-inline constexpr input_limits PEER_INPUT_LIMITS{.bytes = 64 << 20, .depth = 32};
+inline constexpr input_limits caller_input_limits{.bytes = 1 << 20, .depth = 16};
+inline constexpr input_limits peer_input_limits{.bytes = 64 << 20, .depth = 32};
 
 /// Parses JSON text within the limits.
 result<json> parse_json(std::string_view text, const input_limits& limits, const std::string& peer);
@@ -313,14 +313,17 @@
             decoded = decode_value(*found, into.*(item.pointer), state);
         } else {
             using type = std::decay_t<decltype(into.*(item.pointer))>;
-            constexpr bool may_be_absent = requires(type value) { value.reset(); };
+            constexpr bool may_be_absent = requires(type value)
+            {
+                value.reset();
+            };
             decoded = may_be_absent || state.expected("a value, found none");
         }
         state.path = outer;
         return decoded;
     };
-    const bool decoded =
-        std::apply([&](const auto&... items) { return (decode_member(items) && ...); }, description<T>::members);
+    const bool decoded = std::apply([&](const auto&... items) { return (decode_member(items) && ...); },
+                                    description<T>::members);
     if (!decoded) {
         return false;
     }
--- a/src/framework/command_line/command_line.h
+++ b/src/framework/command_line/command_line.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "base/error.h"
+
 #include <list>
 #include <string>
 #include <vector>
 
-#include "base/error.h"
-
 namespace hickorymount::command_line {
 
 /// One command's options, parsed by popt. `--help` and `--usage` print and exit.
@@ -16,7 +16,8 @@
     explicit command_line(std::string usage);
 
     /// Adds `--name VALUE`. `into` keeps its value when the option is absent.
-    void add(const std::string& name, std::string& into, const std::string& help, const std::string& value_name);
+    void add(const std::string& name, std::string& into, const std::string& help,
+             const std::string& value_name);
     void add(const std::string& name, int& into, const std::string& help, const std::string& value_name);
     /// Adds a flag, 0 or 1.
     void add_flag(const std::string& name, int& into, const std::string& help);
@@ -25,7 +26,12 @@
     result<std::vector<std::string>> parse(const std::vector<std::string>& arguments);
 
 private:
-    enum class kind { text, number, flag };
+    enum class kind
+    {
+        text,
+        number,
+        flag
+    };
 
     struct option
     {
--- a/src/framework/command_line/internal/command_line.cpp
+++ b/src/framework/command_line/internal/command_line.cpp
@@ -8,10 +8,7 @@
 
 namespace hickorymount::command_line {
 
-command_line::command_line(std::string usage)
-    : m_usage(std::move(usage))
-{
-}
+command_line::command_line(std::string usage) : m_usage(std::move(usage)) {}
 
 void command_line::add(const std::string& name, std::string& into, const std::string& help,
                        const std::string& value_name)
@@ -19,7 +16,8 @@
     m_options.push_back({name, help, value_name, kind::text, &into, nullptr, nullptr});
 }
 
-void command_line::add(const std::string& name, int& into, const std::string& help, const std::string& value_name)
+void command_line::add(const std::string& name, int& into, const std::string& help,
+                       const std::string& value_name)
 {
     m_options.push_back({name, help, value_name, kind::number, nullptr, &into, nullptr});
 }
@@ -41,19 +39,23 @@
         const char* const value_name = each.value_name.empty() ? nullptr : each.value_name.c_str();
         table.push_back({each.name.c_str(), '\0', type, into, 0, each.help.c_str(), value_name});
     }
-    std::vector<poptOption> help{{nullptr, '\0', POPT_ARG_INCLUDE_TABLE, poptHelpOptions, 0, "Help options:", nullptr}};
+    std::vector<poptOption> help{
+        {nullptr, '\0', POPT_ARG_INCLUDE_TABLE, poptHelpOptions, 0, "Help options:", nullptr}};
     table.push_back(help.front());
     table.push_back(POPT_TABLEEND);
     std::vector<const char*> words;
+    words.reserve(arguments.size());
     for (const std::string& each : arguments) {
         words.push_back(each.c_str());
     }
     const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
-        poptGetContext(nullptr, static_cast<int>(words.size()), words.data(), table.data(), 0), &poptFreeContext);
+        poptGetContext(nullptr, static_cast<int>(words.size()), words.data(), table.data(), 0),
+        &poptFreeContext);
     poptSetOtherOptionHelp(context.get(), m_usage.c_str());
     const int status = poptGetNextOpt(context.get());
     if (status < -1) {
-        return fail("command_line", poptBadOption(context.get(), POPT_BADOPTION_NOALIAS), poptStrerror(status));
+        return fail("command_line", poptBadOption(context.get(), POPT_BADOPTION_NOALIAS),
+                    poptStrerror(status));
     }
     for (option& each : m_options) {
         if (each.parsed_text != nullptr) {
--- a/src/framework/http/client.h
+++ b/src/framework/http/client.h
@@ -1,18 +1,23 @@
 #pragma once
 
+#include "base/error.h"
+#include "base/millisecond_clock.h"
+#include "http/types.h"
+
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
 
-#include "base/error.h"
-#include "base/millisecond_clock.h"
-#include "http/types.h"
-
 namespace hickorymount::http {
 
 /// How far a request got before it failed.
-enum class call_status { answered, not_sent, lost };
+enum class call_status
+{
+    answered,
+    not_sent,
+    lost
+};
 
 struct call_result
 {
--- a/src/framework/http/internal/client.cpp
+++ b/src/framework/http/internal/client.cpp
@@ -11,9 +11,9 @@
 
 namespace {
 
-constexpr std::size_t ERROR_BYTES = 128;
-constexpr std::size_t READ_BYTES = 16 * 1024;
-constexpr long long MAX_RESPONSE_BYTES = 64LL << 20;
+constexpr std::size_t error_bytes = 128;
+constexpr std::size_t read_bytes = std::size_t{16} << 10;
+constexpr long long max_response_bytes = 64LL << 20;
 
 void initialize_library()
 {
@@ -36,8 +36,8 @@
                      const std::map<std::string, std::string>& headers, const std::string& body,
                      milliseconds timeout) override
     {
-        std::string text = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\n", method, path, m_host,
-                                       body.size());
+        std::string text = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\n", method, path,
+                                       m_host, body.size());
         for (const auto& [name, value] : headers) {
             text += fmt::format("{}: {}\r\n", name, value);
         }
@@ -46,7 +46,7 @@
         if (written != static_cast<int>(text.size())) {
             return lost("the request could not be sent whole");
         }
-        std::array<char, ERROR_BYTES> problem{};
+        std::array<char, error_bytes> problem{};
         const int wait = static_cast<int>(timeout.count() > 0 ? timeout.count() : 1);
         if (mg_get_response(m_connection, problem.data(), problem.size(), wait) < 0) {
             return lost(problem.data());
@@ -60,7 +60,7 @@
     call_result read_answer()
     {
         const mg_response_info* info = mg_get_response_info(m_connection);
-        if (info == nullptr || info->content_length < 0 || info->content_length > MAX_RESPONSE_BYTES) {
+        if (info == nullptr || info->content_length < 0 || info->content_length > max_response_bytes) {
             return lost("the response has no usable length");
         }
         call_result result{call_status::answered, {}, {}};
@@ -69,7 +69,7 @@
         for (int at = 0; at < info->num_headers; ++at) {
             result.answer.headers.emplace(info->http_headers[at].name, info->http_headers[at].value);
         }
-        std::array<char, READ_BYTES> block{};
+        std::array<char, read_bytes> block{};
         while (result.answer.body.size() < length) {
             const int count = mg_read(m_connection, block.data(), block.size());
             if (count <= 0) {
@@ -89,7 +89,7 @@
 result<std::unique_ptr<client_connection>> connect(const std::string& address, std::uint16_t port)
 {
     initialize_library();
-    std::array<char, ERROR_BYTES> problem{};
+    std::array<char, error_bytes> problem{};
     mg_connection* connection = mg_connect_client(address.c_str(), port, 0, problem.data(), problem.size());
     const std::string host = fmt::format("{}:{}", address, port);
     if (connection == nullptr) {
@@ -106,7 +106,9 @@
             BOOST_LEAF_AUTO(connection, connect(address, port));
             return connection->call(method, path, {{"Connection", "close"}}, body, timeout);
         },
-        [](const failure& what) { return call_result{call_status::not_sent, {}, to_string(what)}; });
+        [](const failure& what) {
+            return call_result{call_status::not_sent, {}, to_string(what)};
+        });
 }
 
 } // namespace hickorymount::http
--- a/src/framework/http/internal/server.cpp
+++ b/src/framework/http/internal/server.cpp
@@ -12,13 +12,14 @@
 
 namespace {
 
-constexpr std::size_t READ_BYTES = 16 * 1024;
+constexpr std::size_t read_bytes = std::size_t{16} << 10;
 
 class civetweb_server final : public server
 {
 public:
     civetweb_server(server_options options, request_handler on_request, closed_handler on_closed)
-        : m_options(std::move(options)), m_on_request(std::move(on_request)), m_on_closed(std::move(on_closed))
+        : m_options(std::move(options)), m_on_request(std::move(on_request)),
+          m_on_closed(std::move(on_closed))
     {
     }
     ~civetweb_server() override { civetweb_server::stop(); }
@@ -30,12 +31,18 @@
         const std::string listening = fmt::format("{}:{}", m_options.address, m_options.port);
         const std::string threads = std::to_string(m_options.threads);
         const std::string timeout = std::to_string(m_options.keep_alive_timeout_ms);
-        const std::array<const char*, 13> settings{"listening_ports",       listening.c_str(),
-                                                   "num_threads",           threads.c_str(),
-                                                   "enable_keep_alive",     "yes",
-                                                   "keep_alive_timeout_ms", timeout.c_str(),
-                                                   "request_timeout_ms",    timeout.c_str(),
-                                                   "tcp_nodelay",           "1",
+        const std::array<const char*, 13> settings{"listening_ports",
+                                                   listening.c_str(),
+                                                   "num_threads",
+                                                   threads.c_str(),
+                                                   "enable_keep_alive",
+                                                   "yes",
+                                                   "keep_alive_timeout_ms",
+                                                   timeout.c_str(),
+                                                   "request_timeout_ms",
+                                                   timeout.c_str(),
+                                                   "tcp_nodelay",
+                                                   "1",
                                                    nullptr};
         mg_callbacks callbacks{};
         callbacks.begin_request = [](mg_connection* connection) {
@@ -49,7 +56,7 @@
             *data = reinterpret_cast<void*>(++self->m_next_connection); // NOLINT(performance-no-int-to-ptr)
             return 0;
         };
-        callbacks.connection_closed = [](const mg_connection* connection) {
+        callbacks.connection_close = [](const mg_connection* connection) {
             auto* self = static_cast<civetweb_server*>(mg_get_user_data(mg_get_context(connection)));
             --self->m_open;
             if (self->m_on_closed) {
@@ -101,7 +108,7 @@
             into.is_body_too_large = true;
             return;
         }
-        std::array<char, READ_BYTES> block{};
+        std::array<char, read_bytes> block{};
         for (;;) {
             const int count = mg_read(connection, block.data(), block.size());
             if (count <= 0) {
@@ -129,9 +136,10 @@
             return;
         }
         const bool closes = answer.closes || answer.cut_after < answer.body.size();
-        std::string head = fmt::format("HTTP/1.1 {} {}\r\nContent-Type: {}\r\nContent-Length: {}\r\nConnection: {}\r\n",
-                                       answer.status, mg_get_response_code_text(connection, answer.status),
-                                       answer.content_type, answer.body.size(), closes ? "close" : "keep-alive");
+        std::string head =
+            fmt::format("HTTP/1.1 {} {}\r\nContent-Type: {}\r\nContent-Length: {}\r\nConnection: {}\r\n",
+                        answer.status, mg_get_response_code_text(connection, answer.status),
+                        answer.content_type, answer.body.size(), closes ? "close" : "keep-alive");
         for (const auto& [name, value] : answer.headers) {
             head += fmt::format("{}: {}\r\n", name, value);
         }
@@ -158,7 +166,8 @@
 {
     auto started = std::make_unique<civetweb_server>(options, std::move(on_request), std::move(on_closed));
     if (!started->start()) {
-        return fail("listen", fmt::format("{}:{}", options.address, options.port), "the address can't be used");
+        return fail("listen", fmt::format("{}:{}", options.address, options.port),
+                    "the address can't be used");
     }
     return std::unique_ptr<server>(std::move(started));
 }
--- a/src/framework/http/internal/types.cpp
+++ b/src/framework/http/internal/types.cpp
@@ -10,9 +10,9 @@
 
 bool is_same_name(const std::string& left, const std::string& right)
 {
-    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](unsigned char one, unsigned char other) {
-        return std::tolower(one) == std::tolower(other);
-    });
+    return std::equal(
+        left.begin(), left.end(), right.begin(), right.end(),
+        [](unsigned char one, unsigned char other) { return std::tolower(one) == std::tolower(other); });
 }
 
 std::string_view trimmed(std::string_view text)
--- a/src/framework/http/server.h
+++ b/src/framework/http/server.h
@@ -1,14 +1,14 @@
 #pragma once
 
+#include "base/error.h"
+#include "http/types.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 
-#include "base/error.h"
-#include "http/types.h"
-
 namespace hickorymount::http {
 
 struct server_options
--- a/src/framework/link/internal/websocket_transport.cpp
+++ b/src/framework/link/internal/websocket_transport.cpp
@@ -22,18 +22,19 @@
 using server = websocketpp::server<websocketpp::config::asio>;
 using websocketpp::connection_hdl;
 
-constexpr std::size_t MAX_MESSAGE_BYTES = std::size_t{64} << 20;
-constexpr std::size_t MAX_BUFFERED_BYTES = std::size_t{128} << 20;
-constexpr std::size_t MAX_NAME_BYTES = 64;
-constexpr std::chrono::milliseconds REDIAL_INTERVAL{100};
-constexpr long HANDSHAKE_TIMEOUT_MS = 1000;
+constexpr std::size_t max_message_bytes = std::size_t{64} << 20;
+constexpr std::size_t max_buffered_bytes = std::size_t{128} << 20;
+constexpr std::size_t max_name_bytes = 64;
+constexpr std::chrono::milliseconds redial_interval{100};
+constexpr long handshake_timeout_ms = 1000;
 
 bool is_name(const std::string& text)
 {
     const auto is_allowed = [](char each) {
         return (each >= 'a' && each <= 'z') || (each >= '0' && each <= '9') || each == '-';
     };
-    return !text.empty() && text.size() <= MAX_NAME_BYTES && std::all_of(text.begin(), text.end(), is_allowed);
+    return !text.empty() && text.size() <= max_name_bytes &&
+           std::all_of(text.begin(), text.end(), is_allowed);
 }
 
 class websocket_transport final : public peer_transport
@@ -114,8 +115,8 @@
         endpoint.clear_access_channels(websocketpp::log::alevel::all);
         endpoint.clear_error_channels(websocketpp::log::elevel::all);
         endpoint.init_asio(&m_context);
-        endpoint.set_max_message_size(MAX_MESSAGE_BYTES);
-        endpoint.set_open_handshake_timeout(HANDSHAKE_TIMEOUT_MS);
+        endpoint.set_max_message_size(max_message_bytes);
+        endpoint.set_open_handshake_timeout(handshake_timeout_ms);
     }
 
     template <class Endpoint>
@@ -160,7 +161,7 @@
         const std::string peer = found->second;
         m_dialling.erase(found);
         m_dialled.erase(peer);
-        auto timer = std::make_shared<boost::asio::steady_timer>(m_context, REDIAL_INTERVAL);
+        auto timer = std::make_shared<boost::asio::steady_timer>(m_context, redial_interval);
         timer->async_wait([this, peer, timer](const boost::system::error_code& problem) {
             if (!problem) {
                 connect(peer);
@@ -176,7 +177,8 @@
         }
     }
 
-    void receive_accepted(connection_hdl handle, websocketpp::frame::opcode::value opcode, const std::string& bytes)
+    void receive_accepted(connection_hdl handle, websocketpp::frame::opcode::value opcode,
+                          const std::string& bytes)
     {
         const auto known = m_names.find(handle);
         if (known != m_names.end()) {
@@ -222,14 +224,15 @@
     }
 
     template <class Endpoint>
-    void send_on(Endpoint& endpoint, const connection_hdl& handle, const std::string& peer, const std::string& bytes)
+    void send_on(Endpoint& endpoint, const connection_hdl& handle, const std::string& peer,
+                 const std::string& bytes)
     {
         websocketpp::lib::error_code problem;
         const auto connection = endpoint.get_con_from_hdl(handle, problem);
         if (problem) {
             return;
         }
-        if (connection->get_buffered_amount() > MAX_BUFFERED_BYTES) {
+        if (connection->get_buffered_amount() > max_buffered_bytes) {
             m_handlers.on_problem(peer, "too much unsent; the connection is closed");
             connection->terminate(websocketpp::lib::error_code());
             return;
--- a/src/framework/logging/descriptions.h
+++ b/src/framework/logging/descriptions.h
@@ -8,7 +8,10 @@
 template <>
 struct description<logging::log_level>
 {
-    static constexpr auto enumerators = std::tuple{enumerator{"debug", logging::log_level::debug}, enumerator{"information", logging::log_level::information}, enumerator{"warning", logging::log_level::warning}, enumerator{"error", logging::log_level::error}};
+    static constexpr auto enumerators = std::tuple{enumerator{"debug", logging::log_level::debug},
+                                                   enumerator{"information", logging::log_level::information},
+                                                   enumerator{"warning", logging::log_level::warning},
+                                                   enumerator{"error", logging::log_level::error}};
 };
 
 template <>
@@ -16,7 +19,8 @@
 {
     using type = logging::log_record;
     static constexpr std::string_view name = "log_record";
-    static constexpr auto members = std::tuple{member{"level", &type::level}, member{"step", &type::step}, member{"peer", &type::peer}, member{"text", &type::text}};
+    static constexpr auto members = std::tuple{member{"level", &type::level}, member{"step", &type::step},
+                                               member{"peer", &type::peer}, member{"text", &type::text}};
 };
 
 } // namespace hickorymount::codec
--- a/src/framework/logging/internal/log_writer.cpp
+++ b/src/framework/logging/internal/log_writer.cpp
@@ -34,10 +34,7 @@
 
 } // namespace
 
-log_writer::log_writer(std::string host, log_level least)
-    : m_host(std::move(host)), m_least(least)
-{
-}
+log_writer::log_writer(std::string host, log_level least) : m_host(std::move(host)), m_least(least) {}
 
 void log_writer::write(const log_record& record) const
 {
@@ -49,7 +46,8 @@
 
 std::string format_record(const log_record& record, const std::string& host, const std::string& time)
 {
-    std::string line = fmt::format("time={} level={} host={} step={}", time, name_of(record.level), host, record.step);
+    std::string line =
+        fmt::format("time={} level={} host={} step={}", time, name_of(record.level), host, record.step);
     if (!record.peer.empty()) {
         line += " peer=" + record.peer;
     }
--- a/src/framework/logging/log_writer.h
+++ b/src/framework/logging/log_writer.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <string>
-
 #include "logging/types.h"
 
+#include <string>
+
 namespace hickorymount::logging {
 
 /// Writes one key=value line a record to standard error. Safe to call from any thread.
--- a/src/framework/logging/types.h
+++ b/src/framework/logging/types.h
@@ -4,7 +4,13 @@
 
 namespace hickorymount::logging {
 
-enum class log_level { debug, information, warning, error };
+enum class log_level
+{
+    debug,
+    information,
+    warning,
+    error
+};
 
 /// One line of the log: what was being done, with whom, and key=value text.
 struct log_record
--- a/src/framework/metrics/internal/distribution.h
+++ b/src/framework/metrics/internal/distribution.h
@@ -27,12 +27,13 @@
 private:
     using accumulator = boost::accumulators::accumulator_set<
         double, boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum,
-                                           boost::accumulators::tag::max, boost::accumulators::tag::extended_p_square>>;
+                                           boost::accumulators::tag::max,
+                                           boost::accumulators::tag::extended_p_square>>;
 
-    static constexpr std::array<double, 12> BUCKETS_MS{0.5, 1, 2, 5, 10, 20, 50, 100, 250, 500, 1000, 4000};
-    static constexpr std::array<double, 3> QUANTILES{0.5, 0.9, 0.99};
+    static constexpr std::array<double, 12> buckets_ms{0.5, 1, 2, 5, 10, 20, 50, 100, 250, 500, 1000, 4000};
+    static constexpr std::array<double, 3> quantiles{0.5, 0.9, 0.99};
 
-    std::array<std::uint64_t, BUCKETS_MS.size()> m_counts{};
+    std::array<std::uint64_t, buckets_ms.size()> m_counts{};
     accumulator m_values;
 };
 
--- a/src/framework/metrics/internal/metric_registry.cpp
+++ b/src/framework/metrics/internal/metric_registry.cpp
@@ -1,9 +1,9 @@
 #include "metrics/metric_registry.h"
 
-#include <set>
-
 #include "metrics/internal/distribution.h"
 
+#include <set>
+
 #include <fmt/format.h>
 
 namespace hickorymount::metrics {
--- a/src/framework/runtime/call_desk.h
+++ b/src/framework/runtime/call_desk.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/millisecond_clock.h"
+
 #include <condition_variable>
 #include <cstdint>
 #include <map>
@@ -8,8 +10,6 @@
 #include <optional>
 #include <utility>
 
-#include "base/millisecond_clock.h"
-
 namespace hickorymount::runtime {
 
 /// Lets traffic threads wait for the control thread's answers.
--- a/src/framework/runtime/control_thread.h
+++ b/src/framework/runtime/control_thread.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/millisecond_clock.h"
+
 #include <condition_variable>
 #include <functional>
 #include <mutex>
@@ -8,8 +10,6 @@
 #include <utility>
 #include <vector>
 
-#include "base/millisecond_clock.h"
-
 namespace hickorymount::runtime {
 
 /// The one thread that owns a process's state. Other threads post events; `step` reduces one event and
@@ -29,7 +29,10 @@
     control_thread& operator=(const control_thread&) = delete;
     ~control_thread() { stop(); }
 
-    void start() { m_thread = std::thread([this] { run(); }); }
+    void start()
+    {
+        m_thread = std::thread([this] { run(); });
+    }
 
     /// Queues an event. Safe from any thread; ignored after `stop`.
     void post(Event event)
--- a/src/framework/runtime/periodic_thread.h
+++ b/src/framework/runtime/periodic_thread.h
@@ -1,28 +1,28 @@
 #pragma once
 
+#include "base/millisecond_clock.h"
+
 #include <condition_variable>
 #include <functional>
 #include <mutex>
 #include <thread>
 #include <utility>
 
-#include "base/millisecond_clock.h"
-
 namespace hickorymount::runtime {
 
 /// Runs a job over and over, with a pause between runs that can be cut short.
 class periodic_thread
 {
 public:
-    periodic_thread(milliseconds pause, std::function<void()> job)
-        : m_pause(pause), m_job(std::move(job))
-    {
-    }
+    periodic_thread(milliseconds pause, std::function<void()> job) : m_pause(pause), m_job(std::move(job)) {}
     periodic_thread(const periodic_thread&) = delete;
     periodic_thread& operator=(const periodic_thread&) = delete;
     ~periodic_thread() { stop(); }
 
-    void start() { m_thread = std::thread([this] { run(); }); }
+    void start()
+    {
+        m_thread = std::thread([this] { run(); });
+    }
 
     /// Runs the job now, or once more when it is running.
     void wake()
--- a/src/gateway/control_service.h
+++ b/src/gateway/control_service.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "base/error.h"
+#include "settings/types.h"
+
 #include <cstdint>
 #include <functional>
 #include <memory>
 
-#include "base/error.h"
-#include "settings/types.h"
-
 namespace hickorymount::gateway {
 
 /// A control host's process: the replicated log in its data folder, the links, and HTTP for operators.
--- a/src/gateway/entry_service.h
+++ b/src/gateway/entry_service.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <cstdint>
-#include <memory>
-
 #include "base/error.h"
 #include "settings/types.h"
 
+#include <cstdint>
+#include <memory>
+
 namespace hickorymount::gateway {
 
 /// An entry host's process: HTTP towards callers, backend servers and the balancer, and the link to control.
--- a/src/gateway/internal/backend_connections.cpp
+++ b/src/gateway/internal/backend_connections.cpp
@@ -1,22 +1,22 @@
 #include "gateway/internal/backend_connections.h"
 
-#include <chrono>
-#include <thread>
-#include <utility>
-
 #include "codec/json_codec.h"
 #include "database/descriptions.h"
 #include "database/types.h"
 #include "http/client.h"
 
+#include <chrono>
+#include <thread>
+#include <utility>
+
 #include <fmt/format.h>
 
 namespace hickorymount::gateway::detail {
 
 namespace {
 
-constexpr milliseconds OPEN_TIMEOUT{2000};
-constexpr milliseconds STOP_TIMEOUT{3000};
+constexpr milliseconds open_timeout{2000};
+constexpr milliseconds stop_timeout{3000};
 
 using routing::run_statement;
 
@@ -38,14 +38,14 @@
                                                   const std::string& id)
 {
     const std::string& peer = run.server.value;
-    BOOST_LEAF_AUTO(document, codec::parse_json(response.body, codec::PEER_INPUT_LIMITS, peer));
+    BOOST_LEAF_AUTO(document, codec::parse_json(response.body, codec::peer_input_limits, peer));
     if (response.status == 200) {
         BOOST_LEAF_AUTO(done, codec::decode<database::statement_done>(document, peer));
         if (done.request != id) {
             return fail("decode", peer, "the answer belongs to another request");
         }
-        return routing::entry_event_kind(
-            routing::statement_answered{run.request, run.connection, done.at, done.age, std::move(done.body)});
+        return routing::entry_event_kind(routing::statement_answered{run.request, run.connection, done.at,
+                                                                     done.age, std::move(done.body)});
     }
     if (response.status == 409) {
         BOOST_LEAF_AUTO(refused, codec::decode<database::statement_rejected>(document, peer));
@@ -93,7 +93,8 @@
         own = found == m_slots.end() ? nullptr : found->second;
     }
     if (own == nullptr) {
-        m_post(routing::statement_not_sent{statement.request, statement.connection, "the connection had ended"});
+        m_post(
+            routing::statement_not_sent{statement.request, statement.connection, "the connection had ended"});
         return;
     }
     const std::lock_guard lock(own->mutex);
@@ -121,7 +122,7 @@
         own->is_closing = true;
         own->changed.notify_one();
     }
-    m_idle.wait_for(lock, STOP_TIMEOUT, [this] { return m_threads == 0; });
+    m_idle.wait_for(lock, stop_timeout, [this] { return m_threads == 0; });
 }
 
 void backend_connections::ended()
@@ -144,7 +145,8 @@
     const std::string problem = handle_failure(
         [&]() -> result<std::string> {
             BOOST_LEAF_ASSIGN(connection, http::connect(order.address.address, order.address.port));
-            const http::call_result opened = connection->call("POST", "/v1/connections", {}, "", OPEN_TIMEOUT);
+            const http::call_result opened =
+                connection->call("POST", "/v1/connections", {}, "", open_timeout);
             const bool is_open = opened.status == http::call_status::answered && opened.answer.status == 200;
             return is_open ? std::string() : "not accepted: " + opened.reason;
         },
--- a/src/gateway/internal/backend_connections.h
+++ b/src/gateway/internal/backend_connections.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "protocol/types.h"
+#include "routing/types.h"
+
 #include <condition_variable>
 #include <functional>
 #include <map>
@@ -7,9 +10,6 @@
 #include <mutex>
 #include <optional>
 
-#include "protocol/types.h"
-#include "routing/types.h"
-
 namespace hickorymount::gateway::detail {
 
 /// The connections to backend servers. Each has a thread that waits for its next statement and blocks on
--- a/src/gateway/internal/caller_codec.cpp
+++ b/src/gateway/internal/caller_codec.cpp
@@ -1,5 +1,9 @@
 #include "gateway/internal/caller_codec.h"
 
+#include "codec/json_codec.h"
+#include "protocol/descriptions.h"
+#include "routing/reduce.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -7,10 +11,6 @@
 #include <string_view>
 #include <vector>
 
-#include "codec/json_codec.h"
-#include "protocol/descriptions.h"
-#include "routing/reduce.h"
-
 #include <fmt/format.h>
 
 namespace hickorymount::gateway::detail {
@@ -21,14 +21,14 @@
 using routing::operation;
 using routing::refusal;
 
-constexpr const char* GROUPS_PREFIX = "/v1/groups/";
-constexpr std::int64_t MAX_TIMEOUT_MS = 600'000;
-constexpr std::size_t MAX_KEY_BYTES = 128;
+constexpr const char* groups_prefix = "/v1/groups/";
+constexpr std::int64_t max_timeout_ms = 600'000;
+constexpr std::size_t max_key_bytes = 128;
 
 std::vector<std::string> segments_after_prefix(const std::string& path)
 {
     std::vector<std::string> parts;
-    std::string_view rest = std::string_view(path).substr(std::string_view(GROUPS_PREFIX).size());
+    std::string_view rest = std::string_view(path).substr(std::string_view(groups_prefix).size());
     while (!rest.empty()) {
         const std::size_t end = std::min(rest.find('/'), rest.size());
         parts.emplace_back(rest.substr(0, end));
@@ -58,9 +58,11 @@
     }
     if (parts.size() == 4 && parts[1] == "transactions") {
         into.transaction = transaction_id{parts[2]};
-        static constexpr std::array<std::pair<std::string_view, operation>, 3> ENDINGS{
-            {{"statements", operation::run}, {"commit", operation::commit}, {"rollback", operation::rollback}}};
-        for (const auto& [name, what] : ENDINGS) {
+        static constexpr std::array<std::pair<std::string_view, operation>, 3> endings{
+            {{"statements", operation::run},
+             {"commit", operation::commit},
+             {"rollback", operation::rollback}}};
+        for (const auto& [name, what] : endings) {
             if (parts[3] == name) {
                 into.what = what;
                 return {};
@@ -72,7 +74,7 @@
 
 result<void> decode_body(const http::request& from, routing::caller_request& into)
 {
-    BOOST_LEAF_AUTO(document, codec::parse_json(from.body, codec::CALLER_INPUT_LIMITS, "caller"));
+    BOOST_LEAF_AUTO(document, codec::parse_json(from.body, codec::caller_input_limits, "caller"));
     if (!document.is_object()) {
         return bad("expected a JSON object");
     }
@@ -98,15 +100,16 @@
 
 result<void> decode_timeout(const http::request& from, routing::caller_request& into)
 {
-    const std::string text = http::header(from.headers, TIMEOUT_HEADER);
+    const std::string text = http::header(from.headers, timeout_header);
     if (text.empty()) {
         return {};
     }
     std::int64_t count = 0;
     const char* const end = text.data() + text.size();
     const auto [rest, status] = std::from_chars(text.data(), end, count);
-    if (status != std::errc{} || rest != end || count > MAX_TIMEOUT_MS) {
-        return bad(fmt::format("{}: expected whole milliseconds, {} at most", TIMEOUT_HEADER, MAX_TIMEOUT_MS));
+    if (status != std::errc{} || rest != end || count > max_timeout_ms) {
+        return bad(
+            fmt::format("{}: expected whole milliseconds, {} at most", timeout_header, max_timeout_ms));
     }
     // Zero means no limit of the caller's own inside; on the wire it is a deadline that has passed.
     into.timeout = milliseconds{count > 0 ? count : -1};
@@ -147,8 +150,8 @@
     if (text.empty()) {
         return;
     }
-    into.headers[SESSION_HEADER] = text;
-    into.headers["Set-Cookie"] = fmt::format("{}={}; Path=/; HttpOnly", SESSION_COOKIE, text);
+    into.headers[session_header] = text;
+    into.headers["Set-Cookie"] = fmt::format("{}={}; Path=/; HttpOnly", session_cookie, text);
 }
 
 http::response encode(const routing::whole_answer& answer)
@@ -157,7 +160,8 @@
     http::response made;
     made.body = fmt::format(R"({{"outcome":"answered","served_by":{},"role":"{}","repeated":{},)",
                             json(answer.served_by.value).dump(),
-                            answer.role == protocol::server_role::primary ? "primary" : "replica", answer.is_repeated);
+                            answer.role == protocol::server_role::primary ? "primary" : "replica",
+                            answer.is_repeated);
     if (answer.transaction) {
         made.body += fmt::format(R"("transaction":{},)", json(answer.transaction->value).dump());
     }
@@ -201,7 +205,7 @@
 
 bool is_caller_path(const std::string& path)
 {
-    return path.rfind(GROUPS_PREFIX, 0) == 0;
+    return path.rfind(groups_prefix, 0) == 0;
 }
 
 result<routing::caller_request> decode_request(const http::request& from)
@@ -216,12 +220,12 @@
     BOOST_LEAF_CHECK(decode_path(from, made));
     BOOST_LEAF_CHECK(decode_body(from, made));
     BOOST_LEAF_CHECK(decode_timeout(from, made));
-    std::string token = http::header(from.headers, SESSION_HEADER);
-    token = token.empty() ? http::cookie(from, SESSION_COOKIE) : token;
+    std::string token = http::header(from.headers, session_header);
+    token = token.empty() ? http::cookie(from, session_cookie) : token;
     BOOST_LEAF_ASSIGN(made.token, session::parse_token(token));
-    const std::string key = http::header(from.headers, KEY_HEADER);
-    if (key.size() > MAX_KEY_BYTES) {
-        return bad(fmt::format("{}: longer than {} bytes", KEY_HEADER, MAX_KEY_BYTES));
+    const std::string key = http::header(from.headers, key_header);
+    if (key.size() > max_key_bytes) {
+        return bad(fmt::format("{}: longer than {} bytes", key_header, max_key_bytes));
     }
     if (!key.empty()) {
         made.key = request_key{key};
--- a/src/gateway/internal/caller_codec.h
+++ b/src/gateway/internal/caller_codec.h
@@ -1,18 +1,18 @@
 #pragma once
 
-#include <string>
-
 #include "base/error.h"
 #include "http/types.h"
 #include "routing/types.h"
 
+#include <string>
+
 namespace hickorymount::gateway::detail {
 
-inline constexpr const char* SESSION_HEADER = "Hickorymount-Session";
-inline constexpr const char* SESSION_COOKIE = "hickorymount-session";
-inline constexpr const char* KEY_HEADER = "Hickorymount-Request-Key";
-inline constexpr const char* TIMEOUT_HEADER = "Hickorymount-Timeout-Ms";
-inline constexpr const char* REQUEST_HEADER = "Hickorymount-Request";
+inline constexpr const char* session_header = "Hickorymount-Session";
+inline constexpr const char* session_cookie = "hickorymount-session";
+inline constexpr const char* key_header = "Hickorymount-Request-Key";
+inline constexpr const char* timeout_header = "Hickorymount-Timeout-Ms";
+inline constexpr const char* request_header = "Hickorymount-Request";
 
 /// True for the paths under which callers send statements.
 bool is_caller_path(const std::string& path);
--- a/src/gateway/internal/control_service.cpp
+++ b/src/gateway/internal/control_service.cpp
@@ -1,9 +1,5 @@
 #include "gateway/control_service.h"
 
-#include <atomic>
-#include <random>
-#include <utility>
-
 #include "codec/json_codec.h"
 #include "consensus/descriptions.h"
 #include "gateway/internal/entry_pages.h"
@@ -21,15 +17,19 @@
 #include "storage/posix_disk.h"
 #include "supervision/descriptions.h"
 
+#include <atomic>
+#include <random>
+#include <utility>
+
 #include <fmt/format.h>
 
 namespace hickorymount::gateway {
 
 namespace {
 
-constexpr unsigned OPERATOR_THREADS = 8;
-constexpr unsigned KEEP_ALIVE_TIMEOUT_MS = 1000;
-constexpr milliseconds OPERATOR_TIMEOUT{10'000};
+constexpr unsigned operator_threads = 8;
+constexpr unsigned keep_alive_timeout_ms = 1000;
+constexpr milliseconds operator_timeout{10'000};
 
 folder_identity make_identity()
 {
@@ -52,7 +52,9 @@
                     [] { return event_now(node::control_time_passed{}); })
     {
         link::peer_handlers handlers;
-        handlers.on_message = [this](const std::string& peer, const std::string& bytes) { receive(peer, bytes); };
+        handlers.on_message = [this](const std::string& peer, const std::string& bytes) {
+            receive(peer, bytes);
+        };
         handlers.on_connected = [](const std::string&) {};
         handlers.on_problem = [this](const std::string& peer, const std::string& reason) {
             m_log.write({logging::log_level::warning, "link", peer, reason});
@@ -79,11 +81,12 @@
         http::server_options options;
         options.address = m_own.operators.address;
         options.port = m_own.operators.port;
-        options.threads = OPERATOR_THREADS;
+        options.threads = operator_threads;
         options.kept_alive_connections = 0;
-        options.keep_alive_timeout_ms = KEEP_ALIVE_TIMEOUT_MS;
-        BOOST_LEAF_ASSIGN(m_server,
-                          http::start_server(options, [this](const http::request& asked) { return serve(asked); }, {}));
+        options.keep_alive_timeout_ms = keep_alive_timeout_ms;
+        BOOST_LEAF_ASSIGN(
+            m_server,
+            http::start_server(options, [this](const http::request& asked) { return serve(asked); }, {}));
         m_storage->start();
         m_control.start();
         std::vector<host_name> contacts;
@@ -98,8 +101,8 @@
         }
         m_transport->start();
         m_log.write({logging::log_level::information, "start", "",
-                     fmt::format("link_port={} operators_port={} identity={} log_entries={} load_ms={}", link_port,
-                                 m_server->port(), m_identity.value, entries,
+                     fmt::format("link_port={} operators_port={} identity={} log_entries={} load_ms={}",
+                                 link_port, m_server->port(), m_identity.value, entries,
                                  (millisecond_clock::now() - began).count())});
         return {};
     }
@@ -173,7 +176,10 @@
 
     void carry_out(consensus::persist_log&& effect) { m_storage->write(std::move(effect)); }
     void carry_out(consensus::persist_snapshot&& effect) { m_storage->write(std::move(effect)); }
-    void carry_out(supervision::answer_operator&& effect) { m_calls.answer(effect.request, std::move(effect.answer)); }
+    void carry_out(supervision::answer_operator&& effect)
+    {
+        m_calls.answer(effect.request, std::move(effect.answer));
+    }
     void carry_out(logging::log_record&& effect) { m_log.write(effect); }
 
     template <class MakeEvent>
@@ -181,9 +187,10 @@
     {
         const std::uint64_t number = m_calls.open();
         post(make_event(number));
-        const auto answer = m_calls.wait(number, OPERATOR_TIMEOUT);
+        const auto answer = m_calls.wait(number, operator_timeout);
         if (!answer) {
-            return json_page(504, {{"error", "control did not answer in time; the change may yet be accepted"}});
+            return json_page(504,
+                             {{"error", "control did not answer in time; the change may yet be accepted"}});
         }
         return std::visit([](const auto& each) { return encode(each); }, *answer);
     }
@@ -235,21 +242,23 @@
             return page;
         }
         if (target == "POST /v1/form") {
-            BOOST_LEAF_AUTO(document, codec::parse_json(asked.body, codec::CALLER_INPUT_LIMITS, "operator"));
+            BOOST_LEAF_AUTO(document, codec::parse_json(asked.body, codec::caller_input_limits, "operator"));
             BOOST_LEAF_AUTO(members, codec::decode<consensus::membership>(document, "operator"));
             post(consensus::formed{members});
             return json_page(200, codec::json::object());
         }
         if (target == "POST /v1/configuration") {
-            BOOST_LEAF_AUTO(document, codec::parse_json(asked.body, codec::CALLER_INPUT_LIMITS, "operator"));
+            BOOST_LEAF_AUTO(document, codec::parse_json(asked.body, codec::caller_input_limits, "operator"));
             BOOST_LEAF_AUTO(change, codec::decode<directory::change_configuration>(document, "operator"));
-            return ask([&](std::uint64_t number) { return supervision::configuration_asked{number, change}; });
+            return ask([&](std::uint64_t number) {
+                return supervision::configuration_asked{number, change};
+            });
         }
         if (target == "GET /v1/configuration") {
             return ask([](std::uint64_t number) { return supervision::configuration_shown{number}; });
         }
         if (target == "POST /v1/switch") {
-            BOOST_LEAF_AUTO(document, codec::parse_json(asked.body, codec::CALLER_INPUT_LIMITS, "operator"));
+            BOOST_LEAF_AUTO(document, codec::parse_json(asked.body, codec::caller_input_limits, "operator"));
             BOOST_LEAF_AUTO(order, codec::decode<switch_order>(document, "operator"));
             return ask([&](std::uint64_t number) {
                 return supervision::switch_asked{number, order.group, order.target};
--- a/src/gateway/internal/entry_pages.cpp
+++ b/src/gateway/internal/entry_pages.cpp
@@ -1,12 +1,12 @@
 #include "gateway/internal/entry_pages.h"
 
-#include <algorithm>
-#include <utility>
-
 #include "codec/json_codec.h"
 #include "routing/descriptions.h"
 #include "routing/reduce.h"
 
+#include <algorithm>
+#include <utility>
+
 #include <fmt/format.h>
 
 namespace hickorymount::gateway::detail {
@@ -57,8 +57,7 @@
 void count_outcome(metrics::metric_registry& into, const std::string& class_of_request,
                    const routing::caller_outcome& outcome)
 {
-    into.count("hickorymount_requests_total",
-               class_labels(class_of_request) + "," + outcome_name(outcome));
+    into.count("hickorymount_requests_total", class_labels(class_of_request) + "," + outcome_name(outcome));
 }
 
 void set_gauges(metrics::metric_registry& into, const routing::entry_state& state, std::size_t open_calls)
@@ -70,8 +69,10 @@
     for (const auto& [name, server] : state.servers) {
         const std::string labels = fmt::format(R"(backend_server="{}")", name.value);
         into.set("hickorymount_connections_share", labels, server.connections.share);
-        into.set("hickorymount_connections_idle", labels, static_cast<double>(server.connections.idle.size()));
-        into.set("hickorymount_connections_busy", labels, static_cast<double>(server.connections.busy.size()));
+        into.set("hickorymount_connections_idle", labels,
+                 static_cast<double>(server.connections.idle.size()));
+        into.set("hickorymount_connections_busy", labels,
+                 static_cast<double>(server.connections.busy.size()));
     }
     for (const auto& [name, group] : state.groups) {
         const std::string labels = fmt::format(R"(group="{}")", name.value);
--- a/src/gateway/internal/entry_pages.h
+++ b/src/gateway/internal/entry_pages.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <cstddef>
-#include <string>
-
 #include "http/types.h"
 #include "metrics/metric_registry.h"
 #include "routing/types.h"
 
+#include <cstddef>
+#include <string>
+
 namespace hickorymount::gateway::detail {
 
 http::response plain_page(int status, std::string body);
--- a/src/gateway/internal/entry_service.cpp
+++ b/src/gateway/internal/entry_service.cpp
@@ -1,13 +1,5 @@
 #include "gateway/entry_service.h"
 
-#include <atomic>
-#include <chrono>
-#include <condition_variable>
-#include <mutex>
-#include <random>
-#include <thread>
-#include <utility>
-
 #include "codec/json_codec.h"
 #include "database/descriptions.h"
 #include "gateway/internal/backend_connections.h"
@@ -26,6 +18,14 @@
 #include "runtime/control_thread.h"
 #include "runtime/worker_pool.h"
 
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+#include <random>
+#include <thread>
+#include <utility>
+
 #include <fmt/format.h>
 
 namespace hickorymount::gateway {
@@ -36,18 +36,18 @@
 using protocol::probe_report;
 using protocol::takeover_report;
 
-constexpr unsigned ADMINISTRATION_THREADS = 8;
+constexpr unsigned administration_threads = 8;
 /// Connections beyond the kept-alive ones, so that a new caller always finds a thread.
-constexpr unsigned SPARE_CALLER_THREADS = 16;
-constexpr unsigned KEEP_ALIVE_TIMEOUT_MS = 15'000;
-constexpr milliseconds PROBE_TIMEOUT{150};
-constexpr int PROBE_ATTEMPTS = 2;
-constexpr milliseconds TAKEOVER_TIMEOUT{300};
+constexpr unsigned spare_caller_threads = 16;
+constexpr unsigned keep_alive_timeout_ms = 15'000;
+constexpr milliseconds probe_timeout{150};
+constexpr int probe_attempts = 2;
+constexpr milliseconds takeover_timeout{300};
 /// Longer than any class's deadline; the reducer answers every request before.
-constexpr milliseconds CALLER_TIMEOUT{660'000};
+constexpr milliseconds caller_timeout{660'000};
 /// The balancer learns within this time that the host is stopping; until then requests are still served.
-constexpr milliseconds BALANCER_GRACE{2000};
-constexpr milliseconds DRAIN_TIMEOUT{15'000};
+constexpr milliseconds balancer_grace{2000};
+constexpr milliseconds drain_timeout{15'000};
 
 incarnation_id make_incarnation()
 {
@@ -59,17 +59,21 @@
 {
 public:
     explicit entry_process(settings::entry_settings own)
-        : m_own(std::move(own)), m_self{m_own.name, make_incarnation()}, m_log(m_own.name.value, m_own.log_level),
-          m_state(routing::entry_state{}),
+        : m_own(std::move(own)), m_self{m_own.name, make_incarnation()},
+          m_log(m_own.name.value, m_own.log_level), m_state(routing::entry_state{}),
           m_control([this](node::node_event event) { return step(std::move(event)); },
                     [] { return event_now(routing::time_passed{}); }),
-          m_administration(ADMINISTRATION_THREADS),
+          m_administration(administration_threads),
           m_backends(m_self.name.value + "." + m_self.incarnation.value,
                      [this](routing::entry_event_kind what) { post(std::move(what)); })
     {
         link::peer_handlers handlers;
-        handlers.on_message = [this](const std::string& peer, const std::string& bytes) { receive(peer, bytes); };
-        handlers.on_connected = [this](const std::string& peer) { post(routing::control_connected{host_name{peer}}); };
+        handlers.on_message = [this](const std::string& peer, const std::string& bytes) {
+            receive(peer, bytes);
+        };
+        handlers.on_connected = [this](const std::string& peer) {
+            post(routing::control_connected{host_name{peer}});
+        };
         handlers.on_problem = [this](const std::string& peer, const std::string& reason) {
             m_log.write({logging::log_level::warning, "link", peer, reason});
         };
@@ -85,10 +89,11 @@
         options.address = m_own.callers.address;
         options.port = m_own.callers.port;
         options.kept_alive_connections = m_own.caller_connections;
-        options.threads = m_own.caller_connections + SPARE_CALLER_THREADS;
-        options.keep_alive_timeout_ms = KEEP_ALIVE_TIMEOUT_MS;
-        BOOST_LEAF_ASSIGN(m_server,
-                          http::start_server(options, [this](const http::request& asked) { return serve(asked); }, {}));
+        options.threads = m_own.caller_connections + spare_caller_threads;
+        options.keep_alive_timeout_ms = keep_alive_timeout_ms;
+        BOOST_LEAF_ASSIGN(
+            m_server,
+            http::start_server(options, [this](const http::request& asked) { return serve(asked); }, {}));
         m_control.start();
         std::vector<host_name> control_hosts;
         for (const settings::control_host& host : m_own.control_hosts) {
@@ -110,11 +115,12 @@
     {
         m_log.write({logging::log_level::information, "drain", "", ""});
         m_is_draining = true;
-        std::this_thread::sleep_for(BALANCER_GRACE);
+        std::this_thread::sleep_for(balancer_grace);
         post(routing::drain_asked{});
         std::unique_lock lock(m_drained_mutex);
-        m_drained_changed.wait_for(lock, DRAIN_TIMEOUT, [this] { return m_is_drained; });
-        m_log.write({logging::log_level::information, "drained", "", fmt::format("complete={}", m_is_drained)});
+        m_drained_changed.wait_for(lock, drain_timeout, [this] { return m_is_drained; });
+        m_log.write(
+            {logging::log_level::information, "drained", "", fmt::format("complete={}", m_is_drained)});
     }
 
     void stop() override
@@ -192,7 +198,10 @@
         m_transport->send(effect.to.value, bytes);
     }
 
-    void carry_out(routing::answer_caller&& effect) { m_calls.answer(effect.request, std::move(effect.outcome)); }
+    void carry_out(routing::answer_caller&& effect)
+    {
+        m_calls.answer(effect.request, std::move(effect.outcome));
+    }
 
     void carry_out(routing::probe_server&& effect)
     {
@@ -217,9 +226,9 @@
     {
         const protocol::probe_order& order = effect.order;
         probe_report report{order.probe, order.server, std::nullopt};
-        for (int attempt = 0; attempt < PROBE_ATTEMPTS && !report.status; ++attempt) {
-            const http::call_result got =
-                http::call_once(order.address.address, order.address.port, "GET", "/v1/status", "", PROBE_TIMEOUT);
+        for (int attempt = 0; attempt < probe_attempts && !report.status; ++attempt) {
+            const http::call_result got = http::call_once(order.address.address, order.address.port, "GET",
+                                                          "/v1/status", "", probe_timeout);
             report.status = handle_failure(
                 [&]() -> result<std::optional<protocol::server_report>> {
                     if (got.status != http::call_status::answered) {
@@ -235,7 +244,7 @@
     static result<std::optional<protocol::server_report>> decode_report(const std::string& body,
                                                                         const std::string& peer)
     {
-        BOOST_LEAF_AUTO(document, codec::parse_json(body, codec::CALLER_INPUT_LIMITS, peer));
+        BOOST_LEAF_AUTO(document, codec::parse_json(body, codec::caller_input_limits, peer));
         BOOST_LEAF_AUTO(report, codec::decode<protocol::server_report>(document, peer));
         return std::optional(std::move(report));
     }
@@ -245,20 +254,22 @@
         const protocol::takeover_order& order = effect.order;
         const bool promotes = order.kind == protocol::takeover_kind::promote;
         const std::string body =
-            promotes ? codec::encode(database::promotion{order.term}).dump()
-                     : codec::encode(database::following{order.term, order.primary_address, order.start}).dump();
+            promotes
+                ? codec::encode(database::promotion{order.term}).dump()
+                : codec::encode(database::following{order.term, order.primary_address, order.start}).dump();
         takeover_report report{order.order, order.group, order.server, order.kind, order.term, false, 0};
         const http::call_result got =
             http::call_once(order.address.address, order.address.port, "POST",
-                            promotes ? "/v1/promote" : "/v1/follow", body, TAKEOVER_TIMEOUT);
+                            promotes ? "/v1/promote" : "/v1/follow", body, takeover_timeout);
         handle_failure(
             [&]() -> result<void> {
                 if (got.status != http::call_status::answered) {
                     return fail("takeover", order.server.value, got.reason);
                 }
-                BOOST_LEAF_AUTO(document,
-                                codec::parse_json(got.answer.body, codec::CALLER_INPUT_LIMITS, order.server.value));
-                BOOST_LEAF_AUTO(answer, codec::decode<database::takeover_answer>(document, order.server.value));
+                BOOST_LEAF_AUTO(document, codec::parse_json(got.answer.body, codec::caller_input_limits,
+                                                            order.server.value));
+                BOOST_LEAF_AUTO(answer,
+                                codec::decode<database::takeover_answer>(document, order.server.value));
                 report.done = answer.is_done && answer.term == order.term;
                 report.start = answer.start;
                 return {};
@@ -279,7 +290,8 @@
     http::response route(const http::request& asked)
     {
         if (asked.is_body_too_large) {
-            return detail::encode_bad_request({"decode_request", "caller", "the body is larger than the limit"}, 413);
+            return detail::encode_bad_request(
+                {"decode_request", "caller", "the body is larger than the limit"}, 413);
         }
         if (detail::is_caller_path(asked.path)) {
             return serve_caller(asked);
@@ -311,7 +323,7 @@
         std::unique_lock lock(m_page_mutex);
         m_page_wanted = true;
         post(routing::time_passed{});
-        m_page_changed.wait_for(lock, TAKEOVER_TIMEOUT, [this] { return !m_page_wanted; });
+        m_page_changed.wait_for(lock, takeover_timeout, [this] { return !m_page_wanted; });
         return m_page;
     }
 
@@ -330,18 +342,20 @@
             },
             [&](const failure& what) { return detail::encode_bad_request(what, 400); });
         const std::chrono::duration<double, std::milli> took = std::chrono::steady_clock::now() - began;
-        m_metrics.observe_ms("hickorymount_request_duration_ms", detail::class_labels(class_label), took.count());
+        m_metrics.observe_ms("hickorymount_request_duration_ms", detail::class_labels(class_label),
+                             took.count());
         return answer;
     }
 
     http::response finish_call(std::uint64_t number, std::string& class_label)
     {
-        std::optional<routing::caller_outcome> outcome = m_calls.wait(number, CALLER_TIMEOUT);
+        std::optional<routing::caller_outcome> outcome = m_calls.wait(number, caller_timeout);
         if (!outcome) {
             outcome = routing::outcome_unknown{"answer", "", "the entry host stopped"};
         }
         auto* answer = std::get_if<routing::whole_answer>(&*outcome);
-        const bool is_late = answer != nullptr && answer->valid_until && millisecond_clock::now() >= *answer->valid_until;
+        const bool is_late =
+            answer != nullptr && answer->valid_until && millisecond_clock::now() >= *answer->valid_until;
         if (is_late) {
             outcome = routing::outcome_unknown{"answer", answer->served_by.value,
                                                "the lease ran out before the answer could go out"};
@@ -352,7 +366,7 @@
         }
         detail::count_outcome(m_metrics, class_label, *outcome);
         http::response made = detail::encode_outcome(*outcome);
-        made.headers[detail::REQUEST_HEADER] =
+        made.headers[detail::request_header] =
             fmt::format("{}.{}.{}", m_self.name.value, m_self.incarnation.value, number);
         return made;
     }
@@ -361,7 +375,8 @@
     {
         return handle_failure(
             [&]() -> result<http::response> {
-                BOOST_LEAF_AUTO(document, codec::parse_json(asked.body, codec::CALLER_INPUT_LIMITS, "backend server"));
+                BOOST_LEAF_AUTO(document,
+                                codec::parse_json(asked.body, codec::caller_input_limits, "backend server"));
                 BOOST_LEAF_AUTO(report, codec::decode<protocol::server_report>(document, "backend server"));
                 post(routing::announced{std::move(report)});
                 return detail::plain_page(200, "{}");
--- a/src/gateway/internal/storage_thread.h
+++ b/src/gateway/internal/storage_thread.h
@@ -1,5 +1,9 @@
 #pragma once
 
+#include "consensus/types.h"
+#include "storage/disk.h"
+#include "storage/log_storage.h"
+
 #include <condition_variable>
 #include <functional>
 #include <memory>
@@ -8,10 +12,6 @@
 #include <variant>
 #include <vector>
 
-#include "consensus/types.h"
-#include "storage/disk.h"
-#include "storage/log_storage.h"
-
 namespace hickorymount::gateway::detail {
 
 using storage_write = std::variant<consensus::persist_log, consensus::persist_snapshot>;
@@ -23,7 +23,8 @@
     using synced_function = std::function<void(consensus::sync_id)>;
     using failed_function = std::function<void(const failure&)>;
 
-    storage_thread(std::unique_ptr<storage::disk> files, synced_function on_synced, failed_function on_failed);
+    storage_thread(std::unique_ptr<storage::disk> files, synced_function on_synced,
+                   failed_function on_failed);
     storage_thread(const storage_thread&) = delete;
     storage_thread& operator=(const storage_thread&) = delete;
     ~storage_thread();
--- a/src/gateway/operator_types.h
+++ b/src/gateway/operator_types.h
@@ -23,7 +23,8 @@
 {
     using type = gateway::switch_order;
     static constexpr std::string_view name = "switch_order";
-    static constexpr auto members = std::tuple{member{"group", &type::group}, member{"target", &type::target}};
+    static constexpr auto members =
+        std::tuple{member{"group", &type::group}, member{"target", &type::target}};
 };
 
 } // namespace hickorymount::codec
--- a/src/node/internal/control_reducer.cpp
+++ b/src/node/internal/control_reducer.cpp
@@ -1,12 +1,12 @@
 #include "node/internal/control_reducer.h"
 
-#include <algorithm>
-#include <utility>
-
 #include "consensus/reduce.h"
 #include "directory/reduce.h"
 #include "supervision/reduce.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace hickorymount::node::detail {
 
 namespace {
@@ -29,7 +29,8 @@
 void control_reducer::apply(const control_started& what)
 {
     m_state = control_state{};
-    run_consensus(consensus::started{{what.name, what.stored.identity}, what.contacts, what.stored, what.seed});
+    run_consensus(
+        consensus::started{{what.name, what.stored.identity}, what.contacts, what.stored, what.seed});
 }
 
 void control_reducer::apply(const peer_message& what)
@@ -59,7 +60,7 @@
 {
     run_consensus(consensus::timer_passed{});
     if (m_now >= m_state.supervise_at) {
-        m_state.supervise_at = m_now + supervision::SUPERVISION_INTERVAL;
+        m_state.supervise_at = m_now + supervision::supervision_interval;
         run_supervision(supervision::time_passed{});
     }
 }
@@ -86,7 +87,7 @@
 
 std::pair<control_state, time_point> control_reducer::finish()
 {
-    const bool has_news = !m_state.supervision.grants.empty() ||
+    const bool has_news = !m_state.supervision.grants.empty() || !m_state.supervision.readings.empty() ||
                           m_state.supervision.is_leading != consensus::is_serving(m_state.consensus);
     if (has_news) {
         run_supervision(supervision::log_progressed{});
@@ -125,8 +126,8 @@
 
 void control_reducer::carry_out(consensus::send_message&& effect)
 {
-    protocol::message content = std::visit([](auto&& each) { return protocol::message(std::move(each)); },
-                                           std::move(effect.content));
+    protocol::message content =
+        std::visit([](auto&& each) { return protocol::message(std::move(each)); }, std::move(effect.content));
     m_effects.emplace_back(send_to_peer{effect.to, std::move(content)});
 }
 
@@ -206,8 +207,9 @@
             ++index;
             batch.contents.emplace_back(std::move(proposal.command));
             if (!std::holds_alternative<std::monostate>(proposal.caller)) {
-                m_state.callers = std::move(m_state.callers)
-                                      .set(index, pending_caller{m_state.consensus.hard.term, proposal.caller});
+                m_state.callers =
+                    std::move(m_state.callers)
+                        .set(index, pending_caller{m_state.consensus.hard.term, proposal.caller});
             }
         }
         run_consensus(std::move(batch));
@@ -219,8 +221,8 @@
     for (const auto& [index, pending] : m_state.callers) {
         if (const auto* caller = std::get_if<supervision::operator_caller>(&pending.caller)) {
             m_effects.emplace_back(supervision::answer_operator{
-                caller->request,
-                supervision::refused_answer{"the leader changed; send the change again", m_state.consensus.leader}});
+                caller->request, supervision::refused_answer{"the leader changed; send the change again",
+                                                             m_state.consensus.leader}});
         }
     }
     m_state.callers = {};
@@ -229,7 +231,7 @@
 void control_reducer::compact_if_due()
 {
     const bool is_due =
-        m_state.consensus.commit >= m_state.consensus.latest->last_index + consensus::SNAPSHOT_ENTRIES;
+        m_state.consensus.commit >= m_state.consensus.latest->last_index + consensus::snapshot_entries;
     if (is_due) {
         run_consensus(consensus::compaction_due{m_state.directory});
     }
--- a/src/node/internal/control_reducer.h
+++ b/src/node/internal/control_reducer.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "node/types.h"
+
 #include <deque>
 #include <vector>
 
-#include "node/types.h"
-
 namespace hickorymount::node::detail {
 
 /// One step of a control host: passes events between the log, the directory and supervision until
--- a/src/node/internal/reduce.cpp
+++ b/src/node/internal/reduce.cpp
@@ -1,10 +1,10 @@
 #include "node/reduce.h"
 
-#include <utility>
-
 #include "node/internal/control_reducer.h"
 #include "routing/reduce.h"
 
+#include <utility>
+
 namespace hickorymount::node {
 
 namespace {
@@ -37,11 +37,13 @@
 node_transition reduce(node_state state, const node_event& what, const routing::read_policy& policy)
 {
     auto* const control = std::get_if<control_state>(&state);
-    if (const auto* kind = std::get_if<control_event_kind>(&what.what); kind != nullptr && control != nullptr) {
+    if (const auto* kind = std::get_if<control_event_kind>(&what.what);
+        kind != nullptr && control != nullptr) {
         return reduce_control(std::move(*control), what, *kind);
     }
     auto* const entry = std::get_if<routing::entry_state>(&state);
-    if (const auto* kind = std::get_if<routing::entry_event_kind>(&what.what); kind != nullptr && entry != nullptr) {
+    if (const auto* kind = std::get_if<routing::entry_event_kind>(&what.what);
+        kind != nullptr && entry != nullptr) {
         return reduce_entry(std::move(*entry), what, *kind, policy);
     }
     return {std::move(state), {}, time_point::max()};
--- /dev/null
+++ b/src/node/tests/failover_tests.cpp
@@ -0,0 +1,343 @@
+#include "node/tests/node_fixture.h"
+
+namespace hickorymount::node {
+namespace {
+
+using routing::not_run;
+using routing::outcome_unknown;
+using routing::whole_answer;
+
+class failover_fixture : public node_fixture
+{
+protected:
+    void SetUp() override { start_all(); }
+
+    bool waits_for_term(std::uint64_t term, milliseconds limit = milliseconds{8000})
+    {
+        return pass_until([&] { return term_of("orders") == term; }, limit);
+    }
+
+    static session::token token_of(const routing::caller_outcome& outcome)
+    {
+        const auto* answer = std::get_if<whole_answer>(&outcome);
+        return answer == nullptr ? session::token{} : answer->token;
+    }
+
+    static bool is_answered(const routing::caller_outcome& outcome)
+    {
+        return std::holds_alternative<whole_answer>(outcome);
+    }
+};
+
+TEST_F(failover_fixture, killed_primary_is_replaced_and_a_waiting_write_runs_once)
+{
+    ASSERT_TRUE(is_answered(outcome(write("entry-1", "put a 1"))));
+    pass(milliseconds{50});
+    kill("orders-1");
+    const routing::caller_outcome answered = outcome(write("entry-2", "put b 1"));
+    ASSERT_TRUE(is_answered(answered));
+    const std::string primary = primary_of("orders");
+    EXPECT_NE(primary, "orders-1");
+    EXPECT_EQ(count_records(primary, "b"), 1);
+    EXPECT_EQ(count_records(primary, "a"), 1);
+}
+
+TEST_F(failover_fixture, killed_primary_is_replaced_within_the_gap_allowed)
+{
+    kill("orders-1");
+    const time_point lost = now();
+    ASSERT_TRUE(is_answered(outcome(write("entry-1", "put a 1"))));
+    EXPECT_LE(now() - lost, milliseconds{1000});
+}
+
+TEST_F(failover_fixture, primary_lost_with_an_entry_host_unreachable_waits_for_its_lease_only)
+{
+    const std::string leading = leader();
+    isolate("entry-2", "control-");
+    kill("orders-1");
+    const time_point lost = now();
+    const routing::caller_outcome answered = outcome(write("entry-1", "put a 1"));
+    ASSERT_TRUE(is_answered(answered));
+    EXPECT_GE(now() - lost, milliseconds{500});
+    EXPECT_LE(now() - lost, milliseconds{8000});
+}
+
+TEST_F(failover_fixture, primary_cut_off_from_control_only_stays)
+{
+    isolate("orders-1", "control-");
+    pass(milliseconds{5000});
+    EXPECT_EQ(term_of("orders"), 1U);
+    EXPECT_TRUE(is_answered(outcome(write("entry-1", "put a 1"))));
+}
+
+TEST_F(failover_fixture, primary_cut_off_from_entry_hosts_only_is_replaced_and_its_write_is_not_acknowledged)
+{
+    cut("orders-1", "entry-1");
+    cut("orders-1", "entry-2");
+    const std::uint64_t request = write("entry-1", "put a 1", "log");
+    ASSERT_TRUE(waits_for_term(2));
+    ASSERT_TRUE(is_answered(outcome(request)));
+    EXPECT_EQ(count_records(primary_of("orders"), "a"), 1);
+}
+
+TEST_F(failover_fixture, primary_cut_off_from_one_entry_host_of_three_stays)
+{
+    cut("orders-1", "entry-2");
+    // Two entry hosts: one of two is no majority.
+    pass(milliseconds{4000});
+    EXPECT_EQ(term_of("orders"), 1U);
+}
+
+TEST_F(failover_fixture, frozen_primary_that_wakes_acknowledges_nothing_of_its_old_term)
+{
+    const std::uint64_t before = book("entry-1", "add pickups 1", "1764000000-frozen");
+    ASSERT_TRUE(is_answered(outcome(before)));
+    pass(milliseconds{100});
+    freeze("orders-1");
+    const std::uint64_t caught = book("entry-1", "add pickups 1", "1764000001-caught");
+    ASSERT_TRUE(waits_for_term(2));
+    pass(milliseconds{5000});
+    thaw("orders-1");
+    const routing::caller_outcome result = outcome(caught);
+    EXPECT_TRUE(std::holds_alternative<outcome_unknown>(result));
+    pass(milliseconds{1000});
+    EXPECT_EQ(backend("orders-1").role, protocol::server_role::replica);
+    EXPECT_EQ(backend("orders-1").term, 2U);
+    EXPECT_EQ(count_records("orders-1", "pickups"), 1);
+}
+
+TEST_F(failover_fixture, answer_of_a_replaced_primary_is_never_an_acknowledgement)
+{
+    // The primary runs the write, and its answer leaves after its term was closed.
+    database::fault_settings late;
+    late.late = milliseconds{3000};
+    set_faults("orders-1", late);
+    const std::uint64_t request = book("entry-1", "add pickups 1", "1764000000-late");
+    pass(milliseconds{100});
+    isolate("orders-1", "orders-");
+    ASSERT_TRUE(waits_for_term(2));
+    EXPECT_FALSE(is_answered(outcome(request)));
+}
+
+TEST_F(failover_fixture, entry_host_cut_off_from_control_acknowledges_nothing_after_its_lease)
+{
+    isolate("entry-2", "control-");
+    pass(milliseconds{2100});
+    const std::uint64_t request = write("entry-2", "put a 1");
+    pass(milliseconds{1000});
+    EXPECT_FALSE(has_outcome(request));
+    const routing::caller_outcome ended = outcome(request);
+    const auto* refused = std::get_if<not_run>(&ended);
+    ASSERT_NE(refused, nullptr);
+    EXPECT_EQ(refused->reason, routing::refusal::deadline_passed);
+    EXPECT_EQ(count_records("orders-1", "a"), 0);
+}
+
+TEST_F(failover_fixture, replica_far_behind_is_not_promoted_over_a_current_one)
+{
+    database::fault_settings behind;
+    behind.is_replication_cut = true;
+    set_faults("orders-2", behind);
+    for (int at = 0; at < 5; ++at) {
+        ASSERT_TRUE(is_answered(outcome(write("entry-1", "put key " + std::to_string(at)))));
+    }
+    pass(milliseconds{100});
+    kill("orders-1");
+    ASSERT_TRUE(waits_for_term(2));
+    EXPECT_EQ(primary_of("orders"), "orders-3");
+}
+
+TEST_F(failover_fixture, session_whose_write_was_lost_is_told)
+{
+    database::fault_settings cut_off;
+    cut_off.is_replication_cut = true;
+    set_faults("orders-2", cut_off);
+    set_faults("orders-3", cut_off);
+    const session::token token = token_of(outcome(write("entry-1", "put a 1")));
+    kill("orders-1");
+    ASSERT_TRUE(waits_for_term(2));
+    pass(milliseconds{100});
+    const routing::caller_outcome told = outcome(read("entry-2", "a", token));
+    const auto* refused = std::get_if<not_run>(&told);
+    ASSERT_NE(refused, nullptr);
+    EXPECT_EQ(refused->reason, routing::refusal::session_position_lost);
+    ASSERT_TRUE(refused->token.has_value());
+    EXPECT_TRUE(is_answered(outcome(read("entry-2", "a", *refused->token))));
+}
+
+TEST_F(failover_fixture, write_acknowledged_by_a_replica_survives_the_loss_of_the_primary)
+{
+    const routing::caller_outcome approved = outcome(write("entry-1", "put proof approved", "approval"));
+    ASSERT_TRUE(is_answered(approved));
+    kill("orders-1");
+    ASSERT_TRUE(waits_for_term(2));
+    pass(milliseconds{100});
+    const routing::caller_outcome seen = outcome(read("entry-2", "proof", token_of(approved)));
+    ASSERT_TRUE(is_answered(seen));
+    EXPECT_NE(std::get<whole_answer>(seen).body.find("approved"), std::string::npos);
+}
+
+TEST_F(failover_fixture, write_that_no_replica_holds_is_not_acknowledged_as_replicated)
+{
+    database::fault_settings cut_off;
+    cut_off.is_replication_cut = true;
+    set_faults("orders-2", cut_off);
+    set_faults("orders-3", cut_off);
+    const std::uint64_t request = write("entry-1", "put proof approved", "approval");
+    pass(milliseconds{3000});
+    EXPECT_FALSE(has_outcome(request));
+    EXPECT_TRUE(std::holds_alternative<outcome_unknown>(outcome(request)));
+}
+
+TEST_F(failover_fixture, leader_lost_together_with_the_primary_still_ends_in_a_new_term)
+{
+    kill(leader());
+    kill("orders-1");
+    ASSERT_TRUE(is_answered(outcome(write("entry-1", "put a 1"), milliseconds{8000})));
+    EXPECT_EQ(term_of("orders"), 2U);
+}
+
+TEST_F(failover_fixture, leader_lost_in_the_middle_of_a_change_is_continued_by_the_next)
+{
+    kill("orders-1");
+    ASSERT_TRUE(pass_until([this] {
+        const std::string leading = leader();
+        const auto* record =
+            leading.empty() ? nullptr : control(leading).directory.groups.find(group_name{"orders"});
+        return record != nullptr && record->phase != directory::group_phase::open;
+    }));
+    kill(leader());
+    ASSERT_TRUE(is_answered(outcome(write("entry-1", "put a 1"), milliseconds{8000})));
+    EXPECT_GE(term_of("orders"), 2U);
+}
+
+TEST_F(failover_fixture, two_primaries_lost_one_after_the_other_end_with_the_last_replica)
+{
+    ASSERT_TRUE(is_answered(outcome(write("entry-1", "put a 1"))));
+    pass(milliseconds{50});
+    kill("orders-1");
+    ASSERT_TRUE(waits_for_term(2));
+    pass(milliseconds{300});
+    kill(primary_of("orders"));
+    ASSERT_TRUE(waits_for_term(3));
+    EXPECT_TRUE(is_answered(outcome(write("entry-1", "put b 1"))));
+    EXPECT_EQ(count_records(primary_of("orders"), "a"), 1);
+}
+
+TEST_F(failover_fixture, clocks_that_drift_apart_keep_a_closed_term_unacknowledged)
+{
+    set_clock_rate(leader(), 10);
+    set_clock_rate("entry-2", -10);
+    pass(milliseconds{3000});
+    isolate("entry-2", "control-");
+    cut("orders-1", "entry-1");
+    bool overlapped = false;
+    ASSERT_TRUE(pass_until(
+        [&] {
+            const bool is_open_elsewhere = term_of("orders") == 2;
+            const bool still_acknowledges = entry("entry-2").lease.valid_until > clock_of("entry-2");
+            overlapped = overlapped || (is_open_elsewhere && still_acknowledges);
+            return is_open_elsewhere;
+        },
+        milliseconds{10'000}));
+    EXPECT_FALSE(overlapped);
+}
+
+TEST_F(failover_fixture, planned_change_shows_no_caller_an_error)
+{
+    ASSERT_TRUE(is_answered(outcome(write("entry-1", "put a 1"))));
+    pass(milliseconds{100});
+    ask_operator(leader(),
+                 supervision::switch_asked{900, group_name{"orders"}, backend_server_name{"orders-2"}});
+    std::vector<std::uint64_t> requests;
+    for (int at = 0; at < 40; ++at) {
+        requests.push_back(write(at % 2 == 0 ? "entry-1" : "entry-2", "append list x", "log"));
+        requests.push_back(read("entry-1", "a"));
+        pass(milliseconds{5});
+    }
+    for (const std::uint64_t request : requests) {
+        EXPECT_TRUE(is_answered(outcome(request)));
+    }
+    EXPECT_EQ(primary_of("orders"), "orders-2");
+    EXPECT_EQ(term_of("orders"), 2U);
+    EXPECT_EQ(count_records("orders-2", "list"), 40);
+}
+
+TEST_F(failover_fixture, leaving_primary_is_replaced_as_planned)
+{
+    database::fault_settings leaving;
+    leaving.is_leaving = true;
+    set_faults("orders-1", leaving);
+    ASSERT_TRUE(waits_for_term(2, milliseconds{2000}));
+    EXPECT_TRUE(is_answered(outcome(write("entry-1", "put a 1"))));
+    EXPECT_NE(primary_of("orders"), "orders-1");
+    EXPECT_EQ(count_records(primary_of("orders"), "a"), 1);
+    EXPECT_EQ(backend(primary_of("orders")).log.find(1)->term, 2U);
+}
+
+TEST_F(failover_fixture, delay_and_loss_on_the_links_cause_no_change)
+{
+    int message = 0;
+    message_filter = [&](const std::string&, const std::string&, const protocol::message&) {
+        return ++message % 100 != 0;
+    };
+    for (int at = 0; at < 200; ++at) {
+        ASSERT_TRUE(
+            is_answered(outcome(write(at % 2 == 0 ? "entry-1" : "entry-2", "put a " + std::to_string(at)))));
+        pass(milliseconds{50});
+    }
+    EXPECT_EQ(term_of("orders"), 1U);
+}
+
+TEST_F(failover_fixture, restarted_primary_without_its_data_does_not_go_on_as_primary)
+{
+    ASSERT_TRUE(is_answered(outcome(write("entry-1", "put a 1"))));
+    pass(milliseconds{50});
+    kill("orders-1");
+    restart("orders-1");
+    ASSERT_TRUE(waits_for_term(2));
+    EXPECT_NE(primary_of("orders"), "orders-1");
+    EXPECT_EQ(count_records(primary_of("orders"), "a"), 1);
+}
+
+TEST_F(failover_fixture, restarted_entry_host_that_reaches_only_a_stale_control_host_serves_nothing_old)
+{
+    const std::string away = leader() == "control-1" ? "control-2" : "control-1";
+    isolate(away);
+    pass(milliseconds{500});
+    configuration::configuration changed = default_configuration();
+    changed.deployment = "changed";
+    const std::uint64_t request = change_configuration(leader(), "second", 1, changed);
+    ASSERT_TRUE(pass_until([&] { return operator_answer(request).has_value(); }));
+    kill("entry-2");
+    isolate("entry-2", "control-");
+    heal("entry-2", away);
+    restart("entry-2");
+    pass(milliseconds{5000});
+    EXPECT_EQ(entry("entry-2").configuration->version, 0U);
+    EXPECT_FALSE(is_answered(outcome(write("entry-2", "put a 1"))));
+}
+
+TEST_F(failover_fixture, replaced_entry_host_with_the_same_name_is_a_new_holder)
+{
+    kill("entry-2");
+    restart("entry-2");
+    ASSERT_TRUE(pass_until([this] { return entry("entry-2").lease.was_valid; }));
+    int keys = 0;
+    for (const auto& [key, record] : control(leader()).directory.entry_hosts) {
+        keys += key.name == host_name{"entry-2"} ? 1 : 0;
+    }
+    EXPECT_EQ(keys, 2);
+    ASSERT_TRUE(pass_until(
+        [this] {
+            int left = 0;
+            for (const auto& [key, record] : control(leader()).directory.entry_hosts) {
+                left += key.name == host_name{"entry-2"} ? 1 : 0;
+            }
+            return left == 1;
+        },
+        milliseconds{15'000}));
+}
+
+} // namespace
+} // namespace hickorymount::node
--- a/src/node/types.h
+++ b/src/node/types.h
@@ -1,9 +1,5 @@
 #pragma once
 
-#include <cstdint>
-#include <variant>
-#include <vector>
-
 #include "base/millisecond_clock.h"
 #include "consensus/types.h"
 #include "directory/types.h"
@@ -12,6 +8,10 @@
 #include "routing/types.h"
 #include "supervision/types.h"
 
+#include <cstdint>
+#include <variant>
+#include <vector>
+
 /// The whole state of one process, and everything that can happen to it.
 namespace hickorymount::node {
 
@@ -63,7 +63,8 @@
 
 using control_event_kind =
     std::variant<control_started, peer_message, consensus::formed, consensus::synced, control_time_passed,
-                 supervision::configuration_asked, supervision::switch_asked, supervision::status_asked, supervision::configuration_shown>;
+                 supervision::configuration_asked, supervision::switch_asked, supervision::status_asked,
+                 supervision::configuration_shown>;
 
 using node_event_kind = std::variant<control_event_kind, routing::entry_event_kind>;
 
--- a/src/operations/control_client.h
+++ b/src/operations/control_client.h
@@ -1,8 +1,5 @@
 #pragma once
 
-#include <string>
-#include <vector>
-
 #include "base/error.h"
 #include "configuration/types.h"
 #include "consensus/types.h"
@@ -10,6 +7,9 @@
 #include "protocol/types.h"
 #include "supervision/types.h"
 
+#include <string>
+#include <vector>
+
 /// What operators do, for the command line tool and for the load tool.
 namespace hickorymount::operations {
 
@@ -31,10 +31,12 @@
     /// Applies a change, sending it again under the same id when an answer is lost.
     result<supervision::configuration_answer> apply(const directory::change_configuration& change) const;
 
-    result<supervision::switch_answer> change_primary(const group_name& group, const backend_server_name& target) const;
+    result<supervision::switch_answer> change_primary(const group_name& group,
+                                                      const backend_server_name& target) const;
 
 private:
-    result<std::string> ask_leader(const std::string& method, const std::string& path, const std::string& body) const;
+    result<std::string> ask_leader(const std::string& method, const std::string& path,
+                                   const std::string& body) const;
 
     std::vector<protocol::endpoint> m_control_hosts;
 };
--- a/src/operations/internal/control_client.cpp
+++ b/src/operations/internal/control_client.cpp
@@ -1,36 +1,36 @@
 #include "operations/control_client.h"
 
-#include <chrono>
-#include <thread>
-#include <utility>
-
 #include "codec/json_codec.h"
 #include "gateway/operator_types.h"
 #include "http/client.h"
 #include "supervision/descriptions.h"
 
+#include <chrono>
+#include <thread>
+#include <utility>
+
 #include <fmt/format.h>
 
 namespace hickorymount::operations {
 
 namespace {
 
-constexpr milliseconds CALL_TIMEOUT{10'000};
-constexpr milliseconds LEADER_TIMEOUT{8000};
-constexpr milliseconds RETRY_PAUSE{100};
-constexpr int STATUS_OK = 200;
-constexpr int STATUS_CONFLICT = 409;
+constexpr milliseconds call_timeout{10'000};
+constexpr milliseconds leader_timeout{8000};
+constexpr milliseconds retry_pause{100};
+constexpr int status_ok = 200;
+constexpr int status_conflict = 409;
 
 template <class T>
 result<T> decode_answer(const std::string& body)
 {
-    BOOST_LEAF_AUTO(document, codec::parse_json(body, codec::PEER_INPUT_LIMITS, "control"));
+    BOOST_LEAF_AUTO(document, codec::parse_json(body, codec::peer_input_limits, "control"));
     return codec::decode<T>(document, "control");
 }
 
 bool is_leader(const http::call_result& got)
 {
-    if (got.answer.status != STATUS_OK) {
+    if (got.answer.status != status_ok) {
         return false;
     }
     const codec::json document = codec::json::parse(got.answer.body, nullptr, false);
@@ -49,7 +49,7 @@
     consensus::membership members;
     for (const protocol::endpoint& host : m_control_hosts) {
         const http::call_result got =
-            http::call_once(host.address, host.port, "GET", "/v1/identity", "", CALL_TIMEOUT);
+            http::call_once(host.address, host.port, "GET", "/v1/identity", "", call_timeout);
         if (got.status != http::call_status::answered) {
             return fail("form", to_string(host), got.reason);
         }
@@ -58,8 +58,9 @@
     }
     const std::string body = codec::encode(members).dump();
     for (const protocol::endpoint& host : m_control_hosts) {
-        const http::call_result got = http::call_once(host.address, host.port, "POST", "/v1/form", body, CALL_TIMEOUT);
-        if (got.status != http::call_status::answered || got.answer.status != STATUS_OK) {
+        const http::call_result got =
+            http::call_once(host.address, host.port, "POST", "/v1/form", body, call_timeout);
+        if (got.status != http::call_status::answered || got.answer.status != status_ok) {
             return fail("form", to_string(host), got.reason + got.answer.body);
         }
     }
@@ -79,7 +80,8 @@
     return decode_answer<configuration::versioned_configuration>(body);
 }
 
-result<supervision::configuration_answer> control_client::apply(const directory::change_configuration& change) const
+result<supervision::configuration_answer>
+control_client::apply(const directory::change_configuration& change) const
 {
     BOOST_LEAF_AUTO(body, ask_leader("POST", "/v1/configuration", codec::encode(change).dump()));
     return decode_answer<supervision::configuration_answer>(body);
@@ -96,14 +98,14 @@
 result<std::string> control_client::ask_leader(const std::string& method, const std::string& path,
                                                const std::string& body) const
 {
-    const time_point give_up_at = millisecond_clock::now() + LEADER_TIMEOUT;
+    const time_point give_up_at = millisecond_clock::now() + leader_timeout;
     std::string last = "no control host is known";
     do {
         for (const protocol::endpoint& host : m_control_hosts) {
             const http::call_result got =
-                http::call_once(host.address, host.port, method, path, body, CALL_TIMEOUT);
+                http::call_once(host.address, host.port, method, path, body, call_timeout);
             const bool is_answer = got.status == http::call_status::answered &&
-                                   (is_leader(got) || got.answer.status == STATUS_CONFLICT);
+                                   (is_leader(got) || got.answer.status == status_conflict);
             if (is_answer) {
                 return got.answer.body;
             }
@@ -112,7 +114,7 @@
             }
             last = to_string(host) + ": " + got.reason + got.answer.body;
         }
-        std::this_thread::sleep_for(RETRY_PAUSE);
+        std::this_thread::sleep_for(retry_pause);
     } while (millisecond_clock::now() < give_up_at);
     return fail("ask", "control", "no leader answered; last: " + last);
 }
--- a/src/protocol/internal/message_codec.cpp
+++ b/src/protocol/internal/message_codec.cpp
@@ -12,7 +12,7 @@
 
 result<message> decode(std::string_view bytes, const std::string& peer)
 {
-    BOOST_LEAF_AUTO(document, codec::parse_cbor(bytes, codec::PEER_INPUT_LIMITS, peer));
+    BOOST_LEAF_AUTO(document, codec::parse_cbor(bytes, codec::peer_input_limits, peer));
     return codec::decode<message>(document, peer);
 }
 
--- a/src/protocol/message_codec.h
+++ b/src/protocol/message_codec.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <string>
-#include <string_view>
-
 #include "base/error.h"
 #include "protocol/types.h"
 
+#include <string>
+#include <string_view>
+
 namespace hickorymount::protocol {
 
 /// A message as CBOR.
--- a/src/protocol/types.h
+++ b/src/protocol/types.h
@@ -1,12 +1,5 @@
 #pragma once
 
-#include <cstdint>
-#include <map>
-#include <optional>
-#include <string>
-#include <variant>
-#include <vector>
-
 #include "base/identifier.h"
 #include "base/millisecond_clock.h"
 #include "base/shared_value.h"
@@ -15,6 +8,13 @@
 #include "directory/types.h"
 #include "session/types.h"
 
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
 /// What the system's own processes say to one another. The codec stands apart, in descriptions.h.
 namespace hickorymount::protocol {
 
@@ -41,7 +41,11 @@
 /// Parses `address:port`.
 std::optional<endpoint> parse_endpoint(std::string_view text);
 
-enum class server_role { primary, replica };
+enum class server_role
+{
+    primary,
+    replica
+};
 
 /// What a backend server says of itself, over and over.
 struct server_report
@@ -193,7 +197,11 @@
     friend bool operator==(const resume_order&, const resume_order&) = default;
 };
 
-enum class takeover_kind { promote, follow };
+enum class takeover_kind
+{
+    promote,
+    follow
+};
 
 /// Asks an entry host to tell a backend server its part in a term.
 struct takeover_order
@@ -225,7 +233,8 @@
     friend bool operator==(const takeover_report&, const takeover_report&) = default;
 };
 
-using claim_command = std::variant<directory::claim_request, directory::record_outcome, directory::withdraw_claim>;
+using claim_command =
+    std::variant<directory::claim_request, directory::record_outcome, directory::withdraw_claim>;
 
 struct claim_call
 {
@@ -244,9 +253,10 @@
 };
 
 using message =
-    std::variant<consensus::vote_request, consensus::vote_answer, consensus::append_request, consensus::append_answer,
-                 consensus::install_request, consensus::join_request, lease_request, lease_return, lease_grant,
-                 not_leader, view_update, server_reports, suspicion, probe_order, probe_report, close_order,
-                 close_confirmation, resume_order, takeover_order, takeover_report, claim_call, claim_reply>;
+    std::variant<consensus::vote_request, consensus::vote_answer, consensus::append_request,
+                 consensus::append_answer, consensus::install_request, consensus::join_request, lease_request,
+                 lease_return, lease_grant, not_leader, view_update, server_reports, suspicion, probe_order,
+                 probe_report, close_order, close_confirmation, resume_order, takeover_order, takeover_report,
+                 claim_call, claim_reply>;
 
 } // namespace hickorymount::protocol
--- a/src/routing/internal/connection_keeper.cpp
+++ b/src/routing/internal/connection_keeper.cpp
@@ -19,10 +19,7 @@
                  connections.closing.size());
 }
 
-connection_keeper::connection_keeper(entry_step& step)
-    : m_step(step)
-{
-}
+connection_keeper::connection_keeper(entry_step& step) : m_step(step) {}
 
 std::optional<connection_number> connection_keeper::take(const backend_server_name& server)
 {
@@ -66,7 +63,7 @@
     next.connections.busy.erase(connection);
     next.connections.closing.erase(connection);
     if (next.connections.opening.erase(connection) > 0) {
-        next.connections.open_after = m_step.now + CONNECTION_RETRY_PAUSE;
+        next.connections.open_after = m_step.now + connection_retry_pause;
     }
     m_step.set_server(server, std::move(next));
     adjust(server);
@@ -150,7 +147,7 @@
         return;
     }
     const bool may_open = m_step.now >= known.connections.open_after && !known.report.leaving &&
-                          m_step.now - known.heard_at < REPORT_STALE && open < known.connections.share;
+                          m_step.now - known.heard_at < report_stale && open < known.connections.share;
     if (!may_open) {
         return;
     }
--- a/src/routing/internal/connection_keeper.h
+++ b/src/routing/internal/connection_keeper.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <optional>
-
 #include "routing/internal/entry_step.h"
 
+#include <optional>
+
 namespace hickorymount::routing::detail {
 
 /// Keeps the connections to backend servers within their leased shares, and warm.
--- a/src/routing/internal/entry_step.h
+++ b/src/routing/internal/entry_step.h
@@ -1,19 +1,20 @@
 #pragma once
 
+#include "routing/read_policy.h"
+#include "routing/types.h"
+
 #include <string>
 #include <utility>
 #include <vector>
 
-#include "routing/read_policy.h"
-#include "routing/types.h"
-
 namespace hickorymount::routing::detail {
 
 /// What the handlers of one event share: the state being made, the time, and the effects.
 class entry_step
 {
 public:
-    entry_step(entry_state initial, time_point present, unix_milliseconds wall_clock, const read_policy& reads)
+    entry_step(entry_state initial, time_point present, unix_milliseconds wall_clock,
+               const read_policy& reads)
         : state(std::move(initial)), now(present), wall(wall_clock), policy(reads)
     {
     }
--- a/src/routing/internal/lease_holder.cpp
+++ b/src/routing/internal/lease_holder.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-constexpr std::size_t MAX_REMEMBERED_RENEWALS = 16;
+constexpr std::size_t max_remembered_renewals = 16;
 /// Hosts that are no leaders may name one another; a hint is followed this often at most.
-constexpr milliseconds HINT_INTERVAL{100};
+constexpr milliseconds hint_interval{100};
 
 } // namespace
 
@@ -25,7 +25,7 @@
         return;
     }
     m_step.state.leader = from;
-    const time_point valid_until = sent->second + grant.duration - LEASE_DRIFT_MARGIN;
+    const time_point valid_until = sent->second + grant.duration - lease_drift_margin;
     lease.valid_until = std::max(lease.valid_until, valid_until);
     lease.sent.erase(lease.sent.begin(), std::next(sent));
     lease.last_grant = m_step.now;
@@ -41,7 +41,7 @@
 void lease_holder::handle(const host_name& from, const protocol::not_leader& answer)
 {
     const bool is_believed = !m_step.state.leader || *m_step.state.leader == from;
-    const bool is_due = m_step.now - m_step.state.lease.hinted_at >= HINT_INTERVAL;
+    const bool is_due = m_step.now - m_step.state.lease.hinted_at >= hint_interval;
     if (!answer.leader || *answer.leader == from || !is_believed || !is_due) {
         return;
     }
@@ -62,7 +62,8 @@
     lease_state& lease = m_step.state.lease;
     if (lease.was_valid && !m_step.has_lease()) {
         lease.was_valid = false;
-        m_step.log(logging::log_level::warning, "lease_lost", m_step.state.leader.value_or(host_name{}).value, "");
+        m_step.log(logging::log_level::warning, "lease_lost", m_step.state.leader.value_or(host_name{}).value,
+                   "");
         m_connections.end_all();
     }
     if (m_step.now >= lease.renew_at) {
@@ -76,7 +77,7 @@
 void lease_holder::renew()
 {
     lease_state& lease = m_step.state.lease;
-    if (m_step.now - std::max(lease.last_grant, lease.hinted_at) > LEADER_SILENCE) {
+    if (m_step.now - std::max(lease.last_grant, lease.hinted_at) > leader_silence) {
         m_step.state.leader.reset();
     }
     protocol::lease_request request;
@@ -89,10 +90,10 @@
     request.wanted_connections = m_connections.wanted();
     m_connections.reset_peaks();
     lease.sent[request.sequence] = m_step.now;
-    if (lease.sent.size() > MAX_REMEMBERED_RENEWALS) {
+    if (lease.sent.size() > max_remembered_renewals) {
         lease.sent.erase(lease.sent.begin());
     }
-    lease.renew_at = m_step.now + LEASE_RENEWAL_INTERVAL;
+    lease.renew_at = m_step.now + lease_renewal_interval;
     m_step.send_to_leader(request);
 }
 
@@ -107,7 +108,7 @@
 void lease_holder::note_report(const protocol::server_report& report)
 {
     if (m_step.state.unsent_reports.empty()) {
-        m_step.state.reports_due = m_step.now + REPORT_INTERVAL;
+        m_step.state.reports_due = m_step.now + report_interval;
     }
     m_step.state.unsent_reports.insert_or_assign(report.name, report);
 }
--- a/src/routing/internal/read_policy.cpp
+++ b/src/routing/internal/read_policy.cpp
@@ -7,19 +7,20 @@
 namespace {
 
 /// Connections to the primary that reads leave to writes.
-constexpr std::uint32_t RESERVED_FOR_WRITES = 1;
+constexpr std::uint32_t reserved_for_writes = 1;
 
 bool has_room(const read_candidate& candidate)
 {
-    const bool is_shared = candidate.free_connections + candidate.busy_connections > RESERVED_FOR_WRITES;
-    const std::uint32_t reserved = candidate.is_primary && is_shared ? RESERVED_FOR_WRITES : 0;
+    const bool is_shared = candidate.free_connections + candidate.busy_connections > reserved_for_writes;
+    const std::uint32_t reserved = candidate.is_primary && is_shared ? reserved_for_writes : 0;
     return candidate.free_connections > reserved;
 }
 
 /// Lower is better.
 auto cost(const read_candidate& candidate)
 {
-    return std::tuple(candidate.is_primary, !candidate.covers, !candidate.is_same_zone, candidate.busy_connections);
+    return std::tuple(candidate.is_primary, !candidate.covers, !candidate.is_same_zone,
+                      candidate.busy_connections);
 }
 
 } // namespace
@@ -37,7 +38,8 @@
         const bool is_better = has_room(candidate) && (!best || cost(candidate) < cost(candidates[*best]));
         best = is_better ? at : best;
     }
-    // A full replica that covers the read is worth a wait in the queue; the primary is for what only it can do.
+    // A full replica that covers the read is worth a wait in the queue; the primary is for what only it can
+    // do.
     if (best && candidates[*best].is_primary && is_covered_by_replica) {
         return {};
     }
--- a/src/routing/internal/reduce.cpp
+++ b/src/routing/internal/reduce.cpp
@@ -1,15 +1,15 @@
 #include "routing/reduce.h"
 
-#include <algorithm>
-#include <array>
-#include <utility>
-
 #include "routing/internal/connection_keeper.h"
 #include "routing/internal/entry_step.h"
 #include "routing/internal/lease_holder.h"
 #include "routing/internal/request_desk.h"
 #include "routing/internal/view_keeper.h"
 
+#include <algorithm>
+#include <array>
+#include <utility>
+
 namespace hickorymount::routing {
 
 namespace {
@@ -19,8 +19,9 @@
 {
 public:
     entry_host(entry_state state, const entry_event& what, const read_policy& policy)
-        : m_step(std::move(state), what.now, what.wall, policy), m_connections(m_step), m_lease(m_step, m_connections),
-          m_requests(m_step, m_connections), m_view(m_step, m_connections, m_lease, m_requests)
+        : m_step(std::move(state), what.now, what.wall, policy), m_connections(m_step),
+          m_lease(m_step, m_connections), m_requests(m_step, m_connections),
+          m_view(m_step, m_connections, m_lease, m_requests)
     {
     }
 
@@ -59,7 +60,10 @@
     void receive(const host_name& from, const protocol::view_update& update) { m_view.handle(from, update); }
     void receive(const host_name& from, const protocol::close_order& order) { m_view.handle(from, order); }
     void receive(const host_name& from, const protocol::resume_order& order) { m_view.handle(from, order); }
-    void receive(const host_name& from, const protocol::server_reports& reports) { m_view.handle(from, reports); }
+    void receive(const host_name& from, const protocol::server_reports& reports)
+    {
+        m_view.handle(from, reports);
+    }
     void receive(const host_name& /*from*/, const protocol::claim_reply& reply) { m_requests.handle(reply); }
 
     void receive(const host_name& from, const protocol::probe_order& order)
@@ -139,8 +143,9 @@
 
     void finish_drain()
     {
-        const bool is_done = m_step.state.is_draining && !m_step.state.is_drained && m_step.state.requests.empty() &&
-                             m_step.state.transactions.empty() && m_step.state.records.empty();
+        const bool is_done = m_step.state.is_draining && !m_step.state.is_drained &&
+                             m_step.state.requests.empty() && m_step.state.transactions.empty() &&
+                             m_step.state.records.empty();
         if (is_done) {
             m_step.state.is_drained = true;
             m_lease.give_back();
@@ -161,7 +166,7 @@
             wake = std::min(wake, m_step.state.reports_due);
         }
         if (!m_step.state.records.empty()) {
-            wake = std::min(wake, m_step.now + CLAIM_RESEND_INTERVAL);
+            wake = std::min(wake, m_step.now + claim_resend_interval);
         }
         return wake;
     }
@@ -187,13 +192,27 @@
 
 std::string_view to_string(refusal reason)
 {
-    static constexpr std::array<std::string_view, 20> NAMES{
-        "draining",         "not_ready",           "unknown_group",     "unknown_class",    "class_not_allowed",
-        "deadline_passed",  "queue_full",          "session_position_lost", "transaction_unknown",
-        "transaction_elsewhere", "transaction_ended", "transaction_busy", "key_missing",    "key_malformed",
-        "key_too_old",      "key_reused",          "key_not_allowed",   "control_unavailable", "retries_exhausted",
-        "backend_server_refused"};
-    return NAMES[static_cast<std::size_t>(reason)];
+    static constexpr std::array<std::string_view, 20> names{"draining",
+                                                            "not_ready",
+                                                            "unknown_group",
+                                                            "unknown_class",
+                                                            "class_not_allowed",
+                                                            "deadline_passed",
+                                                            "queue_full",
+                                                            "session_position_lost",
+                                                            "transaction_unknown",
+                                                            "transaction_elsewhere",
+                                                            "transaction_ended",
+                                                            "transaction_busy",
+                                                            "key_missing",
+                                                            "key_malformed",
+                                                            "key_too_old",
+                                                            "key_reused",
+                                                            "key_not_allowed",
+                                                            "control_unavailable",
+                                                            "retries_exhausted",
+                                                            "backend_server_refused"};
+    return names[static_cast<std::size_t>(reason)];
 }
 
 } // namespace hickorymount::routing
--- a/src/routing/internal/request_desk.cpp
+++ b/src/routing/internal/request_desk.cpp
@@ -17,7 +17,7 @@
 using directory::group_phase;
 using protocol::server_role;
 
-constexpr unix_milliseconds MILLISECONDS_IN_SECOND{1000};
+constexpr unix_milliseconds milliseconds_in_second{1000};
 
 /// The time that a request key begins with: `<Unix seconds>-<text>`.
 std::optional<unix_milliseconds> key_time(const request_key& key)
@@ -30,17 +30,17 @@
     if (!is_formed || seconds < 0) {
         return std::nullopt;
     }
-    return MILLISECONDS_IN_SECOND * seconds;
+    return milliseconds_in_second * seconds;
 }
 
 /// FNV-1a, which gives the same number on every host and in every release.
 std::uint64_t statement_hash(const caller_request& asked)
 {
-    constexpr std::uint64_t OFFSET_BASIS = 14695981039346656037ULL;
-    constexpr std::uint64_t PRIME = 1099511628211ULL;
-    std::uint64_t hash = OFFSET_BASIS;
+    constexpr std::uint64_t offset_basis = 14695981039346656037ULL;
+    constexpr std::uint64_t prime = 1099511628211ULL;
+    std::uint64_t hash = offset_basis;
     for (const char each : asked.class_of_request.value + '\n' + asked.statement) {
-        hash = (hash ^ static_cast<unsigned char>(each)) * PRIME;
+        hash = (hash ^ static_cast<unsigned char>(each)) * prime;
     }
     return hash;
 }
@@ -69,7 +69,7 @@
     request_state request;
     request.asked = asked;
     request.received_at = m_step.now;
-    m_step.state.retry_budget = std::min(RETRY_BUDGET_MAX, m_step.state.retry_budget + 1);
+    m_step.state.retry_budget = std::min(retry_budget_max, m_step.state.retry_budget + 1);
     const auto& configuration = m_step.state.configuration->content;
     if (m_step.state.is_draining && !asked.transaction) {
         refuse(request, refusal::draining, "admit", "", "this entry host is stopping");
@@ -85,7 +85,8 @@
     }
     const auto settings = configuration.classes.find(asked.class_of_request);
     if (settings == configuration.classes.end()) {
-        refuse(request, refusal::unknown_class, "admit", "", "unknown class '" + asked.class_of_request.value + "'");
+        refuse(request, refusal::unknown_class, "admit", "",
+               "unknown class '" + asked.class_of_request.value + "'");
         return;
     }
     request.settings = settings->second;
@@ -94,7 +95,8 @@
         refuse(request, refusal::deadline_passed, "admit", "", "the deadline had passed on arrival");
         return;
     }
-    request.deadline = m_step.now + (asked.timeout > milliseconds{0} ? std::min(asked.timeout, limit) : limit);
+    request.deadline =
+        m_step.now + (asked.timeout > milliseconds{0} ? std::min(asked.timeout, limit) : limit);
     if (asked.transaction) {
         admit_statement_of_transaction(std::move(request));
         return;
@@ -129,19 +131,22 @@
 {
     const auto& key = request.asked.key;
     if (request.settings.repeatable && key) {
-        refuse(request, refusal::key_not_allowed, "admit", "", "the class may be repeated and takes no request key");
+        refuse(request, refusal::key_not_allowed, "admit", "",
+               "the class may be repeated and takes no request key");
         return false;
     }
     if (request.settings.repeatable) {
         return true;
     }
     if (!key) {
-        refuse(request, refusal::key_missing, "admit", "", "the class must not repeat and needs a request key");
+        refuse(request, refusal::key_missing, "admit", "",
+               "the class must not repeat and needs a request key");
         return false;
     }
     const auto made_at = key_time(*key);
-    if (!made_at || *made_at > m_step.wall + KEY_CLOCK_MARGIN) {
-        refuse(request, refusal::key_malformed, "admit", "", "expected a request key '<Unix seconds>-<text>'");
+    if (!made_at || *made_at > m_step.wall + key_clock_margin) {
+        refuse(request, refusal::key_malformed, "admit", "",
+               "expected a request key '<Unix seconds>-<text>'");
         return false;
     }
     if (m_step.wall - *made_at > request.settings.key_retention) {
@@ -173,10 +178,10 @@
     claim.holder = {m_step.state.self, request.asked.request};
     claim.statement_hash = statement_hash(request.asked);
     claim.claimed_at = m_step.wall;
-    claim.retention = request.settings.key_retention + KEY_CLOCK_MARGIN;
+    claim.retention = request.settings.key_retention + key_clock_margin;
     m_step.send_to_leader(protocol::claim_call{request.claim_call, std::move(claim)});
     m_step.set_alarm(
-        {m_step.now + CLAIM_RESEND_INTERVAL, alarm_kind::claim_resend, request.asked.request, {}, {}});
+        {m_step.now + claim_resend_interval, alarm_kind::claim_resend, request.asked.request, {}, {}});
 }
 
 void request_desk::handle(const protocol::claim_reply& reply)
@@ -213,7 +218,8 @@
         return;
     }
     case claim_verdict::outcome_unknown:
-        leave_unknown(request, "claim", "", "the key was used before, and that request's outcome is not known");
+        leave_unknown(request, "claim", "",
+                      "the key was used before, and that request's outcome is not known");
         return;
     case claim_verdict::key_reused:
         refuse(request, refusal::key_reused, "claim", "", "the key belongs to another statement");
@@ -225,7 +231,8 @@
 {
     const transaction_id& id = *request.asked.transaction;
     const transaction_state* known = m_step.state.transactions.find(id);
-    const std::string own_prefix = m_step.state.self.name.value + "." + m_step.state.self.incarnation.value + ".";
+    const std::string own_prefix =
+        m_step.state.self.name.value + "." + m_step.state.self.incarnation.value + ".";
     if (known == nullptr && id.value.rfind(own_prefix, 0) != 0) {
         const std::string holder = id.value.substr(0, id.value.find('.'));
         refuse(request, refusal::transaction_elsewhere, "admit", holder,
@@ -233,15 +240,18 @@
         return;
     }
     if (known == nullptr || known->group != request.asked.group) {
-        refuse(request, refusal::transaction_ended, "admit", "", "the transaction has ended without a commit");
+        refuse(request, refusal::transaction_ended, "admit", "",
+               "the transaction has ended without a commit");
         return;
     }
     if (known->is_busy) {
-        refuse(request, refusal::transaction_busy, "admit", "", "the transaction's last statement is still running");
+        refuse(request, refusal::transaction_busy, "admit", "",
+               "the transaction's last statement is still running");
         return;
     }
     if (request.settings.kind == statement_kind::write && !request.settings.repeatable) {
-        refuse(request, refusal::class_not_allowed, "admit", "", "a class that must not repeat takes no transaction");
+        refuse(request, refusal::class_not_allowed, "admit", "",
+               "a class that must not repeat takes no transaction");
         return;
     }
     transaction_state transaction = *known;
@@ -300,10 +310,11 @@
     const std::vector<request_number> queue = known->queue;
     for (const request_number number : queue) {
         const group_state& present = *m_step.state.groups.find(group);
-        const bool has_room = std::any_of(present.members.begin(), present.members.end(), [&](const auto& member) {
-            const server_state* server = m_step.state.servers.find(member);
-            return server != nullptr && !server->connections.idle.empty();
-        });
+        const bool has_room =
+            std::any_of(present.members.begin(), present.members.end(), [&](const auto& member) {
+                const server_state* server = m_step.state.servers.find(member);
+                return server != nullptr && !server->connections.idle.empty();
+            });
         if (!has_room) {
             return;
         }
@@ -366,7 +377,8 @@
     return true;
 }
 
-std::vector<read_candidate> request_desk::candidates(const request_state& request, const group_state& group) const
+std::vector<read_candidate> request_desk::candidates(const request_state& request,
+                                                     const group_state& group) const
 {
     const session::group_position needed = needed_position(request);
     const bool needs_lease = request.settings.max_age.has_value();
@@ -377,7 +389,7 @@
         const milliseconds silent = m_step.now - server.heard_at;
         const bool is_primary = name == group.record.primary;
         const bool is_usable = report.at.term == group.record.term && !report.leaving &&
-                               m_step.now >= server.avoid_until && silent < REPORT_STALE &&
+                               m_step.now >= server.avoid_until && silent < report_stale &&
                                (!needs_lease || m_step.has_lease());
         if (!is_usable || (is_primary && !m_step.is_term_usable(group))) {
             continue;
@@ -399,7 +411,8 @@
     return known;
 }
 
-void request_desk::start(request_state request, const backend_server_name& server, connection_number connection)
+void request_desk::start(request_state request, const backend_server_name& server,
+                         connection_number connection)
 {
     request.stage = request_stage::running;
     request.server = server;
@@ -416,10 +429,10 @@
     run.statement = request.asked.statement;
     run.term = request.term;
     run.least_position = is_write(request) ? 0 : needed_position(request).position;
-    run.timeout = std::min(STATEMENT_TIMEOUT_MAX, request.deadline - m_step.now);
+    run.timeout = std::min(statement_timeout_max, request.deadline - m_step.now);
     m_step.effects.emplace_back(std::move(run));
     m_step.set_alarm(
-        {m_step.now + SLOW_STATEMENT, alarm_kind::slow_statement, request.asked.request, {}, {}});
+        {m_step.now + slow_statement_after, alarm_kind::slow_statement, request.asked.request, {}, {}});
     m_step.set_request(std::move(request));
 }
 
@@ -457,8 +470,10 @@
     const session::group_position needed = needed_position(request);
     // The statement was sent at sent_at, so the data is at most this old now.
     const milliseconds age = what.age + (m_step.now - request.sent_at);
-    const bool is_young = !request.settings.max_age || (m_step.has_lease() && age <= *request.settings.max_age);
-    const bool is_current = what.at.term == group.record.term && (!is_primary || m_step.is_term_usable(group));
+    const bool is_young =
+        !request.settings.max_age || (m_step.has_lease() && age <= *request.settings.max_age);
+    const bool is_current =
+        what.at.term == group.record.term && (!is_primary || m_step.is_term_usable(group));
     if (!is_current || what.at.position < needed.position || !is_young) {
         request.behind.insert(request.server);
         retry_sent(std::move(request), "read", "the answer was behind the session or too old");
@@ -475,8 +490,8 @@
 void request_desk::answered_write(request_state request, const statement_answered& what)
 {
     const group_state& group = *m_step.state.groups.find(request.asked.group);
-    const bool is_valid = m_step.is_term_usable(group) && group.record.term == request.term &&
-                          what.at.term == request.term;
+    const bool is_valid =
+        m_step.is_term_usable(group) && group.record.term == request.term && what.at.term == request.term;
     if (!is_valid) {
         retry_or_unknown(std::move(request), "the term ended before the write could be acknowledged");
         return;
@@ -511,8 +526,9 @@
         opened.term = request.term;
         opened.last_used = m_step.now;
         m_step.state.transactions = std::move(m_step.state.transactions).set(id, opened);
-        m_step.set_alarm({m_step.now + TRANSACTION_IDLE_TIMEOUT, alarm_kind::transaction_idle, 0, {}, id});
-        whole_answer answer{what.body, request.asked.token, request.server, server_role::primary, id, false, {}};
+        m_step.set_alarm({m_step.now + transaction_idle_timeout, alarm_kind::transaction_idle, 0, {}, id});
+        whole_answer answer{what.body, request.asked.token, request.server, server_role::primary, id, false,
+                            {}};
         complete(request, std::move(answer));
         return;
     }
@@ -525,14 +541,16 @@
             next.last_used = m_step.now;
             m_step.state.transactions = std::move(m_step.state.transactions).set(id, next);
         }
-        whole_answer answer{what.body, request.asked.token, request.server, server_role::primary, id, false, {}};
+        whole_answer answer{what.body, request.asked.token, request.server, server_role::primary, id, false,
+                            {}};
         complete(request, std::move(answer));
         return;
     }
     m_step.state.transactions = std::move(m_step.state.transactions).erase(id);
     release_connection(request, what.connection);
     if (request.asked.what == operation::rollback) {
-        whole_answer answer{what.body, request.asked.token, request.server, server_role::primary, {}, false, {}};
+        whole_answer answer{what.body, request.asked.token, request.server, server_role::primary, {}, false,
+                            {}};
         complete(request, std::move(answer));
         return;
     }
@@ -566,7 +584,7 @@
         next.report.leaving = next.report.leaving || what.reason == server_refusal::leaving;
         next.report.at = std::max(next.report.at, what.at);
         const bool is_only_behind = what.reason == server_refusal::behind;
-        next.avoid_until = is_only_behind ? next.avoid_until : m_step.now + REFUSAL_PAUSE;
+        next.avoid_until = is_only_behind ? next.avoid_until : m_step.now + refusal_pause;
         m_step.set_server(request.server, std::move(next));
     }
     request.behind.insert(request.server);
@@ -634,24 +652,24 @@
 void request_desk::retry_sent(request_state request, const std::string& step, const std::string& detail)
 {
     request.may_have_run = true;
-    if (request.attempts >= MAX_ATTEMPTS || m_step.state.retry_budget < RETRY_COST) {
+    if (request.attempts >= max_attempts || m_step.state.retry_budget < retry_cost) {
         leave_unknown(request, step, request.server.value, detail);
         return;
     }
-    m_step.state.retry_budget -= RETRY_COST;
+    m_step.state.retry_budget -= retry_cost;
     retry_not_run(std::move(request));
 }
 
 void request_desk::retry_not_run(request_state request)
 {
-    m_step.set_alarm({m_step.now + REFUSAL_PAUSE, alarm_kind::queue_retry, 0, request.asked.group, {}});
+    m_step.set_alarm({m_step.now + refusal_pause, alarm_kind::queue_retry, 0, request.asked.group, {}});
     enqueue(std::move(request));
 }
 
 void request_desk::retry_or_unknown(request_state request, const std::string& detail)
 {
-    const bool may_repeat = request.settings.repeatable && request.asked.what == operation::run &&
-                            !request.asked.transaction;
+    const bool may_repeat =
+        request.settings.repeatable && request.asked.what == operation::run && !request.asked.transaction;
     if (!may_repeat) {
         leave_unknown(request, "write", request.server.value, detail);
         return;
@@ -664,12 +682,13 @@
     const group_state* known = m_step.state.groups.find(request.asked.group);
     const bool is_primary = known != nullptr && known->record.primary == request.server &&
                             known->record.phase == group_phase::open;
-    if (!is_primary || m_step.now - known->suspicion_sent < SUSPICION_INTERVAL) {
+    if (!is_primary || m_step.now - known->suspicion_sent < suspicion_interval) {
         return;
     }
     group_state group = *known;
     group.suspicion_sent = m_step.now;
-    m_step.send_to_leader(protocol::suspicion{request.asked.group, group.record.term, request.server, reason});
+    m_step.send_to_leader(
+        protocol::suspicion{request.asked.group, group.record.term, request.server, reason});
     m_step.set_group(request.asked.group, std::move(group));
 }
 
@@ -689,7 +708,8 @@
     }
     const auto requests = m_step.state.requests;
     for (const auto& [number, request] : requests) {
-        const bool is_confirmed = request.asked.group == group && request.stage == request_stage::replicating &&
+        const bool is_confirmed = request.asked.group == group &&
+                                  request.stage == request_stage::replicating &&
                                   request.written.position <= replicated;
         if (!is_confirmed) {
             continue;
@@ -714,8 +734,9 @@
     }
     const auto requests = m_step.state.requests;
     for (const auto& [number, request] : requests) {
-        const bool is_ended = request.asked.group == group && request.term <= term && is_write(request) &&
-                              (request.stage == request_stage::running || request.stage == request_stage::replicating);
+        const bool is_ended =
+            request.asked.group == group && request.term <= term && is_write(request) &&
+            (request.stage == request_stage::running || request.stage == request_stage::replicating);
         if (!is_ended) {
             continue;
         }
@@ -745,9 +766,9 @@
         count += transaction.group == group && transaction.term <= term ? 1 : 0;
     }
     for (const auto& [number, request] : m_step.state.requests) {
-        const bool is_in_flight = request.asked.group == group && request.term <= term && is_write(request) &&
-                                  (request.stage == request_stage::running ||
-                                   request.stage == request_stage::replicating);
+        const bool is_in_flight =
+            request.asked.group == group && request.term <= term && is_write(request) &&
+            (request.stage == request_stage::running || request.stage == request_stage::replicating);
         count += is_in_flight ? 1 : 0;
     }
     return count;
@@ -771,14 +792,16 @@
         return;
     }
     const bool may_be_claimed = request.is_claimed || request.stage == request_stage::claiming;
-    if (may_be_claimed && request.asked.key && !request.settings.repeatable && reason != refusal::key_reused) {
+    if (may_be_claimed && request.asked.key && !request.settings.repeatable &&
+        reason != refusal::key_reused) {
         record(request, directory::withdraw_claim{{request.asked.group, *request.asked.key},
                                                   {m_step.state.self, request.asked.request}});
     }
     finish(request, not_run{reason, std::move(step), std::move(peer), std::move(detail), std::move(token)});
 }
 
-void request_desk::leave_unknown(const request_state& request, std::string step, std::string peer, std::string detail)
+void request_desk::leave_unknown(const request_state& request, std::string step, std::string peer,
+                                 std::string detail)
 {
     finish(request, outcome_unknown{std::move(step), std::move(peer), std::move(detail)});
 }
@@ -801,7 +824,7 @@
 {
     pending_record pending;
     pending.call = {m_step.next_number(), std::move(command)};
-    pending.resend_at = m_step.now + CLAIM_RESEND_INTERVAL;
+    pending.resend_at = m_step.now + claim_resend_interval;
     pending.give_up_at = m_step.now + std::max(request.settings.deadline, milliseconds{10'000});
     m_step.send_to_leader(pending.call);
     m_step.state.records = std::move(m_step.state.records).set(pending.call.call, pending);
@@ -815,7 +838,7 @@
             m_step.state.records = std::move(m_step.state.records).erase(call);
         } else if (m_step.now >= pending.resend_at) {
             pending_record next = pending;
-            next.resend_at = m_step.now + CLAIM_RESEND_INTERVAL;
+            next.resend_at = m_step.now + claim_resend_interval;
             m_step.send_to_leader(next.call);
             m_step.state.records = std::move(m_step.state.records).set(call, std::move(next));
         }
@@ -833,9 +856,9 @@
         if (known == nullptr) {
             return;
         }
-        const time_point idle_at = known->last_used + TRANSACTION_IDLE_TIMEOUT;
+        const time_point idle_at = known->last_used + transaction_idle_timeout;
         if (known->is_busy || idle_at > m_step.now) {
-            const time_point next = std::max(idle_at, m_step.now + REFUSAL_PAUSE);
+            const time_point next = std::max(idle_at, m_step.now + refusal_pause);
             m_step.set_alarm({next, alarm_kind::transaction_idle, 0, {}, what.transaction});
             return;
         }
@@ -852,10 +875,10 @@
         deadline_passed(request);
         return;
     case alarm_kind::slow_statement:
-        if (request.stage == request_stage::running && m_step.now - request.sent_at >= SLOW_STATEMENT) {
+        if (request.stage == request_stage::running && m_step.now - request.sent_at >= slow_statement_after) {
             suspect(request, "no answer within the time for a slow statement");
             m_step.set_alarm(
-                {m_step.now + SUSPICION_INTERVAL, alarm_kind::slow_statement, request.asked.request, {}, {}});
+                {m_step.now + suspicion_interval, alarm_kind::slow_statement, request.asked.request, {}, {}});
         }
         return;
     case alarm_kind::claim_resend:
@@ -872,13 +895,14 @@
 {
     switch (request.stage) {
     case request_stage::claiming:
-        refuse(request, refusal::control_unavailable, "claim", m_step.state.leader.value_or(host_name{}).value,
-               "control did not confirm the claim in time");
+        refuse(request, refusal::control_unavailable, "claim",
+               m_step.state.leader.value_or(host_name{}).value, "control did not confirm the claim in time");
         return;
     case request_stage::queued: {
         const group_state* group = m_step.state.groups.find(request.asked.group);
         const std::string peer = group == nullptr ? "" : group->record.primary.value;
-        refuse(request, refusal::deadline_passed, "queue", peer, "the deadline passed before the request could run");
+        refuse(request, refusal::deadline_passed, "queue", peer,
+               "the deadline passed before the request could run");
         return;
     }
     case request_stage::replicating:
--- a/src/routing/internal/request_desk.h
+++ b/src/routing/internal/request_desk.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <string>
-
 #include "routing/internal/connection_keeper.h"
 #include "routing/internal/entry_step.h"
 
+#include <string>
+
 namespace hickorymount::routing::detail {
 
 /// Takes callers' requests from their arrival to exactly one outcome.
@@ -45,7 +45,8 @@
     bool try_start_write(const request_state& request, const group_state& group);
     bool try_start_read(const request_state& request, const group_state& group);
     void start(request_state request, const backend_server_name& server, connection_number connection);
-    [[nodiscard]] std::vector<read_candidate> candidates(const request_state& request, const group_state& group) const;
+    [[nodiscard]] std::vector<read_candidate> candidates(const request_state& request,
+                                                         const group_state& group) const;
 
     void answered_read(request_state request, const statement_answered& what);
     void answered_write(request_state request, const statement_answered& what);
@@ -59,8 +60,8 @@
     void retry_or_unknown(request_state request, const std::string& detail);
     void suspect(const request_state& request, const std::string& reason);
     void complete(const request_state& request, whole_answer answer);
-    void refuse(const request_state& request, refusal reason, std::string step, std::string peer, std::string detail,
-                std::optional<session::token> token = std::nullopt);
+    void refuse(const request_state& request, refusal reason, std::string step, std::string peer,
+                std::string detail, std::optional<session::token> token = std::nullopt);
     void leave_unknown(const request_state& request, std::string step, std::string peer, std::string detail);
     void finish(const request_state& request, caller_outcome outcome);
     void record(const request_state& request, protocol::claim_command command);
--- a/src/routing/internal/view_keeper.cpp
+++ b/src/routing/internal/view_keeper.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::int64_t MILLISECONDS_IN_SECOND = 1000;
+constexpr std::int64_t milliseconds_in_second = 1000;
 
 /// Mean of the rate known and the rate between two reports.
 std::int64_t rate_after(const server_state& known, const protocol::server_report& report, time_point now)
@@ -16,12 +16,13 @@
         return known.records_per_second;
     }
     const auto gained = static_cast<std::int64_t>(report.at.position - known.report.at.position);
-    return (known.records_per_second + gained * MILLISECONDS_IN_SECOND / elapsed) / 2;
+    return (known.records_per_second + gained * milliseconds_in_second / elapsed) / 2;
 }
 
 } // namespace
 
-view_keeper::view_keeper(entry_step& step, connection_keeper& connections, lease_holder& lease, request_desk& requests)
+view_keeper::view_keeper(entry_step& step, connection_keeper& connections, lease_holder& lease,
+                         request_desk& requests)
     : m_step(step), m_connections(connections), m_lease(lease), m_requests(requests)
 {
 }
@@ -162,7 +163,7 @@
     const std::set<group_name> held = m_step.state.held_groups;
     for (const group_name& name : held) {
         group_state group = *m_step.state.groups.find(name);
-        if (m_step.now - group.held_since >= HOLD_LIMIT) {
+        if (m_step.now - group.held_since >= hold_limit) {
             handle({}, protocol::resume_order{name, group.held_term});
             continue;
         }
@@ -180,7 +181,7 @@
     const auto servers = m_step.state.servers;
     for (const auto& [name, server] : servers) {
         const bool is_open = open_count(server.connections) > 0;
-        if (m_step.now - server.heard_at < REPORT_FORGOTTEN || is_open) {
+        if (m_step.now - server.heard_at < report_forgotten || is_open) {
             continue;
         }
         group_state group = *m_step.state.groups.find(server.report.group);
--- a/src/routing/internal/view_keeper.h
+++ b/src/routing/internal/view_keeper.h
@@ -11,7 +11,8 @@
 class view_keeper
 {
 public:
-    view_keeper(entry_step& step, connection_keeper& connections, lease_holder& lease, request_desk& requests);
+    view_keeper(entry_step& step, connection_keeper& connections, lease_holder& lease,
+                request_desk& requests);
 
     void handle(const host_name& from, const protocol::view_update& update);
     void handle(const host_name& from, const protocol::close_order& order);
--- a/src/routing/read_policy.h
+++ b/src/routing/read_policy.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include <cstddef>
-#include <optional>
-#include <vector>
-
 #include "base/identifier.h"
 #include "base/millisecond_clock.h"
 #include "protocol/types.h"
 
+#include <cstddef>
+#include <optional>
+#include <vector>
+
 namespace hickorymount::routing {
 
 /// A backend server that a read might go to, as far as the entry host knows it.
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -1,14 +1,5 @@
 #pragma once
 
-#include <compare>
-#include <cstdint>
-#include <map>
-#include <optional>
-#include <set>
-#include <string>
-#include <variant>
-#include <vector>
-
 #include "base/identifier.h"
 #include "base/millisecond_clock.h"
 #include "base/shared_map.h"
@@ -19,6 +10,15 @@
 #include "protocol/types.h"
 #include "session/types.h"
 
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
 /// What an entry host decides: where each request runs, and whether its answer may go out.
 namespace hickorymount::routing {
 
@@ -30,37 +30,43 @@
 /// Numbers the connections to backend servers of one entry host's process.
 using connection_number = std::uint64_t;
 
-inline constexpr milliseconds LEASE_RENEWAL_INTERVAL{400};
+inline constexpr milliseconds lease_renewal_interval{400};
 /// A renewal unanswered for this long goes to all control hosts.
-inline constexpr milliseconds LEADER_SILENCE{600};
+inline constexpr milliseconds leader_silence{600};
 /// Subtracted from a lease: the clocks of two hosts may differ in rate by 1% each.
-inline constexpr milliseconds LEASE_DRIFT_MARGIN{40};
+inline constexpr milliseconds lease_drift_margin{40};
 /// Reports of backend servers are passed on in batches of this interval.
-inline constexpr milliseconds REPORT_INTERVAL{20};
+inline constexpr milliseconds report_interval{20};
 /// A statement that the primary has not answered for this long makes it suspect.
-inline constexpr milliseconds SLOW_STATEMENT{300};
-inline constexpr milliseconds SUSPICION_INTERVAL{200};
-inline constexpr milliseconds CLAIM_RESEND_INTERVAL{250};
+inline constexpr milliseconds slow_statement_after{300};
+inline constexpr milliseconds suspicion_interval{200};
+inline constexpr milliseconds claim_resend_interval{250};
 /// How long a backend server that refused a statement is left alone.
-inline constexpr milliseconds REFUSAL_PAUSE{20};
-inline constexpr milliseconds CONNECTION_RETRY_PAUSE{500};
+inline constexpr milliseconds refusal_pause{20};
+inline constexpr milliseconds connection_retry_pause{500};
 /// A transaction without a statement for this long is ended.
-inline constexpr milliseconds TRANSACTION_IDLE_TIMEOUT{10'000};
+inline constexpr milliseconds transaction_idle_timeout{10'000};
 /// A drain that control does not end is ended by the entry host itself.
-inline constexpr milliseconds HOLD_LIMIT{4000};
+inline constexpr milliseconds hold_limit{4000};
 /// A backend server that has not been heard for this long gets no reads.
-inline constexpr milliseconds REPORT_STALE{1000};
+inline constexpr milliseconds report_stale{1000};
 /// A backend server that has not been heard for this long is forgotten.
-inline constexpr milliseconds REPORT_FORGOTTEN{60'000};
+inline constexpr milliseconds report_forgotten{60'000};
 /// Claims are remembered this much longer than the retention, for clocks that differ.
-inline constexpr milliseconds KEY_CLOCK_MARGIN{600'000};
-inline constexpr milliseconds STATEMENT_TIMEOUT_MAX{10'000};
-inline constexpr int MAX_ATTEMPTS = 8;
+inline constexpr milliseconds key_clock_margin{600'000};
+inline constexpr milliseconds statement_timeout_max{10'000};
+inline constexpr int max_attempts = 8;
 /// One retry of a statement that may have run costs as much as this many requests earn.
-inline constexpr std::int64_t RETRY_COST = 10;
-inline constexpr std::int64_t RETRY_BUDGET_MAX = 500;
+inline constexpr std::int64_t retry_cost = 10;
+inline constexpr std::int64_t retry_budget_max = 500;
 
-enum class operation { run, begin, commit, rollback };
+enum class operation
+{
+    run,
+    begin,
+    commit,
+    rollback
+};
 
 /// A caller's request, decoded.
 struct caller_request
@@ -79,7 +85,8 @@
     friend bool operator==(const caller_request&, const caller_request&) = default;
 };
 
-enum class refusal {
+enum class refusal
+{
     draining,
     not_ready,
     unknown_group,
@@ -143,7 +150,13 @@
 
 using caller_outcome = std::variant<whole_answer, not_run, outcome_unknown>;
 
-enum class request_stage { claiming, queued, running, replicating };
+enum class request_stage
+{
+    claiming,
+    queued,
+    running,
+    replicating
+};
 
 /// A request that has no outcome yet.
 struct request_state
@@ -228,7 +241,14 @@
     friend bool operator==(const transaction_state&, const transaction_state&) = default;
 };
 
-enum class alarm_kind { deadline, slow_statement, claim_resend, queue_retry, transaction_idle };
+enum class alarm_kind
+{
+    deadline,
+    slow_statement,
+    claim_resend,
+    queue_retry,
+    transaction_idle
+};
 
 /// Something to look at when its time has come. Alarms that no longer apply are ignored.
 struct alarm
@@ -290,7 +310,7 @@
     /// Groups whose writes are held back for a planned change.
     std::set<group_name> held_groups;
     std::uint64_t next_number = 1;
-    std::int64_t retry_budget = RETRY_BUDGET_MAX;
+    std::int64_t retry_budget = retry_budget_max;
     bool is_draining = false;
     bool is_drained = false;
 
@@ -341,7 +361,16 @@
     friend bool operator==(const statement_answered&, const statement_answered&) = default;
 };
 
-enum class server_refusal { leaving, not_primary, wrong_term, behind, busy, too_many_connections, no_transaction };
+enum class server_refusal
+{
+    leaving,
+    not_primary,
+    wrong_term,
+    behind,
+    busy,
+    too_many_connections,
+    no_transaction
+};
 
 /// The backend server refused the statement before running it. The connection stays usable.
 struct statement_refused
@@ -420,9 +449,9 @@
 };
 
 using entry_event_kind =
-    std::variant<entry_started, control_message, control_connected, announced, caller_request, statement_answered,
-                 statement_refused, statement_not_sent, statement_lost, connection_opened, connection_ended,
-                 probe_finished, takeover_finished, time_passed, drain_asked>;
+    std::variant<entry_started, control_message, control_connected, announced, caller_request,
+                 statement_answered, statement_refused, statement_not_sent, statement_lost, connection_opened,
+                 connection_ended, probe_finished, takeover_finished, time_passed, drain_asked>;
 
 struct entry_event
 {
@@ -506,8 +535,8 @@
     friend bool operator==(const drained&, const drained&) = default;
 };
 
-using entry_effect = std::variant<run_statement, open_connection, close_connection, send_to_control, answer_caller,
-                                  probe_server, tell_server, drained, logging::log_record>;
+using entry_effect = std::variant<run_statement, open_connection, close_connection, send_to_control,
+                                  answer_caller, probe_server, tell_server, drained, logging::log_record>;
 
 struct entry_transition
 {
--- a/src/session/internal/types.cpp
+++ b/src/session/internal/types.cpp
@@ -52,7 +52,7 @@
 
 result<token> parse_token(std::string_view text)
 {
-    if (text.size() > MAX_TOKEN_BYTES) {
+    if (text.size() > max_token_bytes) {
         return fail("parse_token", "caller", "session token larger than the limit");
     }
     token value;
--- /dev/null
+++ b/src/session/tests/session_tests.cpp
@@ -0,0 +1,78 @@
+#include "session/types.h"
+
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace hickorymount::session {
+namespace {
+
+class token_fixture : public ::testing::Test
+{
+protected:
+    static bool is_refused(const std::string& text)
+    {
+        return handle_failure(
+            [&]() -> result<bool> {
+                BOOST_LEAF_CHECK(parse_token(text));
+                return false;
+            },
+            [](const failure&) { return true; });
+    }
+};
+
+TEST_F(token_fixture, text_of_a_token_parses_to_the_same)
+{
+    token made = raised({}, group_name{"orders"}, {3, 1200});
+    made = raised(std::move(made), group_name{"proofs"}, {1, 7});
+    const token parsed =
+        handle_failure([&] { return parse_token(to_text(made)); }, [](const failure&) { return token{}; });
+    EXPECT_EQ(parsed, made);
+}
+
+TEST_F(token_fixture, malformed_text_is_refused)
+{
+    for (const char* text : {"orders", "orders=1", "orders=:", "=1:2", "orders=1:2x", "orders=-1:2",
+                             "a=1:2||", "a=1:2|b", "orders=99999999999999999999:1"}) {
+        EXPECT_TRUE(is_refused(text)) << text;
+    }
+    EXPECT_TRUE(is_refused(std::string(max_token_bytes + 1, 'a')));
+}
+
+TEST_F(token_fixture, raising_never_lowers)
+{
+    const token made = raised(raised({}, group_name{"a"}, {2, 5}), group_name{"a"}, {1, 900});
+    EXPECT_EQ(made.seen.at(group_name{"a"}), (group_position{2, 5}));
+}
+
+struct retention_row
+{
+    const char* name;
+    group_position seen;
+    std::vector<term_start> starts;
+    bool is_kept;
+};
+
+class retention_fixture : public ::testing::TestWithParam<retention_row>
+{
+};
+
+TEST_P(retention_fixture, position_in_history_is_judged)
+{
+    EXPECT_EQ(is_retained(GetParam().seen, GetParam().starts), GetParam().is_kept);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    rows, retention_fixture,
+    ::testing::Values(retention_row{"same_term", {2, 50}, {{1, 0}, {2, 40}}, true},
+                      retention_row{"older_term_before_start", {1, 40}, {{1, 0}, {2, 40}}, true},
+                      retention_row{"older_term_after_start", {1, 41}, {{1, 0}, {2, 40}}, false},
+                      retention_row{"lost_two_terms_ago", {1, 45}, {{1, 0}, {2, 40}, {3, 60}}, false},
+                      retention_row{
+                          "kept_then_lost_by_a_later_term", {1, 40}, {{1, 0}, {2, 40}, {3, 30}}, false},
+                      retention_row{"no_starts_known", {1, 5}, {}, true}),
+    [](const auto& info) { return info.param.name; });
+
+} // namespace
+} // namespace hickorymount::session
--- a/src/session/types.h
+++ b/src/session/types.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "base/error.h"
+#include "base/identifier.h"
+
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -7,9 +10,6 @@
 #include <string_view>
 #include <vector>
 
-#include "base/error.h"
-#include "base/identifier.h"
-
 namespace hickorymount::session {
 
 /// Numbers the primaries of one group; each change of primary takes a higher one.
@@ -47,12 +47,12 @@
     friend bool operator==(const token&, const token&) = default;
 };
 
-inline constexpr std::size_t MAX_TOKEN_BYTES = 4096;
+inline constexpr std::size_t max_token_bytes = 4096;
 
 /// `group=term:position` items joined by '|'; safe in a header and in a cookie.
 std::string to_text(const token& value);
 
-/// Errors: larger than MAX_TOKEN_BYTES, or not of the form that `to_text` gives.
+/// Errors: larger than max_token_bytes, or not of the form that `to_text` gives.
 result<token> parse_token(std::string_view text);
 
 /// `value` with the group's position raised to `position`.
--- a/src/settings/internal/types.cpp
+++ b/src/settings/internal/types.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::int64_t MAX_CALLER_CONNECTIONS = 10'000;
+constexpr std::int64_t max_caller_connections = 10'000;
 
 leaf::error_id wrong(const toml::source_region& where, const std::string& file, const std::string& expected)
 {
@@ -24,16 +24,14 @@
 class settings_reader
 {
 public:
-    settings_reader(const toml::table& table, std::string file)
-        : m_table(table), m_file(std::move(file))
-    {
-    }
+    settings_reader(const toml::table& table, std::string file) : m_table(table), m_file(std::move(file)) {}
 
     result<void> refuse_unknown(std::initializer_list<std::string_view> known) const
     {
         for (const auto& [key, node] : m_table) {
             if (std::find(known.begin(), known.end(), key.str()) == known.end()) {
-                return wrong(key.source(), m_file, fmt::format("one of {}, not '{}'", fmt::join(known, ", "), key.str()));
+                return wrong(key.source(), m_file,
+                             fmt::format("one of {}, not '{}'", fmt::join(known, ", "), key.str()));
             }
         }
         return {};
@@ -59,7 +57,8 @@
             return (each >= 'a' && each <= 'z') || (each >= '0' && each <= '9') || each == '-';
         };
         if (!std::all_of(value.begin(), value.end(), is_allowed)) {
-            return wrong(m_table.get(key)->source(), m_file, fmt::format("'{}' to be a name of a-z, 0-9 and '-'", key));
+            return wrong(m_table.get(key)->source(), m_file,
+                         fmt::format("'{}' to be a name of a-z, 0-9 and '-'", key));
         }
         return value;
     }
@@ -69,12 +68,14 @@
         BOOST_LEAF_AUTO(value, text(key));
         const auto parsed = protocol::parse_endpoint(value);
         if (!parsed) {
-            return wrong(m_table.get(key)->source(), m_file, fmt::format("'{}' to be an IP number and port", key));
+            return wrong(m_table.get(key)->source(), m_file,
+                         fmt::format("'{}' to be an IP number and port", key));
         }
         return *parsed;
     }
 
-    [[nodiscard]] result<std::uint32_t> count(std::string_view key, std::uint32_t fallback, std::int64_t most) const
+    [[nodiscard]] result<std::uint32_t> count(std::string_view key, std::uint32_t fallback,
+                                              std::int64_t most) const
     {
         const toml::node* node = m_table.get(key);
         if (node == nullptr) {
@@ -82,7 +83,8 @@
         }
         const auto value = node->value_exact<std::int64_t>();
         if (!value || *value < 1 || *value > most) {
-            return wrong(node->source(), m_file, fmt::format("'{}' to be a whole number from 1 to {}", key, most));
+            return wrong(node->source(), m_file,
+                         fmt::format("'{}' to be a whole number from 1 to {}", key, most));
         }
         return static_cast<std::uint32_t>(*value);
     }
@@ -142,7 +144,8 @@
     try {
         return toml::parse(toml_text, file);
     } catch (const toml::parse_error& problem) {
-        return wrong(problem.source(), file, fmt::format("valid TOML: {}", std::string_view(problem.description())));
+        return wrong(problem.source(), file,
+                     fmt::format("valid TOML: {}", std::string_view(problem.description())));
     }
 }
 
@@ -152,7 +155,8 @@
 {
     BOOST_LEAF_AUTO(table, parse(toml_text, file));
     const settings_reader reader(table, file);
-    BOOST_LEAF_CHECK(reader.refuse_unknown({"name", "link", "operators", "data_folder", "control_hosts", "log_level"}));
+    BOOST_LEAF_CHECK(
+        reader.refuse_unknown({"name", "link", "operators", "data_folder", "control_hosts", "log_level"}));
     control_settings made;
     BOOST_LEAF_ASSIGN(made.name.value, reader.name("name"));
     BOOST_LEAF_ASSIGN(made.link, reader.address("link"));
@@ -175,7 +179,7 @@
     BOOST_LEAF_ASSIGN(made.callers, reader.address("callers"));
     BOOST_LEAF_ASSIGN(made.control_hosts, reader.control_hosts());
     BOOST_LEAF_ASSIGN(made.caller_connections,
-                      reader.count("caller_connections", made.caller_connections, MAX_CALLER_CONNECTIONS));
+                      reader.count("caller_connections", made.caller_connections, max_caller_connections));
     BOOST_LEAF_ASSIGN(made.log_level, reader.log_level());
     return made;
 }
--- a/src/settings/types.h
+++ b/src/settings/types.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include <cstdint>
-#include <string>
-#include <vector>
-
 #include "base/error.h"
 #include "base/identifier.h"
 #include "logging/types.h"
 #include "protocol/types.h"
 
+#include <cstdint>
+#include <string>
+#include <vector>
+
 /// What one host is. Everything that operators decide comes from the questionnaire instead.
 namespace hickorymount::settings {
 
--- a/src/storage/disk.h
+++ b/src/storage/disk.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "base/error.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 
-#include "base/error.h"
-
 namespace hickorymount::storage {
 
 /// The files of one data folder. Names are plain file names within it. Errors name the file and the
