--- a/src/storage/internal/log_storage.cpp
+++ b/src/storage/internal/log_storage.cpp
@@ -1,11 +1,11 @@
 #include "storage/log_storage.h"
 
-#include <algorithm>
-
 #include "codec/json_codec.h"
 #include "consensus/descriptions.h"
 #include "storage/internal/record.h"
 
+#include <algorithm>
+
 namespace hickorymount::storage {
 
 namespace {
@@ -15,7 +15,7 @@
 using detail::record_reading;
 using detail::record_status;
 
-constexpr codec::input_limits STORED_INPUT_LIMITS{.bytes = std::size_t{1} << 32, .depth = 64};
+constexpr codec::input_limits stored_input_limits{.bytes = std::size_t{1} << 32, .depth = 64};
 
 template <class T>
 std::string encode_record(const T& value)
@@ -26,7 +26,7 @@
 template <class T>
 result<T> decode_record(std::string_view content, const std::string& file)
 {
-    BOOST_LEAF_AUTO(document, codec::parse_cbor(content, STORED_INPUT_LIMITS, file));
+    BOOST_LEAF_AUTO(document, codec::parse_cbor(content, stored_input_limits, file));
     return codec::decode<T>(document, file);
 }
 
@@ -59,10 +59,7 @@
 
 } // namespace
 
-log_storage::log_storage(disk& files)
-    : m_files(files)
-{
-}
+log_storage::log_storage(disk& files) : m_files(files) {}
 
 result<consensus::stored_state> log_storage::load(const folder_identity& fresh_identity)
 {
@@ -76,67 +73,68 @@
 
 result<void> log_storage::append(const consensus::persist_log& write)
 {
-    return m_files.append(LOG_FILE, encode_record(write));
+    return m_files.append(log_file, encode_record(write));
 }
 
 result<void> log_storage::sync()
 {
-    return m_files.sync(LOG_FILE);
+    return m_files.sync(log_file);
 }
 
 result<void> log_storage::replace(const consensus::persist_snapshot& write)
 {
-    BOOST_LEAF_CHECK(m_files.replace(SNAPSHOT_FILE, encode_record(write.content)));
+    BOOST_LEAF_CHECK(m_files.replace(snapshot_file, encode_record(write.content)));
     const consensus::persist_log rest{write.id, write.hard, write.content->last_index + 1, write.entries};
-    return m_files.replace(LOG_FILE, encode_record(rest));
+    return m_files.replace(log_file, encode_record(rest));
 }
 
 result<folder_identity> log_storage::load_identity(const folder_identity& fresh_identity)
 {
-    BOOST_LEAF_AUTO(known, m_files.read(IDENTITY_FILE));
+    BOOST_LEAF_AUTO(known, m_files.read(identity_file));
     if (known) {
         return folder_identity{*known};
     }
-    BOOST_LEAF_AUTO(log, m_files.read(LOG_FILE));
-    BOOST_LEAF_AUTO(snapshot, m_files.read(SNAPSHOT_FILE));
+    BOOST_LEAF_AUTO(log, m_files.read(log_file));
+    BOOST_LEAF_AUTO(snapshot, m_files.read(snapshot_file));
     if (log || snapshot) {
-        return fail("load", IDENTITY_FILE, "the data folder has lost its identity file");
+        return fail("load", identity_file, "the data folder has lost its identity file");
     }
-    BOOST_LEAF_CHECK(m_files.replace(IDENTITY_FILE, fresh_identity.value));
+    BOOST_LEAF_CHECK(m_files.replace(identity_file, fresh_identity.value));
     return fresh_identity;
 }
 
 result<void> log_storage::load_snapshot(consensus::stored_state& into)
 {
-    BOOST_LEAF_AUTO(bytes, m_files.read(SNAPSHOT_FILE));
+    BOOST_LEAF_AUTO(bytes, m_files.read(snapshot_file));
     if (!bytes) {
         return {};
     }
-    record_cursor cursor{*bytes, 0, SNAPSHOT_FILE};
+    record_cursor cursor{*bytes, 0, snapshot_file};
     BOOST_LEAF_AUTO(reading, read_record(cursor));
     if (reading.status != record_status::whole) {
-        return fail("load", SNAPSHOT_FILE, "bad record at offset 0");
+        return fail("load", snapshot_file, "bad record at offset 0");
     }
-    BOOST_LEAF_ASSIGN(into.latest, decode_record<shared_value<consensus::snapshot>>(reading.content, SNAPSHOT_FILE));
+    BOOST_LEAF_ASSIGN(into.latest,
+                      decode_record<shared_value<consensus::snapshot>>(reading.content, snapshot_file));
     return {};
 }
 
 result<void> log_storage::load_log(consensus::stored_state& into)
 {
-    BOOST_LEAF_AUTO(bytes, m_files.read(LOG_FILE));
+    BOOST_LEAF_AUTO(bytes, m_files.read(log_file));
     if (!bytes) {
         return {};
     }
-    record_cursor cursor{*bytes, 0, LOG_FILE};
+    record_cursor cursor{*bytes, 0, log_file};
     for (;;) {
         BOOST_LEAF_AUTO(reading, read_record(cursor));
         if (reading.status == record_status::torn) {
-            BOOST_LEAF_CHECK(m_files.replace(LOG_FILE, std::string_view(*bytes).substr(0, cursor.offset)));
+            BOOST_LEAF_CHECK(m_files.replace(log_file, std::string_view(*bytes).substr(0, cursor.offset)));
         }
         if (reading.status != record_status::whole) {
             break;
         }
-        BOOST_LEAF_AUTO(write, decode_record<consensus::persist_log>(reading.content, LOG_FILE));
+        BOOST_LEAF_AUTO(write, decode_record<consensus::persist_log>(reading.content, log_file));
         apply_write(into, std::move(write));
     }
     return {};
--- a/src/storage/internal/posix_disk.cpp
+++ b/src/storage/internal/posix_disk.cpp
@@ -2,33 +2,28 @@
 
 #include <cerrno>
 #include <cstring>
-#include <fcntl.h>
 #include <map>
+#include <utility>
+
+#include <fcntl.h>
 #include <sys/file.h>
 #include <sys/stat.h>
 #include <unistd.h>
-#include <utility>
 
 namespace hickorymount::storage {
 
 namespace {
 
-constexpr mode_t FOLDER_MODE = 0750;
-constexpr mode_t FILE_MODE = 0640;
-constexpr std::size_t READ_BYTES = 1 << 16;
+constexpr mode_t folder_mode = 0750;
+constexpr mode_t file_mode = 0640;
+constexpr std::size_t read_bytes = 1 << 16;
 
 /// Owns one file descriptor.
 class descriptor
 {
 public:
-    explicit descriptor(int number)
-        : m_number(number)
-    {
-    }
-    descriptor(descriptor&& other) noexcept
-        : m_number(std::exchange(other.m_number, -1))
-    {
-    }
+    explicit descriptor(int number) : m_number(number) {}
+    descriptor(descriptor&& other) noexcept : m_number(std::exchange(other.m_number, -1)) {}
     descriptor(const descriptor&) = delete;
     descriptor& operator=(const descriptor&) = delete;
     descriptor& operator=(descriptor&&) = delete;
@@ -69,10 +64,7 @@
 class posix_disk final : public disk
 {
 public:
-    posix_disk(std::string path, descriptor folder)
-        : m_path(std::move(path)), m_folder(std::move(folder))
-    {
-    }
+    posix_disk(std::string path, descriptor folder) : m_path(std::move(path)), m_folder(std::move(folder)) {}
 
     result<std::optional<std::string>> read(const std::string& name) override
     {
@@ -84,7 +76,7 @@
             return fail_with_errno("open", full_name(name));
         }
         std::string bytes;
-        std::string block(READ_BYTES, '\0');
+        std::string block(read_bytes, '\0');
         for (;;) {
             const ssize_t count = ::read(file.number(), block.data(), block.size());
             if (count < 0 && errno == EINTR) {
@@ -119,7 +111,7 @@
     {
         const std::string next = name + ".next";
         const descriptor file(
-            ::openat(m_folder.number(), next.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, FILE_MODE));
+            ::openat(m_folder.number(), next.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, file_mode));
         if (!file.is_open()) {
             return fail_with_errno("open", full_name(next));
         }
@@ -152,7 +144,7 @@
             return known->second.number();
         }
         descriptor file(
-            ::openat(m_folder.number(), name.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, FILE_MODE));
+            ::openat(m_folder.number(), name.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, file_mode));
         if (!file.is_open()) {
             return fail_with_errno("open", full_name(name));
         }
@@ -169,7 +161,7 @@
 
 result<std::unique_ptr<disk>> open_posix_disk(const std::string& folder)
 {
-    if (::mkdir(folder.c_str(), FOLDER_MODE) != 0 && errno != EEXIST) {
+    if (::mkdir(folder.c_str(), folder_mode) != 0 && errno != EEXIST) {
         return fail_with_errno("create", folder);
     }
     descriptor opened(::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
--- a/src/storage/internal/record.cpp
+++ b/src/storage/internal/record.cpp
@@ -10,16 +10,16 @@
 
 namespace {
 
-constexpr std::size_t LENGTH_BYTES = 4;
-constexpr std::size_t LENGTH_CHECK_BYTES = 4;
-constexpr std::size_t CONTENT_CHECK_BYTES = 8;
-constexpr std::size_t HEADER_BYTES = LENGTH_BYTES + LENGTH_CHECK_BYTES + CONTENT_CHECK_BYTES;
-constexpr unsigned BITS_IN_BYTE = 8;
+constexpr std::size_t length_bytes = 4;
+constexpr std::size_t length_check_bytes = 4;
+constexpr std::size_t content_check_bytes = 8;
+constexpr std::size_t header_bytes = length_bytes + length_check_bytes + content_check_bytes;
+constexpr unsigned bits_in_byte = 8;
 
 void put_number(std::string& into, std::uint64_t number, std::size_t bytes)
 {
     for (std::size_t at = 0; at < bytes; ++at) {
-        into.push_back(static_cast<char>(number >> (at * BITS_IN_BYTE)));
+        into.push_back(static_cast<char>(number >> (at * bits_in_byte)));
     }
 }
 
@@ -27,7 +27,7 @@
 {
     std::uint64_t number = 0;
     for (std::size_t at = 0; at < bytes; ++at) {
-        number |= std::uint64_t{static_cast<unsigned char>(from[at])} << (at * BITS_IN_BYTE);
+        number |= std::uint64_t{static_cast<unsigned char>(from[at])} << (at * bits_in_byte);
     }
     from.remove_prefix(bytes);
     return number;
@@ -48,10 +48,10 @@
 std::string frame_record(std::string_view content)
 {
     std::string record;
-    record.reserve(HEADER_BYTES + content.size());
-    put_number(record, content.size(), LENGTH_BYTES);
-    put_number(record, length_check(content.size()), LENGTH_CHECK_BYTES);
-    put_number(record, XXH3_64bits(content.data(), content.size()), CONTENT_CHECK_BYTES);
+    record.reserve(header_bytes + content.size());
+    put_number(record, content.size(), length_bytes);
+    put_number(record, length_check(content.size()), length_check_bytes);
+    put_number(record, XXH3_64bits(content.data(), content.size()), content_check_bytes);
     record.append(content);
     return record;
 }
@@ -62,15 +62,15 @@
     if (rest.empty()) {
         return record_reading{record_status::end, {}};
     }
-    if (rest.size() < HEADER_BYTES || is_zeros(rest)) {
+    if (rest.size() < header_bytes || is_zeros(rest)) {
         return record_reading{record_status::torn, {}};
     }
     const auto bad = [&](std::string_view what) {
         return fail("read_record", cursor.file, fmt::format("bad {} at offset {}", what, cursor.offset));
     };
-    const std::uint64_t length = take_number(rest, LENGTH_BYTES);
-    const std::uint64_t stored_length_check = take_number(rest, LENGTH_CHECK_BYTES);
-    const std::uint64_t stored_content_check = take_number(rest, CONTENT_CHECK_BYTES);
+    const std::uint64_t length = take_number(rest, length_bytes);
+    const std::uint64_t stored_length_check = take_number(rest, length_check_bytes);
+    const std::uint64_t stored_content_check = take_number(rest, content_check_bytes);
     if (stored_length_check != length_check(length)) {
         return bad("record length");
     }
@@ -85,7 +85,7 @@
         }
         return bad("record content");
     }
-    cursor.offset += HEADER_BYTES + length;
+    cursor.offset += header_bytes + length;
     return record_reading{record_status::whole, content};
 }
 
--- a/src/storage/internal/record.h
+++ b/src/storage/internal/record.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "base/error.h"
+
 #include <cstddef>
 #include <string>
 #include <string_view>
 
-#include "base/error.h"
-
 namespace hickorymount::storage::detail {
 
 /// Frames content as one record.
@@ -19,7 +19,12 @@
     std::string file;
 };
 
-enum class record_status { whole, end, torn };
+enum class record_status
+{
+    whole,
+    end,
+    torn
+};
 
 struct record_reading
 {
--- a/src/storage/log_storage.h
+++ b/src/storage/log_storage.h
@@ -1,17 +1,17 @@
 #pragma once
 
-#include <cstdint>
-#include <string>
-
 #include "base/error.h"
 #include "consensus/types.h"
 #include "storage/disk.h"
 
+#include <cstdint>
+#include <string>
+
 namespace hickorymount::storage {
 
-inline const std::string IDENTITY_FILE = "identity";
-inline const std::string SNAPSHOT_FILE = "snapshot";
-inline const std::string LOG_FILE = "log";
+inline const std::string identity_file = "identity";
+inline const std::string snapshot_file = "snapshot";
+inline const std::string log_file = "log";
 
 /// Keeps the replicated log in a data folder. A record is a header (length, checksum of the length,
 /// checksum of the content; little-endian) and CBOR content.
--- a/src/storage/posix_disk.h
+++ b/src/storage/posix_disk.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "storage/disk.h"
+
 #include <memory>
 #include <string>
 
-#include "storage/disk.h"
-
 namespace hickorymount::storage {
 
 /// Opens the data folder, creating it where needed. One process at a time may hold it.
--- a/src/supervision/internal/lease_keeper.cpp
+++ b/src/supervision/internal/lease_keeper.cpp
@@ -1,17 +1,18 @@
 #include "supervision/internal/lease_keeper.h"
 
-#include <algorithm>
-
 #include "consensus/reduce.h"
 
+#include <algorithm>
+
 namespace hickorymount::supervision::detail {
 
 namespace {
 
 /// A request that waits longer than this has been sent again.
-constexpr milliseconds PENDING_GRANT_TIMEOUT{1000};
+constexpr milliseconds pending_grant_timeout{1000};
 
-std::uint32_t value_or_zero(const std::map<backend_server_name, std::uint32_t>& counts, const backend_server_name& key)
+std::uint32_t value_or_zero(const std::map<backend_server_name, std::uint32_t>& counts,
+                            const backend_server_name& key)
 {
     const auto found = counts.find(key);
     return found == counts.end() ? 0 : found->second;
@@ -19,10 +20,7 @@
 
 } // namespace
 
-lease_keeper::lease_keeper(supervision_step& step)
-    : m_step(step)
-{
-}
+lease_keeper::lease_keeper(supervision_step& step) : m_step(step) {}
 
 void lease_keeper::start_leading()
 {
@@ -30,7 +28,7 @@
     for (const auto& [entry, record] : m_step.directory().entry_hosts) {
         entry_status status;
         status.zone = record.zone;
-        status.lease_end = m_step.around.consensus.leading_since + LEASE_DURATION;
+        status.lease_end = m_step.around.consensus.leading_since + lease_duration;
         m_step.state.entries = std::move(m_step.state.entries).set(entry, status);
     }
 }
@@ -93,11 +91,12 @@
     std::vector<pending_grant> waiting;
     for (const pending_grant& pending : m_step.state.grants) {
         const entry_key& entry = pending.request.entry;
-        const bool is_admitted = m_step.state.entries.contains(entry) && m_step.directory().entry_hosts.contains(entry);
+        const bool is_admitted =
+            m_step.state.entries.contains(entry) && m_step.directory().entry_hosts.contains(entry);
         const bool is_confirmed = consensus::is_confirmed_since(m_step.around.consensus, pending.after_round);
         if (is_admitted && is_confirmed && !is_held_back(entry)) {
             issue(pending);
-        } else if (m_step.now() - pending.received_at < PENDING_GRANT_TIMEOUT) {
+        } else if (m_step.now() - pending.received_at < pending_grant_timeout) {
             waiting.push_back(pending);
         }
     }
@@ -107,9 +106,9 @@
 void lease_keeper::dismiss_expired()
 {
     for (const auto& [entry, status] : m_step.state.entries) {
-        const bool is_gone = m_step.now() - status.lease_end > DISMISS_AFTER &&
-                             m_step.now() - status.last_heard > DISMISS_AFTER;
-        if (is_gone && m_step.now() - m_step.state.leading_since > LEASE_DURATION + DISMISS_AFTER &&
+        const bool is_gone = m_step.now() - status.lease_end > dismiss_after &&
+                             m_step.now() - status.last_heard > dismiss_after;
+        if (is_gone && m_step.now() - m_step.state.leading_since > lease_duration + dismiss_after &&
             m_step.state.dismissing.insert(entry).second) {
             m_step.propose(directory::dismiss_entry_host{entry});
         }
@@ -152,11 +151,11 @@
     if (pending.request.revision < m_step.state.revision) {
         send_view(entry.name);
     }
-    protocol::lease_grant grant{entry, pending.request.sequence, LEASE_DURATION, shares_for(pending.request)};
+    protocol::lease_grant grant{entry, pending.request.sequence, lease_duration, shares_for(pending.request)};
     for (const auto& [server, share] : grant.connections) {
         status.held[server] = std::max(share, value_or_zero(pending.request.held_connections, server));
     }
-    status.lease_end = std::max(status.lease_end, pending.received_at + LEASE_DURATION);
+    status.lease_end = std::max(status.lease_end, pending.received_at + lease_duration);
     status.last_heard = std::max(status.last_heard, pending.received_at);
     status.version = pending.request.version;
     status.revision = pending.request.revision;
@@ -187,7 +186,8 @@
     });
 }
 
-std::map<backend_server_name, std::uint32_t> lease_keeper::shares_for(const protocol::lease_request& request) const
+std::map<backend_server_name, std::uint32_t>
+lease_keeper::shares_for(const protocol::lease_request& request) const
 {
     std::map<backend_server_name, std::uint32_t> shares;
     const auto& groups = m_step.directory().configuration->content.groups;
@@ -200,8 +200,8 @@
     return shares;
 }
 
-std::uint32_t lease_keeper::share_for(const protocol::lease_request& request, const backend_server_name& server,
-                                      std::uint32_t limit) const
+std::uint32_t lease_keeper::share_for(const protocol::lease_request& request,
+                                      const backend_server_name& server, std::uint32_t limit) const
 {
     const std::uint32_t held = value_or_zero(request.held_connections, server);
     std::uint32_t held_by_others = 0;
--- a/src/supervision/internal/lease_keeper.h
+++ b/src/supervision/internal/lease_keeper.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "supervision/internal/supervision_step.h"
+
 #include <map>
 #include <set>
 
-#include "supervision/internal/supervision_step.h"
-
 namespace hickorymount::supervision::detail {
 
 /// Grants leases and connection shares to entry hosts, and forgets entry hosts that are gone.
@@ -33,9 +33,10 @@
     void issue(const pending_grant& pending);
     void send_view(const host_name& to);
     [[nodiscard]] bool is_held_back(const entry_key& entry) const;
-    [[nodiscard]] std::map<backend_server_name, std::uint32_t> shares_for(const protocol::lease_request& request) const;
-    [[nodiscard]] std::uint32_t share_for(const protocol::lease_request& request, const backend_server_name& server,
-                                          std::uint32_t limit) const;
+    [[nodiscard]] std::map<backend_server_name, std::uint32_t>
+    shares_for(const protocol::lease_request& request) const;
+    [[nodiscard]] std::uint32_t share_for(const protocol::lease_request& request,
+                                          const backend_server_name& server, std::uint32_t limit) const;
 
     supervision_step& m_step;
 };
--- a/src/supervision/internal/operator_desk.cpp
+++ b/src/supervision/internal/operator_desk.cpp
@@ -1,14 +1,15 @@
 #include "supervision/internal/operator_desk.h"
 
-#include <algorithm>
-
+#include "consensus/reduce.h"
 #include "supervision/reduce.h"
 
+#include <algorithm>
+
 namespace hickorymount::supervision::detail {
 
 namespace {
 
-constexpr const char* NOT_LEADER = "this host does not lead; ask the leader";
+constexpr const char* not_leader = "this host does not lead; ask the leader";
 
 } // namespace
 
@@ -20,7 +21,7 @@
 void operator_desk::handle(const configuration_asked& asked)
 {
     if (!m_step.state.is_leading) {
-        refuse(asked.request, NOT_LEADER);
+        refuse(asked.request, not_leader);
         return;
     }
     m_step.propose(asked.change, operator_caller{asked.request});
@@ -29,7 +30,7 @@
 void operator_desk::handle(const switch_asked& asked)
 {
     if (!m_step.state.is_leading) {
-        refuse(asked.request, NOT_LEADER);
+        refuse(asked.request, not_leader);
         return;
     }
     const bool is_started = m_changer.start_planned(asked.group, asked.target, "asked for by an operator");
@@ -44,10 +45,34 @@
 void operator_desk::handle(const configuration_shown& asked)
 {
     if (!m_step.state.is_leading) {
-        refuse(asked.request, NOT_LEADER);
+        refuse(asked.request, not_leader);
         return;
     }
-    m_step.effects.emplace_back(answer_operator{asked.request, shown_configuration{*m_step.directory().configuration}});
+    m_step.state.readings.push_back({asked.request, m_step.around.consensus.round});
+}
+
+void operator_desk::answer_readings()
+{
+    std::vector<pending_reading> waiting;
+    for (const pending_reading& reading : m_step.state.readings) {
+        if (consensus::is_confirmed_since(m_step.around.consensus, reading.after_round)) {
+            m_step.effects.emplace_back(
+                answer_operator{reading.request, shown_configuration{*m_step.directory().configuration}});
+        } else {
+            waiting.push_back(reading);
+        }
+    }
+    m_step.state.readings = std::move(waiting);
+}
+
+void operator_desk::refuse_waiting()
+{
+    for (const pending_in_force& pending : m_step.state.in_force) {
+        refuse(pending.request, "the leader changed; send the change again");
+    }
+    for (const pending_reading& reading : m_step.state.readings) {
+        refuse(reading.request, "the leader changed; ask again");
+    }
 }
 
 void operator_desk::handle(const operator_caller& caller, const directory::change_answer& answer)
@@ -57,7 +82,7 @@
             answer_operator{caller.request, configuration_answer{answer.outcome, answer.version, false, {}}});
         return;
     }
-    m_step.state.in_force.push_back({caller.request, answer.version, m_step.now() + IN_FORCE_TIMEOUT});
+    m_step.state.in_force.push_back({caller.request, answer.version, m_step.now() + in_force_timeout});
     answer_in_force();
 }
 
@@ -72,15 +97,16 @@
         }
         const bool is_in_force = behind.empty();
         m_step.effects.emplace_back(answer_operator{
-            pending.request, configuration_answer{directory::change_outcome::accepted, pending.version, is_in_force,
-                                                  std::move(behind)}});
+            pending.request, configuration_answer{directory::change_outcome::accepted, pending.version,
+                                                  is_in_force, std::move(behind)}});
     }
     m_step.state.in_force = std::move(waiting);
 }
 
 void operator_desk::refuse(std::uint64_t request, const std::string& reason)
 {
-    m_step.effects.emplace_back(answer_operator{request, refused_answer{reason, m_step.around.consensus.leader}});
+    m_step.effects.emplace_back(
+        answer_operator{request, refused_answer{reason, m_step.around.consensus.leader}});
 }
 
 std::vector<host_name> operator_desk::hosts_behind(configuration::configuration_version version) const
@@ -114,7 +140,8 @@
     }
     for (const auto& [name, record] : m_step.directory().groups) {
         const group_change* change = m_step.state.changes.find(name);
-        status.groups.push_back({name, record, change == nullptr ? "" : std::string(to_string(change->stage))});
+        status.groups.push_back(
+            {name, record, change == nullptr ? "" : std::string(to_string(change->stage))});
     }
     for (const auto& [name, known] : m_step.state.servers) {
         status.backend_servers.push_back(known.report);
--- a/src/supervision/internal/operator_desk.h
+++ b/src/supervision/internal/operator_desk.h
@@ -20,6 +20,11 @@
     /// The change was agreed on or refused.
     void handle(const operator_caller& caller, const directory::change_answer& answer);
 
+    /// Answers readings that a majority has confirmed by now.
+    void answer_readings();
+    /// Answers everyone who still waits, when this host stops leading.
+    void refuse_waiting();
+
     /// Answers those whose change is in force on every live entry host, or who have waited long enough.
     void answer_in_force();
 
--- a/src/supervision/internal/primary_changer.cpp
+++ b/src/supervision/internal/primary_changer.cpp
@@ -1,10 +1,10 @@
 #include "supervision/internal/primary_changer.h"
 
+#include "supervision/reduce.h"
+
 #include <algorithm>
 #include <utility>
 
-#include "supervision/reduce.h"
-
 #include <fmt/format.h>
 
 namespace hickorymount::supervision::detail {
@@ -16,7 +16,7 @@
 using protocol::server_report;
 using protocol::server_role;
 
-constexpr milliseconds ADOPTION_PAUSE{500};
+constexpr milliseconds adoption_pause{500};
 
 bool is_primary_of(const server_report& report, protocol::group_term term)
 {
@@ -40,8 +40,8 @@
 void primary_changer::handle(const host_name& /*from*/, const protocol::suspicion& suspected)
 {
     const group_record* record = m_step.directory().groups.find(suspected.group);
-    const bool fits = record != nullptr && record->phase == group_phase::open && record->term == suspected.term &&
-                      record->primary == suspected.server;
+    const bool fits = record != nullptr && record->phase == group_phase::open &&
+                      record->term == suspected.term && record->primary == suspected.server;
     if (fits) {
         start_confirming(suspected.group, *record, suspected.reason);
     }
@@ -117,13 +117,14 @@
     }
     if (const group_change* change = m_step.state.changes.find(opened.group)) {
         const change_times& times = change->times;
-        m_step.log(logging::log_level::information, "primary_changed", opened.primary.value,
-                   fmt::format("group={} term={} start={} planned={} reason=\"{}\" detection_ms={} revocation_ms={} "
-                               "positions_ms={} promotion_ms={} opening_ms={}",
-                               opened.group.value, opened.term, opened.start, change->target.has_value(),
-                               change->reason, (times.confirmed - times.suspected).count(),
-                               (times.revoked - times.confirmed).count(), (times.collected - times.revoked).count(),
-                               (times.promoted - times.collected).count(), (m_step.now() - times.promoted).count()));
+        m_step.log(
+            logging::log_level::information, "primary_changed", opened.primary.value,
+            fmt::format("group={} term={} start={} planned={} reason=\"{}\" detection_ms={} revocation_ms={} "
+                        "positions_ms={} promotion_ms={} opening_ms={}",
+                        opened.group.value, opened.term, opened.start, change->target.has_value(),
+                        change->reason, (times.confirmed - times.suspected).count(),
+                        (times.revoked - times.confirmed).count(), (times.collected - times.revoked).count(),
+                        (times.promoted - times.collected).count(), (m_step.now() - times.promoted).count()));
     }
     m_step.state.changes = std::move(m_step.state.changes).erase(opened.group);
     const std::vector<host_name> live = m_leases.live_hosts();
@@ -160,8 +161,9 @@
 {
     const group_record* record = m_step.directory().groups.find(group);
     const server_status* status = m_step.state.servers.find(target);
-    const bool is_possible = record != nullptr && record->phase == group_phase::open && record->primary != target &&
-                             status != nullptr && status->report.group == group && !status->report.leaving &&
+    const bool is_possible = record != nullptr && record->phase == group_phase::open &&
+                             record->primary != target && status != nullptr &&
+                             status->report.group == group && !status->report.leaving &&
                              !m_step.state.changes.contains(group);
     if (!is_possible) {
         return false;
@@ -213,7 +215,7 @@
     const bool is_first = report.role == server_role::primary && report.at.term > 0 &&
                           !m_step.directory().groups.contains(report.group) && !is_paused(report.group);
     if (is_first) {
-        pause(report.group, ADOPTION_PAUSE);
+        pause(report.group, adoption_pause);
         m_step.propose(directory::open_term{report.group, report.at.term, report.name, 0});
     }
 }
@@ -232,12 +234,13 @@
     }
     const bool is_astray = report.role == server_role::primary || report.at.term < record->term;
     const server_status* status = m_step.state.servers.find(report.name);
-    if (is_astray && m_step.now() - status->follow_sent >= FOLLOW_INTERVAL) {
+    if (is_astray && m_step.now() - status->follow_sent >= follow_interval) {
         send_follow(through, report, *record);
     }
 }
 
-void primary_changer::send_follow(const host_name& through, const server_report& follower, const group_record& record)
+void primary_changer::send_follow(const host_name& through, const server_report& follower,
+                                  const group_record& record)
 {
     const server_status* primary = m_step.state.servers.find(record.primary);
     const server_status* known = m_step.state.servers.find(follower.name);
@@ -275,8 +278,9 @@
         return;
     }
     const server_status* primary = m_step.state.servers.find(record.primary);
-    const time_point heard = std::max(primary == nullptr ? time_point{} : primary->heard_at, m_step.state.leading_since);
-    if (m_step.now() - heard > REPORT_SILENCE) {
+    const time_point heard =
+        std::max(primary == nullptr ? time_point{} : primary->heard_at, m_step.state.leading_since);
+    if (m_step.now() - heard > report_silence) {
         start_confirming(group, record, "no report from the primary");
         return;
     }
@@ -284,14 +288,16 @@
         return;
     }
     const auto replicas = candidates(group, group_change{});
-    const auto furthest = std::max_element(replicas.begin(), replicas.end(),
-                                           [](const auto& left, const auto& right) { return left.at < right.at; });
+    const auto furthest =
+        std::max_element(replicas.begin(), replicas.end(),
+                         [](const auto& left, const auto& right) { return left.at < right.at; });
     if (furthest != replicas.end()) {
         start_planned(group, furthest->name, "the primary is leaving");
     }
 }
 
-void primary_changer::start_confirming(const group_name& group, const group_record& record, const std::string& reason)
+void primary_changer::start_confirming(const group_name& group, const group_record& record,
+                                       const std::string& reason)
 {
     const std::vector<host_name> live = m_leases.live_hosts();
     if (m_step.state.changes.contains(group) || is_paused(group) || live.empty()) {
@@ -375,7 +381,7 @@
     change.probe = m_step.next_number();
     change.sent_at = m_step.now();
     std::vector<host_name> through = m_leases.live_hosts();
-    through.resize(std::min(through.size(), PROBES_FOR_POSITION));
+    through.resize(std::min(through.size(), probes_for_position));
     for (const server_report& candidate : candidates(group, change)) {
         probe(candidate.name, change.probe, through);
     }
@@ -401,13 +407,15 @@
         m_step.log(logging::log_level::warning, "collect_positions", group.value,
                    fmt::format("answered={} asked={}", answered.size(), asked.size()));
     }
-    const auto furthest = std::max_element(answered.begin(), answered.end(),
-                                           [](const auto& left, const auto& right) { return left.at < right.at; });
+    const auto furthest =
+        std::max_element(answered.begin(), answered.end(),
+                         [](const auto& left, const auto& right) { return left.at < right.at; });
     change.times.collected = m_step.now();
     start_naming(group, std::move(change), furthest->name);
 }
 
-void primary_changer::start_naming(const group_name& group, group_change change, const backend_server_name& candidate)
+void primary_changer::start_naming(const group_name& group, group_change change,
+                                   const backend_server_name& candidate)
 {
     change.candidate = candidate;
     change.next_term = m_step.directory().groups.find(group)->last_named_term + 1;
@@ -438,11 +446,12 @@
 
 void primary_changer::retry_promotion(const group_name& group, group_change change)
 {
-    if (++change.attempts < TAKEOVER_ATTEMPTS) {
+    if (++change.attempts < takeover_attempts) {
         send_promotion(group, std::move(change));
         return;
     }
-    m_step.log(logging::log_level::warning, "promote", change.candidate.value, "group=" + group.value + " given up");
+    m_step.log(logging::log_level::warning, "promote", change.candidate.value,
+               "group=" + group.value + " given up");
     change.target.reset();
     start_collecting(group, std::move(change));
 }
@@ -486,27 +495,27 @@
     const milliseconds since_sent = m_step.now() - change.sent_at;
     switch (change.stage) {
     case change_stage::confirming:
-        if (in_stage >= CONFIRM_TIMEOUT) {
+        if (in_stage >= confirm_timeout) {
             give_up(group, change, "not confirmed in time");
         }
         return;
     case change_stage::holding:
-        if (in_stage >= HOLD_TIMEOUT) {
+        if (in_stage >= hold_timeout) {
             give_up(group, change, "writes in flight did not end in time");
             return;
         }
         finish_revoking_if_done(group, change);
         return;
     case change_stage::catching_up:
-        if (in_stage >= HOLD_TIMEOUT) {
+        if (in_stage >= hold_timeout) {
             give_up(group, change, "the target did not catch up in time");
-        } else if (since_sent >= SUPERVISION_INTERVAL) {
+        } else if (since_sent >= supervision_interval) {
             start_catching_up(group, change);
         }
         return;
     case change_stage::revoking: {
         group_change next = change;
-        if (since_sent >= CLOSE_RESEND_INTERVAL) {
+        if (since_sent >= close_resend_interval) {
             next.sent_at = m_step.now();
             m_step.send_to_all(protocol::close_order{group, change.term, false});
         }
@@ -514,14 +523,14 @@
         return;
     }
     case change_stage::collecting:
-        if (change.positions.empty() && since_sent >= PROBE_RESEND_INTERVAL) {
+        if (change.positions.empty() && since_sent >= probe_resend_interval) {
             start_collecting(group, change);
             return;
         }
         finish_collecting_if_done(group, change);
         return;
     case change_stage::promoting:
-        if (since_sent >= TAKEOVER_TIMEOUT) {
+        if (since_sent >= takeover_timeout) {
             retry_promotion(group, change);
         }
         return;
@@ -539,10 +548,10 @@
     m_step.state.changes = std::move(m_step.state.changes).erase(group);
     if (change.target) {
         m_step.send_to_all(protocol::resume_order{group, change.term});
-        pause(group, PLANNED_RETRY_PAUSE);
+        pause(group, planned_retry_pause);
         return;
     }
-    pause(group, CONFIRM_PAUSE);
+    pause(group, confirm_pause);
 }
 
 void primary_changer::probe(const backend_server_name& server, std::uint64_t number,
@@ -578,7 +587,8 @@
     return until != nullptr && *until > m_step.now();
 }
 
-std::vector<server_report> primary_changer::candidates(const group_name& group, const group_change& change) const
+std::vector<server_report> primary_changer::candidates(const group_name& group,
+                                                       const group_change& change) const
 {
     const group_record* record = m_step.directory().groups.find(group);
     std::vector<server_report> reports;
@@ -597,7 +607,7 @@
     const bool needs_replica = std::any_of(classes.begin(), classes.end(), [](const auto& each) {
         return each.second.acknowledged_by == configuration::acknowledgement::replica;
     });
-    return needs_replica ? COLLECT_TIMEOUT_REPLICA_ACKNOWLEDGED : COLLECT_TIMEOUT;
+    return needs_replica ? collect_timeout_replica_acknowledged : collect_timeout_default;
 }
 
 } // namespace hickorymount::supervision::detail
--- a/src/supervision/internal/primary_changer.h
+++ b/src/supervision/internal/primary_changer.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <string>
-
 #include "supervision/internal/lease_keeper.h"
 #include "supervision/internal/supervision_step.h"
 
+#include <string>
+
 namespace hickorymount::supervision::detail {
 
 /// Finds lost primaries and carries out changes of primary, planned and unplanned.
@@ -36,7 +36,8 @@
                      const directory::group_record& record);
 
     void check_group(const group_name& group, const directory::group_record& record);
-    void start_confirming(const group_name& group, const directory::group_record& record, const std::string& reason);
+    void start_confirming(const group_name& group, const directory::group_record& record,
+                          const std::string& reason);
     void count_confirmation(const host_name& from, const group_name& group, group_change change,
                             const protocol::probe_report& probed);
     void start_closing(const group_name& group, group_change change);
@@ -52,7 +53,8 @@
     void advance(const group_name& group, const group_change& change);
     void give_up(const group_name& group, const group_change& change, const std::string& reason);
 
-    void probe(const backend_server_name& server, std::uint64_t number, const std::vector<host_name>& through);
+    void probe(const backend_server_name& server, std::uint64_t number,
+               const std::vector<host_name>& through);
     void set_stage(const group_name& group, group_change change, change_stage stage);
     void set_change(const group_name& group, group_change change);
     void pause(const group_name& group, milliseconds duration);
--- a/src/supervision/internal/reduce.cpp
+++ b/src/supervision/internal/reduce.cpp
@@ -1,14 +1,14 @@
 #include "supervision/reduce.h"
 
-#include <array>
-#include <utility>
-
 #include "consensus/reduce.h"
 #include "supervision/internal/lease_keeper.h"
 #include "supervision/internal/operator_desk.h"
 #include "supervision/internal/primary_changer.h"
 #include "supervision/internal/supervision_step.h"
 
+#include <array>
+#include <utility>
+
 namespace hickorymount::supervision {
 
 namespace {
@@ -29,6 +29,7 @@
         std::visit([this](const auto& each) { apply(each); }, what);
         if (m_step.state.is_leading) {
             m_leases.issue_due_grants();
+            m_desk.answer_readings();
         }
         return {std::move(m_step.state), std::move(m_step.effects)};
     }
@@ -37,14 +38,15 @@
     void follow_leadership()
     {
         const bool is_serving = consensus::is_serving(m_step.around.consensus);
-        const bool is_new_term = is_serving && m_step.state.leading_since != m_step.around.consensus.leading_since;
+        const bool is_new_term =
+            is_serving && m_step.state.leading_since != m_step.around.consensus.leading_since;
         if (m_step.state.is_leading && (!is_serving || is_new_term)) {
             stop_leading();
         }
         if (!m_step.state.is_leading && is_serving) {
             m_step.state.is_leading = true;
             m_step.state.leading_since = m_step.around.consensus.leading_since;
-            m_step.state.expire_claims_at = m_step.now() + CLAIM_EXPIRY_INTERVAL;
+            m_step.state.expire_claims_at = m_step.now() + claim_expiry_interval;
             m_leases.start_leading();
             m_step.log(logging::log_level::information, "lead", "",
                        "term=" + std::to_string(m_step.around.consensus.hard.term));
@@ -53,10 +55,7 @@
 
     void stop_leading()
     {
-        for (const pending_in_force& pending : m_step.state.in_force) {
-            m_step.effects.emplace_back(
-                answer_operator{pending.request, refused_answer{"the leader changed; send the change again", {}}});
-        }
+        m_desk.refuse_waiting();
         const protocol::view_revision revision = m_step.state.revision;
         m_step.state = supervision_state{};
         m_step.state.revision = revision;
@@ -104,7 +103,10 @@
         }
     }
 
-    void receive(const host_name& from, const protocol::probe_report& probed) { m_changer.handle(from, probed); }
+    void receive(const host_name& from, const protocol::probe_report& probed)
+    {
+        m_changer.handle(from, probed);
+    }
 
     void receive(const host_name& from, const protocol::close_confirmation& confirmed)
     {
@@ -238,7 +240,7 @@
         m_desk.answer_in_force();
         pass_on_reports();
         if (m_step.now() >= m_step.state.expire_claims_at) {
-            m_step.state.expire_claims_at = m_step.now() + CLAIM_EXPIRY_INTERVAL;
+            m_step.state.expire_claims_at = m_step.now() + claim_expiry_interval;
             m_step.propose(directory::expire_claims{m_step.around.wall});
         }
     }
@@ -266,16 +268,18 @@
 
 } // namespace
 
-supervision_transition reduce(supervision_state state, const supervision_event& what, const surroundings& around)
+supervision_transition reduce(supervision_state state, const supervision_event& what,
+                              const surroundings& around)
 {
     return supervisor(std::move(state), around).run(what);
 }
 
 std::string_view to_string(change_stage stage)
 {
-    static constexpr std::array<std::string_view, 9> NAMES{
-        "confirming", "holding", "catching_up", "closing", "revoking", "collecting", "naming", "promoting", "opening"};
-    return NAMES[static_cast<std::size_t>(stage)];
+    static constexpr std::array<std::string_view, 9> names{"confirming", "holding",   "catching_up",
+                                                           "closing",    "revoking",  "collecting",
+                                                           "naming",     "promoting", "opening"};
+    return names[static_cast<std::size_t>(stage)];
 }
 
 } // namespace hickorymount::supervision
--- a/src/supervision/internal/supervision_step.h
+++ b/src/supervision/internal/supervision_step.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "supervision/types.h"
+
 #include <string>
 #include <utility>
 #include <vector>
 
-#include "supervision/types.h"
-
 namespace hickorymount::supervision::detail {
 
 /// What the handlers of one event share: the state being made, its surroundings, and the effects.
--- a/src/supervision/types.h
+++ b/src/supervision/types.h
@@ -1,13 +1,5 @@
 #pragma once
 
-#include <cstdint>
-#include <map>
-#include <optional>
-#include <set>
-#include <string>
-#include <variant>
-#include <vector>
-
 #include "base/identifier.h"
 #include "base/millisecond_clock.h"
 #include "base/shared_map.h"
@@ -16,6 +8,14 @@
 #include "logging/types.h"
 #include "protocol/types.h"
 
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
 /// What the leading control host does beyond the log: leases, connection shares, changes of primary,
 /// claims and the operators' changes. All of it is rebuilt after a change of leader.
 namespace hickorymount::supervision {
@@ -23,32 +23,32 @@
 using directory::entry_key;
 
 /// A lease lasts this long by the leader's clock.
-inline constexpr milliseconds LEASE_DURATION{2000};
+inline constexpr milliseconds lease_duration{2000};
 /// Entry hosts stop this much earlier: clocks may differ in rate by 1% each.
-inline constexpr milliseconds LEASE_DRIFT_MARGIN{40};
-inline constexpr milliseconds SUPERVISION_INTERVAL{25};
+inline constexpr milliseconds lease_drift_margin{40};
+inline constexpr milliseconds supervision_interval{25};
 /// Silence of a primary, at all entry hosts together, that starts a check.
-inline constexpr milliseconds REPORT_SILENCE{350};
+inline constexpr milliseconds report_silence{350};
 /// A check that is not decided by then is given up.
-inline constexpr milliseconds CONFIRM_TIMEOUT{800};
-inline constexpr milliseconds CONFIRM_PAUSE{100};
-inline constexpr milliseconds CLOSE_RESEND_INTERVAL{100};
+inline constexpr milliseconds confirm_timeout{800};
+inline constexpr milliseconds confirm_pause{100};
+inline constexpr milliseconds close_resend_interval{100};
 /// Longest wait for the positions of all replicas.
-inline constexpr milliseconds COLLECT_TIMEOUT{300};
+inline constexpr milliseconds collect_timeout_default{300};
 /// The same, where a class has its writes acknowledged by a replica.
-inline constexpr milliseconds COLLECT_TIMEOUT_REPLICA_ACKNOWLEDGED{1000};
-inline constexpr milliseconds PROBE_RESEND_INTERVAL{250};
-inline constexpr milliseconds TAKEOVER_TIMEOUT{400};
-inline constexpr milliseconds FOLLOW_INTERVAL{200};
+inline constexpr milliseconds collect_timeout_replica_acknowledged{1000};
+inline constexpr milliseconds probe_resend_interval{250};
+inline constexpr milliseconds takeover_timeout{400};
+inline constexpr milliseconds follow_interval{200};
 /// Longest time for which a planned change holds new writes back.
-inline constexpr milliseconds HOLD_TIMEOUT{2500};
-inline constexpr milliseconds PLANNED_RETRY_PAUSE{5000};
+inline constexpr milliseconds hold_timeout{2500};
+inline constexpr milliseconds planned_retry_pause{5000};
 /// A dead entry host is forgotten this long after its lease ran out.
-inline constexpr milliseconds DISMISS_AFTER{3000};
-inline constexpr milliseconds IN_FORCE_TIMEOUT{5000};
-inline constexpr milliseconds CLAIM_EXPIRY_INTERVAL{60'000};
-inline constexpr std::size_t PROBES_FOR_POSITION = 3;
-inline constexpr int TAKEOVER_ATTEMPTS = 3;
+inline constexpr milliseconds dismiss_after{3000};
+inline constexpr milliseconds in_force_timeout{5000};
+inline constexpr milliseconds claim_expiry_interval{60'000};
+inline constexpr std::size_t probes_for_position = 3;
+inline constexpr int takeover_attempts = 3;
 
 /// What the leader knows of one entry host's process.
 struct entry_status
@@ -85,7 +85,8 @@
     friend bool operator==(const pending_grant&, const pending_grant&) = default;
 };
 
-enum class change_stage {
+enum class change_stage
+{
     /// Entry hosts check whether the primary is lost.
     confirming,
     /// Planned: entry hosts finish writes in flight and hold new ones.
@@ -174,6 +175,15 @@
     friend bool operator==(const pending_in_force&, const pending_in_force&) = default;
 };
 
+/// An operator's reading of the configuration, which waits for a majority to confirm the leader.
+struct pending_reading
+{
+    std::uint64_t request = 0;
+    consensus::round_number after_round = 0;
+
+    friend bool operator==(const pending_reading&, const pending_reading&) = default;
+};
+
 struct supervision_state
 {
     bool is_leading = false;
@@ -191,6 +201,7 @@
     /// Reports that entry hosts have not been sent yet.
     std::set<backend_server_name> unsent_reports;
     std::vector<pending_in_force> in_force;
+    std::vector<pending_reading> readings;
     std::uint64_t next_number = 1;
     time_point expire_claims_at{};
 
