Ask replicas for their position while a write waits for one

Cause: a write of a class acknowledged by a replica waited for the replica's next announcement (every 100 ms, through another entry host and control), so its median was 80 ms at 20 ms of lag; the failover gap of such a class held the same wait. Ruled out: detection, revocation, positions and promotion, which together took 9 ms at the median. Change: while such writes wait, idle connections to replicas ask for the position every 5 ms.

--- a/src/gateway/internal/backend_connections.cpp
+++ b/src/gateway/internal/backend_connections.cpp
@@ -17,6 +17,7 @@
 
 constexpr milliseconds open_timeout{2000};
 constexpr milliseconds stop_timeout{3000};
+constexpr milliseconds question_timeout{1000};
 
 using routing::run_statement;
 
@@ -84,14 +85,16 @@
     }).detach();
 }
 
+std::shared_ptr<backend_connections::slot> backend_connections::find(routing::connection_number connection)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_slots.find(connection);
+    return found == m_slots.end() ? nullptr : found->second;
+}
+
 void backend_connections::run(const run_statement& statement)
 {
-    std::shared_ptr<slot> own;
-    {
-        const std::lock_guard lock(m_mutex);
-        const auto found = m_slots.find(statement.connection);
-        own = found == m_slots.end() ? nullptr : found->second;
-    }
+    const std::shared_ptr<slot> own = find(statement.connection);
     if (own == nullptr) {
         m_post(
             routing::statement_not_sent{statement.request, statement.connection, "the connection had ended"});
@@ -102,6 +105,17 @@
     own->changed.notify_one();
 }
 
+void backend_connections::ask(const routing::ask_position& question)
+{
+    const std::shared_ptr<slot> own = find(question.connection);
+    if (own == nullptr) {
+        return;
+    }
+    const std::lock_guard lock(own->mutex);
+    own->question = question;
+    own->changed.notify_one();
+}
+
 void backend_connections::close(routing::connection_number connection)
 {
     const std::lock_guard lock(m_mutex);
@@ -142,7 +156,7 @@
         m_post(routing::connection_ended{order.server, order.connection, std::move(reason)});
     };
     std::unique_ptr<http::client_connection> connection;
-    const std::string problem = handle_failure(
+    std::string problem = handle_failure(
         [&]() -> result<std::string> {
             BOOST_LEAF_ASSIGN(connection, http::connect(order.address.address, order.address.port));
             const http::call_result opened =
@@ -157,42 +171,64 @@
         return;
     }
     m_post(routing::connection_opened{order.server, order.connection});
-    for (;;) {
-        run_statement run;
+    while (problem.empty()) {
+        std::optional<run_statement> run;
+        std::optional<routing::ask_position> question;
         {
             std::unique_lock lock(own->mutex);
-            own->changed.wait(lock, [&] { return own->is_closing || own->statement; });
-            if (!own->statement) {
-                break;
-            }
-            run = *std::exchange(own->statement, std::nullopt);
+            own->changed.wait(lock, [&] { return own->is_closing || own->statement || own->question; });
+            run = std::exchange(own->statement, std::nullopt);
+            question = std::exchange(own->question, std::nullopt);
         }
-        const std::string id = fmt::format("{}.{}", m_request_prefix, run.request);
-        const http::call_result got =
-            connection->call("POST", "/v1/statements", {}, encode_statement(run, id), run.timeout);
-        std::string reason = got.reason;
-        if (got.status == http::call_status::answered) {
-            const bool is_usable = handle_failure(
-                [&]() -> result<bool> {
-                    BOOST_LEAF_AUTO(event, decode_response(got.answer, run, id));
-                    m_post(std::move(event));
-                    return true;
-                },
-                [&](const failure& what) {
-                    reason = to_string(what);
-                    return false;
-                });
-            if (is_usable) {
-                continue;
-            }
+        if (run) {
+            problem = carry_out(*connection, *run);
+        } else if (question) {
+            problem = carry_out(*connection, *question);
+        } else {
+            problem = "closed";
+        }
+        if (run && !problem.empty()) {
+            connection.reset();
+            m_post(routing::statement_lost{run->request, run->connection, problem});
         }
-        connection.reset();
-        m_post(routing::statement_lost{run.request, run.connection, reason});
-        end(reason);
-        return;
     }
     connection.reset();
-    end("closed");
+    end(problem);
+}
+
+std::string backend_connections::carry_out(http::client_connection& connection, const run_statement& run)
+{
+    const std::string id = fmt::format("{}.{}", m_request_prefix, run.request);
+    const http::call_result got =
+        connection.call("POST", "/v1/statements", {}, encode_statement(run, id), run.timeout);
+    if (got.status != http::call_status::answered) {
+        return got.reason.empty() ? "no answer" : got.reason;
+    }
+    return handle_failure(
+        [&]() -> result<std::string> {
+            BOOST_LEAF_AUTO(event, decode_response(got.answer, run, id));
+            m_post(std::move(event));
+            return std::string();
+        },
+        [](const failure& what) { return to_string(what); });
+}
+
+std::string backend_connections::carry_out(http::client_connection& connection,
+                                           const routing::ask_position& question)
+{
+    const http::call_result got = connection.call("GET", "/v1/status", {}, "", question_timeout);
+    if (got.status != http::call_status::answered) {
+        return got.reason.empty() ? "no answer" : got.reason;
+    }
+    return handle_failure(
+        [&]() -> result<std::string> {
+            const std::string& peer = question.server.value;
+            BOOST_LEAF_AUTO(document, codec::parse_json(got.answer.body, codec::peer_input_limits, peer));
+            BOOST_LEAF_AUTO(report, codec::decode<protocol::server_report>(document, peer));
+            m_post(routing::position_told{question.connection, std::move(report)});
+            return std::string();
+        },
+        [](const failure& what) { return to_string(what); });
 }
 
 } // namespace hickorymount::gateway::detail
--- a/src/gateway/internal/backend_connections.h
+++ b/src/gateway/internal/backend_connections.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/client.h"
 #include "protocol/types.h"
 #include "routing/types.h"
 
@@ -26,6 +27,7 @@
 
     void open(const routing::open_connection& order);
     void run(const routing::run_statement& statement);
+    void ask(const routing::ask_position& question);
     void close(routing::connection_number connection);
 
     /// Closes all connections and waits for their threads.
@@ -38,10 +40,15 @@
         std::mutex mutex;
         std::condition_variable changed;
         std::optional<routing::run_statement> statement;
+        std::optional<routing::ask_position> question;
         bool is_closing = false;
     };
 
+    [[nodiscard]] std::shared_ptr<slot> find(routing::connection_number connection);
     void serve(const routing::open_connection& order, const std::shared_ptr<slot>& own);
+    /// Both return why the connection can't be used any more, or an empty text.
+    std::string carry_out(http::client_connection& connection, const routing::run_statement& run);
+    std::string carry_out(http::client_connection& connection, const routing::ask_position& question);
     void ended();
 
     std::string m_request_prefix;
--- a/src/gateway/internal/entry_service.cpp
+++ b/src/gateway/internal/entry_service.cpp
@@ -188,6 +188,7 @@
     }
 
     void carry_out(routing::run_statement&& effect) { m_backends.run(effect); }
+    void carry_out(routing::ask_position&& effect) { m_backends.ask(effect); }
     void carry_out(routing::open_connection&& effect) { m_backends.open(effect); }
     void carry_out(routing::close_connection&& effect) { m_backends.close(effect.connection); }
 
--- a/src/node/tests/node_fixture.cpp
+++ b/src/node/tests/node_fixture.cpp
@@ -635,6 +635,17 @@
         m_outcomes.insert_or_assign(answered->request, std::move(answered->outcome));
     } else if (const auto* run = std::get_if<routing::run_statement>(&effect)) {
         run_statement(host, *run);
+    } else if (const auto* asked = std::get_if<routing::ask_position>(&effect)) {
+        const std::string server = asked->server.value;
+        const routing::connection_number connection = asked->connection;
+        if (!is_linked(host, server) || !is_running(server)) {
+            return;
+        }
+        const std::uint64_t number = call([this, host, connection](const database::database_answer& got) {
+            deliver(host, routing::entry_event_kind(routing::position_told{
+                              connection, std::get<database::report_answer>(got).report}));
+        });
+        run_backend(server, database::report_asked{number});
     } else if (const auto* opened = std::get_if<routing::open_connection>(&effect)) {
         const std::string server = opened->server.value;
         const auto order = *opened;
--- a/src/routing/descriptions.h
+++ b/src/routing/descriptions.h
@@ -60,7 +60,8 @@
                    enumerator{"slow_statement", routing::alarm_kind::slow_statement},
                    enumerator{"claim_resend", routing::alarm_kind::claim_resend},
                    enumerator{"queue_retry", routing::alarm_kind::queue_retry},
-                   enumerator{"transaction_idle", routing::alarm_kind::transaction_idle}};
+                   enumerator{"transaction_idle", routing::alarm_kind::transaction_idle},
+                   enumerator{"position_poll", routing::alarm_kind::position_poll}};
 };
 
 template <>
@@ -199,6 +200,15 @@
                    member{"reason", &type::reason}};
 };
 
+template <>
+struct description<routing::position_told>
+{
+    using type = routing::position_told;
+    static constexpr std::string_view name = "position_told";
+    static constexpr auto members =
+        std::tuple{member{"connection", &type::connection}, member{"report", &type::report}};
+};
+
 template <>
 struct description<routing::connection_opened>
 {
@@ -276,6 +286,15 @@
                                                member{"timeout", &type::timeout}};
 };
 
+template <>
+struct description<routing::ask_position>
+{
+    using type = routing::ask_position;
+    static constexpr std::string_view name = "ask_position";
+    static constexpr auto members =
+        std::tuple{member{"server", &type::server}, member{"connection", &type::connection}};
+};
+
 template <>
 struct description<routing::open_connection>
 {
--- a/src/routing/internal/connection_keeper.cpp
+++ b/src/routing/internal/connection_keeper.cpp
@@ -62,6 +62,7 @@
     std::erase(next.connections.idle, connection);
     next.connections.busy.erase(connection);
     next.connections.closing.erase(connection);
+    next.position_asked_on = next.position_asked_on == connection ? 0 : next.position_asked_on;
     if (next.connections.opening.erase(connection) > 0) {
         next.connections.open_after = m_step.now + connection_retry_pause;
     }
--- a/src/routing/internal/reduce.cpp
+++ b/src/routing/internal/reduce.cpp
@@ -106,6 +106,12 @@
     void apply(const statement_not_sent& what) { apply_result(what); }
     void apply(const statement_lost& what) { apply_result(what); }
 
+    void apply(const position_told& told)
+    {
+        m_requests.handle(told);
+        m_view.take_report(told.report);
+    }
+
     void apply(const connection_opened& opened)
     {
         m_connections.opened(opened.server, opened.connection);
--- a/src/routing/internal/request_desk.cpp
+++ b/src/routing/internal/request_desk.cpp
@@ -511,6 +511,7 @@
     const group_name name = request.asked.group;
     m_step.set_request(std::move(request));
     confirm_replicated(name);
+    poll_positions(name);
 }
 
 void request_desk::answered_transaction(request_state request, const statement_answered& what)
@@ -724,6 +725,45 @@
     }
 }
 
+void request_desk::poll_positions(const group_name& group)
+{
+    const group_state* found = m_step.state.groups.find(group);
+    const auto& requests = m_step.state.requests;
+    const bool is_awaited = std::any_of(requests.begin(), requests.end(), [&](const auto& each) {
+        return each.second.asked.group == group && each.second.stage == request_stage::replicating;
+    });
+    if (found == nullptr || !is_awaited) {
+        return;
+    }
+    const group_state known = *found;
+    for (const backend_server_name& name : known.members) {
+        const server_state& server = *m_step.state.servers.find(name);
+        const bool may_ask = name != known.record.primary && server.position_asked_on == 0 &&
+                             m_step.now - server.heard_at < report_stale;
+        const auto connection = may_ask ? m_connections.take(name) : std::nullopt;
+        if (!connection) {
+            continue;
+        }
+        server_state next = *m_step.state.servers.find(name);
+        next.position_asked_on = *connection;
+        m_step.set_server(name, std::move(next));
+        m_step.effects.emplace_back(ask_position{name, *connection});
+    }
+    m_step.set_alarm({m_step.now + position_poll_interval, alarm_kind::position_poll, 0, group, {}});
+}
+
+void request_desk::handle(const position_told& told)
+{
+    const server_state* known = m_step.state.servers.find(told.report.name);
+    if (known == nullptr || known->position_asked_on != told.connection) {
+        return;
+    }
+    server_state next = *known;
+    next.position_asked_on = 0;
+    m_step.set_server(told.report.name, std::move(next));
+    m_connections.give_back(told.report.name, told.connection);
+}
+
 void request_desk::leave_term(const group_name& group, group_term term)
 {
     const auto transactions = m_step.state.transactions;
@@ -851,6 +891,10 @@
         dispatch(what.group);
         return;
     }
+    if (what.kind == alarm_kind::position_poll) {
+        poll_positions(what.group);
+        return;
+    }
     if (what.kind == alarm_kind::transaction_idle) {
         const transaction_state* known = m_step.state.transactions.find(what.transaction);
         if (known == nullptr) {
--- a/src/routing/internal/request_desk.h
+++ b/src/routing/internal/request_desk.h
@@ -24,6 +24,9 @@
     void dispatch(const group_name& group);
     /// Answers writes whose position a replica has reached.
     void confirm_replicated(const group_name& group);
+    /// Asks replicas for their positions while writes of the group wait for one.
+    void poll_positions(const group_name& group);
+    void handle(const position_told& told);
     /// Ends what can't go on after the group's term was closed.
     void leave_term(const group_name& group, group_term term);
     /// Number of writes and transactions that use the term.
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -41,6 +41,8 @@
 inline constexpr milliseconds slow_statement_after{300};
 inline constexpr milliseconds suspicion_interval{200};
 inline constexpr milliseconds claim_resend_interval{250};
+/// While a write waits for a replica, replicas are asked for their position this often.
+inline constexpr milliseconds position_poll_interval{5};
 /// How long a backend server that refused a statement is left alone.
 inline constexpr milliseconds refusal_pause{20};
 inline constexpr milliseconds connection_retry_pause{500};
@@ -207,6 +209,8 @@
     /// Log records a second, as seen between reports.
     std::int64_t records_per_second = 0;
     time_point avoid_until{};
+    /// The connection on which its position is being asked for; zero for none.
+    connection_number position_asked_on = 0;
     connection_set connections;
 
     friend bool operator==(const server_state&, const server_state&) = default;
@@ -247,7 +251,8 @@
     slow_statement,
     claim_resend,
     queue_retry,
-    transaction_idle
+    transaction_idle,
+    position_poll
 };
 
 /// Something to look at when its time has come. Alarms that no longer apply are ignored.
@@ -403,6 +408,15 @@
     friend bool operator==(const statement_lost&, const statement_lost&) = default;
 };
 
+/// The backend server's answer to a question for its position.
+struct position_told
+{
+    connection_number connection = 0;
+    protocol::server_report report;
+
+    friend bool operator==(const position_told&, const position_told&) = default;
+};
+
 struct connection_opened
 {
     backend_server_name server;
@@ -450,8 +464,9 @@
 
 using entry_event_kind =
     std::variant<entry_started, control_message, control_connected, announced, caller_request,
-                 statement_answered, statement_refused, statement_not_sent, statement_lost, connection_opened,
-                 connection_ended, probe_finished, takeover_finished, time_passed, drain_asked>;
+                 statement_answered, statement_refused, statement_not_sent, statement_lost, position_told,
+                 connection_opened, connection_ended, probe_finished, takeover_finished, time_passed,
+                 drain_asked>;
 
 struct entry_event
 {
@@ -480,6 +495,15 @@
     friend bool operator==(const run_statement&, const run_statement&) = default;
 };
 
+/// Asks a backend server for its position on an open connection.
+struct ask_position
+{
+    backend_server_name server;
+    connection_number connection = 0;
+
+    friend bool operator==(const ask_position&, const ask_position&) = default;
+};
+
 struct open_connection
 {
     backend_server_name server;
@@ -535,8 +559,9 @@
     friend bool operator==(const drained&, const drained&) = default;
 };
 
-using entry_effect = std::variant<run_statement, open_connection, close_connection, send_to_control,
-                                  answer_caller, probe_server, tell_server, drained, logging::log_record>;
+using entry_effect =
+    std::variant<run_statement, ask_position, open_connection, close_connection, send_to_control,
+                 answer_caller, probe_server, tell_server, drained, logging::log_record>;
 
 struct entry_transition
 {
