--- a/src/app/load/main.cpp
+++ b/src/app/load/main.cpp
@@ -1,9 +1,3 @@
-#include <algorithm>
-#include <cstdlib>
-#include <csignal>
-#include <sstream>
-#include <thread>
-
 #include "codec/json_codec.h"
 #include "command_line/command_line.h"
 #include "load/history_check.h"
@@ -12,6 +6,12 @@
 #include "runtime/stop_signal.h"
 #include "settings/types.h"
 
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <sstream>
+#include <thread>
+
 #include <fmt/format.h>
 
 using namespace hickorymount;
@@ -22,7 +22,8 @@
 
 void print_figure(const std::string& name, double value, const std::string& unit, std::uint64_t runs)
 {
-    fmt::print("{}\n", codec::json{{"figure", name}, {"value", value}, {"unit", unit}, {"runs", runs}}.dump());
+    fmt::print("{}\n",
+               codec::json{{"figure", name}, {"value", value}, {"unit", unit}, {"runs", runs}}.dump());
 }
 
 void print_count(const std::string& name, std::uint64_t value, std::uint64_t runs)
@@ -76,7 +77,8 @@
             print_figure("failover_gap_ms_one", known.back(), "ms", 1);
         }
     }
-    print_figure("failover_gaps_without_end", static_cast<double>(gaps.size() - known.size()), "losses", gaps.size());
+    print_figure("failover_gaps_without_end", static_cast<double>(gaps.size() - known.size()), "losses",
+                 gaps.size());
     if (known.empty()) {
         return;
     }
--- a/src/consensus/descriptions.h
+++ b/src/consensus/descriptions.h
@@ -131,15 +131,50 @@
     static constexpr auto members = std::tuple{member{"joining", &type::joining}};
 };
 
-/// The sync's number belongs to one process and is not stored.
 template <>
 struct description<consensus::persist_log>
 {
     using type = consensus::persist_log;
     static constexpr std::string_view name = "persist_log";
     static constexpr auto members =
-        std::tuple{member{"hard", &type::hard}, member{"truncate_from", &type::truncate_from},
+        std::tuple{member{"id", &type::id}, member{"hard", &type::hard},
+                   member{"truncate_from", &type::truncate_from}, member{"entries", &type::entries}};
+};
+
+template <>
+struct description<consensus::persist_snapshot>
+{
+    using type = consensus::persist_snapshot;
+    static constexpr std::string_view name = "persist_snapshot";
+    static constexpr auto members =
+        std::tuple{member{"id", &type::id}, member{"hard", &type::hard}, member{"content", &type::content},
                    member{"entries", &type::entries}};
 };
 
+template <>
+struct description<consensus::stored_state>
+{
+    using type = consensus::stored_state;
+    static constexpr std::string_view name = "stored_state";
+    static constexpr auto members =
+        std::tuple{member{"identity", &type::identity}, member{"hard", &type::hard},
+                   member{"latest", &type::latest}, member{"entries", &type::entries}};
+};
+
+template <>
+struct description<consensus::formed>
+{
+    using type = consensus::formed;
+    static constexpr std::string_view name = "formed";
+    static constexpr auto members = std::tuple{member{"members", &type::members}};
+};
+
+template <>
+struct description<consensus::synced>
+{
+    using type = consensus::synced;
+    static constexpr std::string_view name = "synced";
+    static constexpr auto members = std::tuple{member{"id", &type::id}};
+};
+
 } // namespace hickorymount::codec
--- a/src/database/internal/database_service.cpp
+++ b/src/database/internal/database_service.cpp
@@ -24,7 +24,8 @@
 constexpr milliseconds announce_interval{100};
 constexpr milliseconds announce_timeout{500};
 constexpr milliseconds pull_interval{10};
-constexpr milliseconds pull_timeout{500};
+/// Short, so that a replica told to follow another primary is not held up by a frozen one.
+constexpr milliseconds pull_timeout{100};
 constexpr milliseconds call_timeout{60'000};
 /// Threads beyond the connection limit, for status, replication and refusals.
 constexpr unsigned spare_threads = 24;
--- /dev/null
+++ b/src/framework/http/tests/http_tests.cpp
@@ -0,0 +1,134 @@
+#include "http/client.h"
+#include "http/server.h"
+
+#include <condition_variable>
+#include <mutex>
+#include <set>
+#include <string>
+
+#include <gtest/gtest.h>
+
+namespace hickorymount::http {
+namespace {
+
+class http_fixture : public ::testing::Test
+{
+protected:
+    void start(server_options options, request_handler on_request)
+    {
+        m_server = handle_failure(
+            [&] {
+                return start_server(options, std::move(on_request), [this](std::uint64_t connection) {
+                    const std::lock_guard lock(m_mutex);
+                    m_closed.insert(connection);
+                    m_changed.notify_all();
+                });
+            },
+            [](const failure& what) {
+                ADD_FAILURE() << to_string(what);
+                return std::unique_ptr<server>();
+            });
+        ASSERT_NE(m_server, nullptr);
+    }
+
+    std::unique_ptr<client_connection> open()
+    {
+        return handle_failure([&] { return connect("127.0.0.1", m_server->port()); },
+                              [](const failure&) { return std::unique_ptr<client_connection>(); });
+    }
+
+    bool is_closed(std::uint64_t connection)
+    {
+        std::unique_lock lock(m_mutex);
+        return m_changed.wait_for(lock, std::chrono::seconds(5),
+                                  [&] { return m_closed.contains(connection); });
+    }
+
+    static constexpr milliseconds timeout{5000};
+
+    std::unique_ptr<server> m_server;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::set<std::uint64_t> m_closed;
+};
+
+TEST_F(http_fixture, kept_alive_connection_keeps_its_number_until_it_is_closed)
+{
+    std::uint64_t first = 0;
+    std::uint64_t second = 0;
+    start({}, [&](const request& asked) {
+        (first == 0 ? first : second) = asked.connection;
+        return response{};
+    });
+    auto connection = open();
+    ASSERT_NE(connection, nullptr);
+    EXPECT_EQ(connection->call("POST", "/", {}, "{}", timeout).status, call_status::answered);
+    EXPECT_EQ(connection->call("POST", "/", {}, "{}", timeout).status, call_status::answered);
+    EXPECT_EQ(first, second);
+    EXPECT_NE(first, 0U);
+    connection.reset();
+    EXPECT_TRUE(is_closed(first));
+}
+
+TEST_F(http_fixture, connections_beyond_the_kept_alive_number_are_closed_after_one_response)
+{
+    server_options options;
+    options.kept_alive_connections = 1;
+    start(options, [](const request&) { return response{}; });
+    auto kept = open();
+    EXPECT_EQ(kept->call("GET", "/", {}, "", timeout).status, call_status::answered);
+    auto beyond = open();
+    const call_result got = beyond->call("GET", "/", {}, "", timeout);
+    ASSERT_EQ(got.status, call_status::answered);
+    EXPECT_EQ(header(got.answer.headers, "connection"), "close");
+    EXPECT_EQ(kept->call("GET", "/", {}, "", timeout).status, call_status::answered);
+}
+
+TEST_F(http_fixture, body_beyond_the_limit_is_not_passed_on)
+{
+    bool was_too_large = false;
+    server_options options;
+    options.max_body_bytes = 1000;
+    start(options, [&](const request& asked) {
+        was_too_large = asked.is_body_too_large && asked.body.empty();
+        response answer;
+        answer.status = 413;
+        return answer;
+    });
+    auto connection = open();
+    const call_result got = connection->call("POST", "/", {}, std::string(2000, 'x'), timeout);
+    EXPECT_TRUE(was_too_large);
+    EXPECT_TRUE(got.status == call_status::lost || got.answer.status == 413);
+}
+
+TEST_F(http_fixture, response_cut_short_is_lost_and_never_an_answer)
+{
+    start({}, [](const request&) {
+        response answer;
+        answer.body = "0123456789";
+        answer.cut_after = 5;
+        return answer;
+    });
+    EXPECT_EQ(open()->call("GET", "/", {}, "", timeout).status, call_status::lost);
+}
+
+TEST_F(http_fixture, connection_dropped_without_a_response_is_lost)
+{
+    start({}, [](const request&) {
+        response answer;
+        answer.is_dropped = true;
+        return answer;
+    });
+    EXPECT_EQ(open()->call("GET", "/", {}, "", timeout).status, call_status::lost);
+}
+
+TEST_F(http_fixture, nobody_listening_means_not_sent)
+{
+    start({}, [](const request&) { return response{}; });
+    const std::uint16_t port = m_server->port();
+    m_server->stop();
+    EXPECT_EQ(call_once("127.0.0.1", port, "GET", "/", "", timeout).status, call_status::not_sent);
+}
+
+} // namespace
+} // namespace hickorymount::http
--- a/src/framework/runtime/control_thread.h
+++ b/src/framework/runtime/control_thread.h
@@ -2,6 +2,7 @@
 
 #include "base/millisecond_clock.h"
 
+#include <algorithm>
 #include <condition_variable>
 #include <functional>
 #include <mutex>
@@ -59,6 +60,8 @@
     }
 
 private:
+    static constexpr milliseconds longest_wait{3'600'000};
+
     void run()
     {
         while (auto events = wait()) {
@@ -72,14 +75,16 @@
     std::optional<std::vector<Event>> wait()
     {
         std::unique_lock lock(m_mutex);
-        const auto until = std::chrono::steady_clock::now() + (m_wake_at - millisecond_clock::now());
+        // A later time would overflow the nanoseconds that the condition variable counts in.
+        const milliseconds wait = std::min<milliseconds>(m_wake_at - millisecond_clock::now(), longest_wait);
+        const auto until = std::chrono::steady_clock::now() + wait;
         m_posted.wait_until(lock, until, [this] { return m_is_stopping || !m_events.empty(); });
         if (m_is_stopping) {
             return std::nullopt;
         }
         std::vector<Event> events;
         events.swap(m_events);
-        if (events.empty() || millisecond_clock::now() >= m_wake_at) {
+        if (millisecond_clock::now() >= m_wake_at) {
             events.push_back(m_make_wake_event());
         }
         return events;
--- a/src/load/history_check.h
+++ b/src/load/history_check.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include <vector>
-
 #include "load/types.h"
 
+#include <vector>
+
 namespace hickorymount::load {
 
 /// Compares what callers were told with the histories that the groups ended up with.
-check_result check_histories(const std::vector<request_trace>& traces, const std::vector<server_history>& histories,
-                             bool is_write_replicated);
+check_result check_histories(const std::vector<request_trace>& traces,
+                             const std::vector<server_history>& histories, bool is_write_replicated);
 
 load_summary summarize(const std::vector<request_trace>& traces, milliseconds duration);
 
--- a/src/load/internal/caller_session.cpp
+++ b/src/load/internal/caller_session.cpp
@@ -1,9 +1,9 @@
 #include "load/internal/caller_session.h"
 
-#include <utility>
-
 #include "codec/json_codec.h"
 
+#include <utility>
+
 #include <fmt/format.h>
 
 namespace hickorymount::load::detail {
@@ -38,7 +38,8 @@
     trace.took_ms = took.count();
     note_answer(trace, got);
     m_traces.push_back(trace);
-    const bool is_uncertain = trace.outcome == told_outcome::unknown || trace.outcome == told_outcome::no_answer;
+    const bool is_uncertain =
+        trace.outcome == told_outcome::unknown || trace.outcome == told_outcome::no_answer;
     const bool resends = trace.kind == request_kind::booking &&
                          (is_uncertain || static_cast<int>(m_random() % 100) < resend_percent);
     if (resends) {
@@ -53,8 +54,8 @@
     trace.group = m_options.groups[m_random() % m_options.groups.size()];
     const auto written = m_written.find(trace.group);
     const bool reads = static_cast<int>(m_random() % 100) < m_options.read_percent;
-    const bool books = !m_options.booking_class.empty() &&
-                       static_cast<int>(m_random() % 100) < m_options.booking_percent;
+    const bool books =
+        !m_options.booking_class.empty() && static_cast<int>(m_random() % 100) < m_options.booking_percent;
     trace.kind = reads ? request_kind::read : books ? request_kind::booking : request_kind::write;
     if (reads) {
         trace.key = written == m_written.end() ? "nothing" : written->second.key;
@@ -62,8 +63,8 @@
         return trace;
     }
     ++m_next;
-    trace.key = fmt::format("{}-{}-{}-{}", trace.kind == request_kind::booking ? "b" : "w", m_run_name, m_number,
-                            m_next);
+    trace.key = fmt::format("{}-{}-{}-{}", trace.kind == request_kind::booking ? "b" : "w", m_run_name,
+                            m_number, m_next);
     trace.request_key = fmt::format("{}-{}", unix_now().count() / 1000, trace.key);
     trace.value = trace.kind == request_kind::booking ? "1" : std::to_string(m_random() % 1000);
     return trace;
@@ -73,8 +74,8 @@
 {
     const protocol::endpoint& to = m_options.entry_hosts[m_random() % m_options.entry_hosts.size()];
     json body;
-    std::map<std::string, std::string> headers{{"Connection", "close"},
-                                               {"Hickorymount-Timeout-Ms", std::to_string(m_options.timeout.count())}};
+    std::map<std::string, std::string> headers{
+        {"Connection", "close"}, {"Hickorymount-Timeout-Ms", std::to_string(m_options.timeout.count())}};
     switch (trace.kind) {
     case request_kind::read:
         body = {{"class", m_options.read_class}, {"statement", "get " + trace.key}};
@@ -94,8 +95,8 @@
         [&]() -> result<http::call_result> {
             BOOST_LEAF_AUTO(connection, http::connect(to.address, to.port));
             // The entry host answers within the caller's time limit; beyond it only a dead one is silent.
-            return connection->call("POST", "/v1/groups/" + trace.group.value + "/statements", headers, body.dump(),
-                                    m_options.timeout + milliseconds{2000});
+            return connection->call("POST", "/v1/groups/" + trace.group.value + "/statements", headers,
+                                    body.dump(), m_options.timeout + milliseconds{2000});
         },
         [](const failure& what) {
             return http::call_result{http::call_status::not_sent, {}, to_string(what)};
--- a/src/load/internal/caller_session.h
+++ b/src/load/internal/caller_session.h
@@ -1,14 +1,14 @@
 #pragma once
 
+#include "http/client.h"
+#include "load/types.h"
+
 #include <chrono>
 #include <map>
 #include <random>
 #include <string>
 #include <vector>
 
-#include "http/client.h"
-#include "load/types.h"
-
 namespace hickorymount::load::detail {
 
 /// One caller: sends one request at a time, each to an entry host of its choice, and keeps its token.
--- a/src/load/internal/history_check.cpp
+++ b/src/load/internal/history_check.cpp
@@ -66,8 +66,8 @@
 
 } // namespace
 
-check_result check_histories(const std::vector<request_trace>& traces, const std::vector<server_history>& histories,
-                             bool is_write_replicated)
+check_result check_histories(const std::vector<request_trace>& traces,
+                             const std::vector<server_history>& histories, bool is_write_replicated)
 {
     const auto finals = final_histories(histories);
     const key_counts counts = count_keys(finals);
@@ -118,7 +118,8 @@
         answered_reads == 0 ? 0 : static_cast<double>(replica_reads) / static_cast<double>(answered_reads);
     made.read_ms = distribution_of(std::move(reads));
     made.write_ms = distribution_of(std::move(writes));
-    made.answered_per_second = static_cast<double>(made.answered) * 1000 / static_cast<double>(duration.count());
+    made.answered_per_second =
+        static_cast<double>(made.answered) * 1000 / static_cast<double>(duration.count());
     return made;
 }
 
--- a/src/load/internal/load_run.cpp
+++ b/src/load/internal/load_run.cpp
@@ -1,15 +1,15 @@
 #include "load/load_run.h"
 
-#include <chrono>
-#include <iterator>
-#include <random>
-#include <thread>
-
 #include "codec/json_codec.h"
 #include "database/descriptions.h"
 #include "http/client.h"
 #include "load/internal/caller_session.h"
 
+#include <chrono>
+#include <iterator>
+#include <random>
+#include <thread>
+
 #include <fmt/format.h>
 
 namespace hickorymount::load {
@@ -22,7 +22,8 @@
 void run_session(detail::caller_session& session, const load_options& options, int number,
                  std::chrono::steady_clock::time_point began)
 {
-    const auto interval = std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::seconds(1)) / options.rate;
+    const auto interval =
+        std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::seconds(1)) / options.rate;
     const auto end = began + options.duration;
     for (std::int64_t arrival = number;; arrival += options.sessions) {
         const auto due = began + interval * arrival;
@@ -47,7 +48,8 @@
     server_history history{report.name, report.group, report.at.term, {}};
     for (;;) {
         const std::string path = fmt::format("/v1/log?{}", history.records.size());
-        const http::call_result page = http::call_once(from.address, from.port, "GET", path, "", history_timeout);
+        const http::call_result page =
+            http::call_once(from.address, from.port, "GET", path, "", history_timeout);
         if (page.status != http::call_status::answered) {
             return fail("read_history", peer, page.reason);
         }
--- a/src/load/load_run.h
+++ b/src/load/load_run.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <vector>
-
 #include "base/error.h"
 #include "load/types.h"
 
+#include <vector>
+
 namespace hickorymount::load {
 
 /// Runs the load against the entry hosts until the duration is over. Blocks.
--- a/src/load/tests/history_check_tests.cpp
+++ b/src/load/tests/history_check_tests.cpp
@@ -18,7 +18,8 @@
         return trace;
     }
 
-    static server_history history(const std::string& server, std::uint64_t term, const std::vector<std::string>& keys)
+    static server_history history(const std::string& server, std::uint64_t term,
+                                  const std::vector<std::string>& keys)
     {
         server_history made{backend_server_name{server}, group_name{"orders"}, term, {}};
         for (const std::string& key : keys) {
@@ -30,9 +31,10 @@
 
 TEST_F(history_fixture, acknowledged_write_missing_from_the_final_history_is_lost)
 {
-    const auto checked = check_histories({told(request_kind::write, "a", told_outcome::answered),
-                                          told(request_kind::write, "b", told_outcome::answered)},
-                                         {history("orders-1", 1, {"a", "b"}), history("orders-2", 2, {"a"})}, true);
+    const auto checked =
+        check_histories({told(request_kind::write, "a", told_outcome::answered),
+                         told(request_kind::write, "b", told_outcome::answered)},
+                        {history("orders-1", 1, {"a", "b"}), history("orders-2", 2, {"a"})}, true);
     EXPECT_EQ(checked.acknowledged, 2U);
     EXPECT_EQ(checked.lost, 1U);
     EXPECT_EQ(checked.lost_replicated, 1U);
@@ -54,7 +56,8 @@
 
 TEST_F(history_fixture, servers_of_one_term_that_differ_have_diverged)
 {
-    const auto checked = check_histories({}, {history("orders-1", 1, {"a", "b"}), history("orders-2", 1, {"b"})}, false);
+    const auto checked =
+        check_histories({}, {history("orders-1", 1, {"a", "b"}), history("orders-2", 1, {"b"})}, false);
     EXPECT_EQ(checked.diverged, 1U);
 }
 
--- a/src/load/types.h
+++ b/src/load/types.h
@@ -1,15 +1,15 @@
 #pragma once
 
-#include <cstdint>
-#include <map>
-#include <string>
-#include <vector>
-
 #include "base/identifier.h"
 #include "base/millisecond_clock.h"
 #include "database/types.h"
 #include "protocol/types.h"
 
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
 /// Callers under load, and the comparison of what they were told with what the databases hold.
 namespace hickorymount::load {
 
@@ -39,9 +39,20 @@
     friend bool operator==(const load_options&, const load_options&) = default;
 };
 
-enum class request_kind { read, write, booking };
+enum class request_kind
+{
+    read,
+    write,
+    booking
+};
 
-enum class told_outcome { answered, not_run, unknown, no_answer };
+enum class told_outcome
+{
+    answered,
+    not_run,
+    unknown,
+    no_answer
+};
 
 /// One request and what its caller was told.
 struct request_trace
--- a/src/node/tests/node_fixture.cpp
+++ b/src/node/tests/node_fixture.cpp
@@ -85,12 +85,21 @@
 void node_fixture::start_entry_hosts(int count)
 {
     for (int at = 1; at <= count; ++at) {
-        const std::string name = "entry-" + std::to_string(at);
-        m_hosts[name] = {};
-        restart(name);
+        start_entry_host("entry-" + std::to_string(at));
     }
 }
 
+void node_fixture::start_entry_host(const std::string& name)
+{
+    m_hosts[name] = {};
+    restart(name);
+}
+
+void node_fixture::drain(const std::string& entry)
+{
+    deliver(entry, routing::entry_event_kind(routing::drain_asked{}));
+}
+
 void node_fixture::start_group(const std::string& group, int replicas, milliseconds lag)
 {
     for (int at = 1; at <= replicas + 1; ++at) {
@@ -259,6 +268,10 @@
         m_connections.erase(key);
         if (connection.server == host) {
             // A dead peer's connections end at once on both sides.
+            if (const auto statement = m_statements.find(key); statement != m_statements.end()) {
+                statement->second();
+                m_statements.erase(statement);
+            }
             deliver(connection.entry, routing::entry_event_kind(routing::connection_ended{
                                           backend_server_name{host}, key.second, "connection reset"}));
         } else if (is_running(connection.server)) {
@@ -576,12 +589,13 @@
                              run.term,
                              run.least_position};
     const auto is_answered = std::make_shared<bool>(false);
-    later(run.timeout, [lose, is_answered] {
-        if (!*is_answered) {
-            *is_answered = true;
+    const auto lose_once = [lose, is_answered] {
+        if (!std::exchange(*is_answered, true)) {
             lose();
         }
-    });
+    };
+    m_statements[key] = lose_once;
+    later(run.timeout, lose_once);
     const std::uint64_t number = call([this, entry, server, run,
                                        is_answered](const database::database_answer& got) {
         if (*is_answered || !is_linked(entry, server) || !m_connections.contains({entry, run.connection})) {
@@ -596,13 +610,12 @@
                                run.request, run.connection, refused->reason, refused->at}));
         }
     });
-    later(statement_delay, [this, entry, server, run, what, number, is_answered, lose] {
+    later(statement_delay, [this, entry, server, run, what, number, lose_once] {
         const bool arrives = is_linked(entry, server) && m_backends.at(server).is_up;
         if (!arrives) {
             // A dead process resets the connection; a cut one leaves the statement unanswered.
-            if (!m_backends.at(server).is_up && !*is_answered) {
-                *is_answered = true;
-                lose();
+            if (!m_backends.at(server).is_up) {
+                lose_once();
             }
             return;
         }
@@ -679,6 +692,8 @@
             deliver(host, routing::entry_event_kind(routing::connection_ended{backend_server_name{server},
                                                                               closed->connection, "closed"}));
         }
+    } else if (std::holds_alternative<routing::drained>(effect)) {
+        m_drained.insert(host);
     } else if (const auto* probed = std::get_if<routing::probe_server>(&effect)) {
         const std::string server = probed->order.server.value;
         const routing::probe_server order = *probed;
--- a/src/node/tests/node_fixture.h
+++ b/src/node/tests/node_fixture.h
@@ -25,6 +25,7 @@
 
     void start_control_hosts(int count);
     void start_entry_hosts(int count);
+    void start_entry_host(const std::string& name);
     /// One primary and `replicas` replicas, named GROUP-1 and so on.
     void start_group(const std::string& group, int replicas, milliseconds lag = milliseconds{0});
     /// Three control hosts, two entry hosts, one group of three and a configuration in force.
@@ -67,6 +68,15 @@
     routing::caller_outcome outcome(std::uint64_t request, milliseconds limit = milliseconds{10'000});
     [[nodiscard]] bool has_outcome(std::uint64_t request) const { return m_outcomes.contains(request); }
 
+    /// Tells an entry host to finish what is in flight and to take nothing new.
+    void drain(const std::string& entry);
+    [[nodiscard]] bool is_drained(const std::string& entry) const { return m_drained.contains(entry); }
+    [[nodiscard]] bool is_started(const std::string& host) const
+    {
+        const auto found = m_hosts.find(host);
+        return found != m_hosts.end() && found->second.is_up;
+    }
+
     std::uint64_t change_configuration(const std::string& control, const std::string& id, std::uint64_t base,
                                        configuration::configuration content);
     std::optional<supervision::operator_answer> operator_answer(std::uint64_t request) const;
@@ -154,12 +164,15 @@
     std::set<std::pair<std::string, std::string>> m_cuts;
     std::set<std::string> m_frozen;
     std::set<std::string> m_held_syncs;
+    std::set<std::string> m_drained;
     std::map<std::string, drifting_clock> m_clocks;
     std::multimap<time_point, std::function<void()>> m_later;
     std::map<std::uint64_t, routing::caller_outcome> m_outcomes;
     std::map<std::uint64_t, supervision::operator_answer> m_operator_answers;
     std::map<std::pair<std::string, routing::connection_number>, open_connection> m_connections;
     std::map<std::uint64_t, std::function<void(const database::database_answer&)>> m_calls;
+    /// What a dead backend server's connections do to the statements on them.
+    std::map<std::pair<std::string, routing::connection_number>, std::function<void()>> m_statements;
     std::uint64_t m_next = 1;
     std::uint64_t m_next_identity = 1;
     /// Elections need hosts whose random numbers differ.
--- a/src/storage/internal/log_storage.cpp
+++ b/src/storage/internal/log_storage.cpp
@@ -2,6 +2,7 @@
 
 #include "codec/json_codec.h"
 #include "consensus/descriptions.h"
+#include "storage/internal/log_write.h"
 #include "storage/internal/record.h"
 
 #include <algorithm>
@@ -10,6 +11,7 @@
 
 namespace {
 
+using detail::log_write;
 using detail::read_record;
 using detail::record_cursor;
 using detail::record_reading;
@@ -30,7 +32,7 @@
     return codec::decode<T>(document, file);
 }
 
-void apply_write(consensus::stored_state& into, consensus::persist_log write)
+void apply_write(consensus::stored_state& into, log_write write)
 {
     into.hard = std::move(write.hard);
     std::vector<consensus::log_entry>& entries = into.entries;
@@ -73,7 +75,7 @@
 
 result<void> log_storage::append(const consensus::persist_log& write)
 {
-    return m_files.append(log_file, encode_record(write));
+    return m_files.append(log_file, encode_record(log_write{write.hard, write.truncate_from, write.entries}));
 }
 
 result<void> log_storage::sync()
@@ -84,7 +86,7 @@
 result<void> log_storage::replace(const consensus::persist_snapshot& write)
 {
     BOOST_LEAF_CHECK(m_files.replace(snapshot_file, encode_record(write.content)));
-    const consensus::persist_log rest{write.id, write.hard, write.content->last_index + 1, write.entries};
+    const log_write rest{write.hard, write.content->last_index + 1, write.entries};
     return m_files.replace(log_file, encode_record(rest));
 }
 
@@ -134,7 +136,7 @@
         if (reading.status != record_status::whole) {
             break;
         }
-        BOOST_LEAF_AUTO(write, decode_record<consensus::persist_log>(reading.content, log_file));
+        BOOST_LEAF_AUTO(write, decode_record<log_write>(reading.content, log_file));
         apply_write(into, std::move(write));
     }
     return {};
--- /dev/null
+++ b/src/storage/internal/log_write.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "codec/description.h"
+#include "consensus/descriptions.h"
+#include "consensus/types.h"
+
+#include <vector>
+
+namespace hickorymount::storage::detail {
+
+/// One record of the log file: a write without the number of its sync, which belongs to one process.
+struct log_write
+{
+    consensus::hard_state hard;
+    consensus::log_index truncate_from = 0;
+    std::vector<consensus::log_entry> entries;
+
+    friend bool operator==(const log_write&, const log_write&) = default;
+};
+
+} // namespace hickorymount::storage::detail
+
+namespace hickorymount::codec {
+
+template <>
+struct description<storage::detail::log_write>
+{
+    using type = storage::detail::log_write;
+    static constexpr std::string_view name = "log_write";
+    static constexpr auto members =
+        std::tuple{member{"hard", &type::hard}, member{"truncate_from", &type::truncate_from},
+                   member{"entries", &type::entries}};
+};
+
+} // namespace hickorymount::codec
--- a/src/supervision/types.h
+++ b/src/supervision/types.h
@@ -28,7 +28,7 @@
 inline constexpr milliseconds lease_drift_margin{40};
 inline constexpr milliseconds supervision_interval{25};
 /// Silence of a primary, at all entry hosts together, that starts a check.
-inline constexpr milliseconds report_silence{350};
+inline constexpr milliseconds report_silence{250};
 /// A check that is not decided by then is given up.
 inline constexpr milliseconds confirm_timeout{800};
 inline constexpr milliseconds confirm_pause{100};
