--- a/scripts/lib/measurements.sh
+++ b/scripts/lib/measurements.sh
@@ -42,7 +42,7 @@
     local zones=(casa-a fes-a marrakech-a) group
     GROUPS_LIST=exchange,inspection,sales
     start_control_hosts 3 >&2 && start_entry_hosts "$1" "${zones[@]}" || return 1
-    for group in exchange inspection sales; do start_group "$group" 20 12 "${zones[@]}"; done
+    for group in exchange inspection sales; do start_group "$group" "${STAND_IN_CONNECTIONS:-20}" 12 "${zones[@]}"; done
     "$BIN/hickorymountctl" apply --control "$CONTROL" "$ROOT/questionnaires/tambour-vert.toml" >&2 || return 1
     wait_for_entries && for group in exchange inspection sales; do wait_until 15 group_is_served "$group" || return 1; done
 }
@@ -116,3 +116,192 @@
 measure_failover_gap_frozen_ms() {
     failover_run "${LOSSES:-20}" STOP 6
 }
+
+# The part of an entry host in a request's time, against calling the stand-in directly in the same run.
+measure_path_overhead() {
+    # The entry host alone holds all 20; the direct caller needs one more.
+    STAND_IN_CONNECTIONS=24 start_tambour_vert 1 || return 1
+    "$BIN/hickorymount-load" --entries "$ENTRIES" --backends "127.0.0.1:${PORT_OF[exchange-1]}" --groups exchange \
+        --write-class inspection-log --compare-path 5000
+}
+
+# resident_kb NAME; cpu_ticks NAME: of a process started here
+resident_kb() {
+    awk '/^VmRSS/ {print $2}' "/proc/${PID_OF[$1]}/status"
+}
+cpu_ticks() {
+    awk '{print $14 + $15}' "/proc/${PID_OF[$1]}/stat"
+}
+
+bytes_sent() {
+    curl -sf "http://127.0.0.1:$1/metrics" | awk '/^hickorymount_control_bytes_sent_total/ {print $2}'
+}
+
+# Memory, processor share and bytes for control of idle processes, for 10 s.
+measure_idle() {
+    start_tambour_vert "${ENTRY_HOSTS:-6}" || return 1
+    sleep 3
+    local leader entry_ticks leader_ticks entry_bytes leader_bytes seconds=10
+    leader=$(leader_name)
+    entry_ticks=$(cpu_ticks entry-1) leader_ticks=$(cpu_ticks "$leader")
+    entry_bytes=$(bytes_sent "${PORT_OF[entry-1]}") leader_bytes=$(bytes_sent "${OPERATORS_PORT_OF[$leader]}")
+    sleep $seconds
+    figure entry_host_resident "$(resident_kb entry-1)" kB 1
+    figure control_leader_resident "$(resident_kb "$leader")" kB 1
+    # A tick is 10 ms.
+    figure entry_host_idle_processor "$(awk "BEGIN {print ($(cpu_ticks entry-1) - $entry_ticks) / $seconds}")" percent 1
+    figure control_leader_idle_processor "$(awk "BEGIN {print ($(cpu_ticks "$leader") - $leader_ticks) / $seconds}")" percent 1
+    figure entry_host_sent_for_control "$(awk "BEGIN {print ($(bytes_sent "${PORT_OF[entry-1]}") - $entry_bytes) / $seconds}")" B/s 1
+    figure control_leader_sent "$(awk "BEGIN {print ($(bytes_sent "${OPERATORS_PORT_OF[$leader]}") - $leader_bytes) / $seconds}")" B/s 1
+}
+
+# Memory of an entry host for each kept-alive caller.
+measure_caller_memory() {
+    CALLER_CONNECTIONS=600 start_tambour_vert 1 || return 1
+    local before after at
+    before=$(resident_kb entry-1)
+    for ((at = 0; at < 500; at++)); do exec {held}<>"/dev/tcp/127.0.0.1/${PORT_OF[entry-1]}"; done
+    sleep 2
+    after=$(resident_kb entry-1)
+    figure entry_host_memory_per_kept_alive_caller "$(awk "BEGIN {print ($after - $before) / 500}")" kB 500
+}
+
+measure_claims_per_second() {
+    start_tambour_vert 3 || return 1
+    "$BIN/hickorymount-load" --entries "$ENTRIES" --backends "$(backend_list)" --groups exchange,inspection,sales \
+        --read-class inspection-read --write-class inspection-log --booking-class booking --read-percent 0 \
+        --booking-percent 100 --sessions "${SESSIONS:-96}" --rate "${RATE:-4000}" --duration-ms 8000 |
+        sed 's/answered_per_second/claims_per_second/'
+}
+
+# From the operator's call to the change being in force on every live entry host, the tool's start included.
+measure_configuration_in_force_ms() {
+    start_tambour_vert 6 || return 1
+    local at began
+    for ((at = 0; at < 20; at++)); do
+        sed "s/max_age = \"5s\"/max_age = \"$((at + 1))s\"/" "$ROOT/questionnaires/tambour-vert.toml" >"$RUN/changed.toml"
+        began=$(unix_ms)
+        "$BIN/hickorymountctl" apply --control "$CONTROL" "$RUN/changed.toml" >/dev/null || return 1
+        echo $(($(unix_ms) - began))
+    done | sort -n | awk '{v[NR]=$1} END {
+        printf "{\"figure\":\"configuration_in_force_ms_median\",\"value\":%s,\"unit\":\"ms\",\"runs\":%d}\n", v[int((NR+1)/2)], NR
+        printf "{\"figure\":\"configuration_in_force_ms_worst\",\"value\":%s,\"unit\":\"ms\",\"runs\":%d}\n", v[NR], NR}'
+}
+
+# Planned changes of primary under load: no caller is told of an error.
+measure_planned_switch_errors() {
+    start_tambour_vert 3 || return 1
+    "$BIN/hickorymount-load" --entries "$ENTRIES" --backends "$(backend_list)" --groups exchange,inspection,sales \
+        --read-class inspection-read --write-class inspection-log --booking-class booking --rate 200 --sessions 32 \
+        --duration-ms 16000 >"$RUN/load.out" &
+    local load=$! at from to
+    for ((at = 0; at < 5; at++)); do
+        sleep 2
+        from=$(primary_of exchange)
+        to=exchange-1
+        [ "$from" = exchange-1 ] && to=exchange-2
+        "$BIN/hickorymountctl" switch --control "$CONTROL" exchange "$to" >&2
+    done
+    wait $load
+    cat "$RUN/load.out"
+    figure planned_switches "$(cat "$RUN"/control-*.log | grep -c 'step=primary_changed.*planned=true')" changes 1
+}
+
+# Reads on replicas with lag, on both kinds of read, under load.
+measure_replica_read_share() {
+    LAG_MS=200 start_tambour_vert 6 || return 1
+    "$BIN/hickorymount-load" --entries "$ENTRIES" --backends "$(backend_list)" --groups exchange,inspection,sales \
+        --read-class inspection-read --write-class inspection-log --rate 400 --sessions 48 --read-percent 80 \
+        --duration-ms 10000
+}
+
+# run_losses COUNT LOSE_FUNCTION SECONDS_EACH: load on Exlibris while LOSE_FUNCTION is called again and again
+run_losses() {
+    start_exlibris 4 || return 1
+    local load at
+    : >"$RUN/losses"
+    "$BIN/hickorymount-load" --entries "$ENTRIES" --backends "$(backend_list)" --groups orders,proofs,registry \
+        --read-class proof-read --write-class proof-approval --booking-class order --replicated \
+        --rate 200 --sessions 48 --read-percent 50 --duration-ms $(($1 * $3 * 1000 + 3000)) --losses "$RUN/losses" \
+        --settle-ms 4000 >"$RUN/load.out" 2>"$RUN/load.err" &
+    load=$!
+    sleep 1
+    for ((at = 0; at < $1; at++)); do "$2" >&2; done
+    wait "$load"
+    figure load_exit_code $? code 1
+    grep -v _one "$RUN/load.out"
+    figure processes_ended_by_themselves "$(ended_by_themselves)" processes 1
+}
+
+# Processes started here that are gone without a signal from here; each loss starts its process again.
+ended_by_themselves() {
+    local name count=0
+    for name in "${!PID_OF[@]}"; do kill -0 "${PID_OF[$name]}" 2>/dev/null || count=$((count + 1)); done
+    echo $count
+}
+
+another_leader() {
+    local now
+    now=$(leader_name)
+    [ -n "$now" ] && [ "$now" != "$1" ]
+}
+
+lose_control_leader() {
+    local lost
+    lost=$(leader_name)
+    end_process "$lost" KILL
+    wait_until 10 another_leader "$lost" || return 1
+    sleep 0.5
+    start_control_host "$lost"
+    sleep 1.5
+}
+
+lose_primary_and_control_leader() {
+    local leader primary
+    leader=$(leader_name) primary=$(primary_of orders)
+    [ -z "$primary" ] && { sleep 1; return; }
+    echo "$primary $(unix_ms)" >>"$RUN/losses"
+    end_process "$leader" KILL
+    end_process "$primary" KILL
+    wait_until 12 primary_is_not orders "$primary" || return 1
+    sleep 0.5
+    start_control_host "$leader"
+    start_stand_in "$primary" 127.0.0.1:1
+    sleep 2
+}
+
+lose_entry_host() {
+    local lost=entry-$((RANDOM % 4 + 1))
+    end_process "$lost" KILL
+    sleep 0.3
+    start_entry_host "$lost"
+    wait_until 10 entry_is_ready "$lost"
+    sleep 1
+}
+
+restart_entry_host_as_planned() {
+    local name=entry-$((at % 4 + 1))
+    end_process "$name" TERM
+    wait "${PID_OF[$name]}"
+    start_entry_host "$name"
+    wait_until 10 entry_is_ready "$name"
+    sleep 0.5
+}
+
+measure_control_leader_lost() {
+    run_losses "${LOSSES:-20}" lose_control_leader 4
+}
+
+measure_primary_and_control_leader_lost() {
+    run_losses "${LOSSES:-20}" lose_primary_and_control_leader 7
+}
+
+measure_entry_host_killed() {
+    run_losses "${LOSSES:-20}" lose_entry_host 3
+}
+
+# SIGTERM of each entry host in turn. Callers here choose entry hosts blindly, so a stopped one is "not reached";
+# no_answer counts the requests that were cut.
+measure_rolling_restart() {
+    run_losses "${LOSSES:-4}" restart_entry_host_as_planned 5
+}
--- a/src/app/load/main.cpp
+++ b/src/app/load/main.cpp
@@ -2,6 +2,7 @@
 #include "command_line/command_line.h"
 #include "load/history_check.h"
 #include "load/load_run.h"
+#include "load/path_comparison.h"
 #include "operations/control_client.h"
 #include "runtime/stop_signal.h"
 #include "settings/types.h"
@@ -115,9 +116,22 @@
     return groups;
 }
 
+result<int> compare_paths(const protocol::endpoint& entry, const protocol::endpoint& backend,
+                          const load::path_options& options)
+{
+    BOOST_LEAF_AUTO(compared, load::compare_paths(entry, backend, options));
+    const auto runs = static_cast<std::uint64_t>(options.rounds);
+    print_distribution("direct_ms", compared.direct_ms, runs);
+    print_distribution("through_entry_host_ms", compared.through_entry_ms, runs);
+    print_figure("path_overhead_ms_median", compared.through_entry_ms.median - compared.direct_ms.median,
+                 "ms", runs);
+    return EXIT_SUCCESS;
+}
+
 result<int> run(const std::vector<std::string>& arguments)
 {
     load::load_options made;
+    int path_rounds = 0;
     std::string entries;
     std::string backends;
     std::string groups;
@@ -143,6 +157,10 @@
     options.add("timeout-ms", timeout_ms, "the callers' own time limit", "MS");
     options.add("settle-ms", settle_ms, "pause before the logs are compared", "MS");
     options.add("losses", losses_file, "file of lines 'SERVER UNIX_MILLISECONDS' for failover gaps", "FILE");
+    options.add(
+        "compare-path", path_rounds,
+        "instead: so many statements to the first backend server, direct and through the first entry host",
+        "COUNT");
     options.add_flag("replicated", is_replicated, "the write class is acknowledged by a replica, too");
     BOOST_LEAF_CHECK(options.parse(arguments));
     BOOST_LEAF_ASSIGN(made.entry_hosts, operations::parse_endpoints(entries));
@@ -157,6 +175,10 @@
     if (!backends.empty()) {
         BOOST_LEAF_ASSIGN(made.backend_servers, operations::parse_endpoints(backends));
     }
+    if (path_rounds > 0 && !made.backend_servers.empty()) {
+        return compare_paths(made.entry_hosts.front(), made.backend_servers.front(),
+                             {made.groups.front(), made.write_class, path_rounds});
+    }
     const std::vector<load::request_trace> traces = load::run_load(made);
     std::this_thread::sleep_for(milliseconds{settle_ms});
     const load::load_summary summary = load::summarize(traces, made.duration);
--- a/src/load/history_check.h
+++ b/src/load/history_check.h
@@ -10,6 +10,9 @@
 check_result check_histories(const std::vector<request_trace>& traces,
                              const std::vector<server_history>& histories, bool is_write_replicated);
 
+/// Median, 99th percentile and greatest of some values; zeros for none.
+distribution distribution_of(std::vector<double> values);
+
 load_summary summarize(const std::vector<request_trace>& traces, milliseconds duration);
 
 /// From each loss to the first write of the group that another server acknowledged; nothing when none did.
--- a/src/load/internal/history_check.cpp
+++ b/src/load/internal/history_check.cpp
@@ -54,6 +54,8 @@
     return diverged;
 }
 
+} // namespace
+
 distribution distribution_of(std::vector<double> values)
 {
     if (values.empty()) {
@@ -64,8 +66,6 @@
     return {at(50), at(99), values.back()};
 }
 
-} // namespace
-
 check_result check_histories(const std::vector<request_trace>& traces,
                              const std::vector<server_history>& histories, bool is_write_replicated)
 {
--- a/src/load/internal/load_run.cpp
+++ b/src/load/internal/load_run.cpp
@@ -69,6 +69,7 @@
     std::random_device random;
     const std::string run_name = fmt::format("{:08x}", random());
     std::vector<std::unique_ptr<detail::caller_session>> sessions;
+    sessions.reserve(static_cast<std::size_t>(options.sessions));
     for (int number = 0; number < options.sessions; ++number) {
         sessions.push_back(std::make_unique<detail::caller_session>(options, number, run_name));
     }
