--- a/scripts/lib/measurements.sh
+++ b/scripts/lib/measurements.sh
@@ -166,12 +166,21 @@
     figure entry_host_memory_per_kept_alive_caller "$(awk "BEGIN {print ($after - $before) / 500}")" kB 500
 }
 
+# Claims on one leader of three control hosts, each with real syncs, without entry hosts.
 measure_claims_per_second() {
+    start_control_hosts 3 >&2 || return 1
+    local name links=""
+    for name in "${CONTROL_NAMES[@]}"; do links="$links${links:+,}127.0.0.1:${PORT_OF[$name]}"; done
+    "$BIN/hickorymount-load" --claims "$links" --duration-ms 6000
+}
+
+# Bookings through the whole path, everything on this one machine.
+measure_bookings_per_second() {
     start_tambour_vert 3 || return 1
     "$BIN/hickorymount-load" --entries "$ENTRIES" --backends "$(backend_list)" --groups exchange,inspection,sales \
         --read-class inspection-read --write-class inspection-log --booking-class booking --read-percent 0 \
         --booking-percent 100 --sessions "${SESSIONS:-96}" --rate "${RATE:-4000}" --duration-ms 8000 |
-        sed 's/answered_per_second/claims_per_second/'
+        sed 's/answered_per_second/bookings_per_second/'
 }
 
 # From the operator's call to the change being in force on every live entry host, the tool's start included.
--- a/src/app/load/main.cpp
+++ b/src/app/load/main.cpp
@@ -1,5 +1,6 @@
 #include "codec/json_codec.h"
 #include "command_line/command_line.h"
+#include "load/claim_run.h"
 #include "load/history_check.h"
 #include "load/load_run.h"
 #include "load/path_comparison.h"
@@ -132,6 +133,8 @@
 {
     load::load_options made;
     int path_rounds = 0;
+    std::string claim_links;
+    int claim_window = 256;
     std::string entries;
     std::string backends;
     std::string groups;
@@ -161,8 +164,16 @@
         "compare-path", path_rounds,
         "instead: so many statements to the first backend server, direct and through the first entry host",
         "COUNT");
+    options.add("claims", claim_links, "instead: claims sent to the control hosts' links", "ADDRESS:PORT,…");
+    options.add("claim-window", claim_window, "claims that wait for an answer at once", "COUNT");
     options.add_flag("replicated", is_replicated, "the write class is acknowledged by a replica, too");
     BOOST_LEAF_CHECK(options.parse(arguments));
+    if (!claim_links.empty()) {
+        BOOST_LEAF_AUTO(links, operations::parse_endpoints(claim_links));
+        const std::uint64_t granted = load::run_claims({links, claim_window, milliseconds{duration_ms}});
+        print_figure("claims_per_second", static_cast<double>(granted) * 1000 / duration_ms, "1/s", granted);
+        return EXIT_SUCCESS;
+    }
     BOOST_LEAF_ASSIGN(made.entry_hosts, operations::parse_endpoints(entries));
     made.groups = split_groups(groups);
     if (made.groups.empty() || made.sessions < 1 || made.rate < 1) {
--- /dev/null
+++ b/src/load/internal/claim_run.cpp
@@ -0,0 +1,93 @@
+#include "load/claim_run.h"
+
+#include "link/peer_transport.h"
+#include "protocol/message_codec.h"
+
+#include <atomic>
+#include <random>
+#include <thread>
+
+#include <fmt/format.h>
+
+namespace hickorymount::load {
+
+namespace {
+
+constexpr const char* own_name = "claims";
+constexpr milliseconds retention{60'000};
+
+/// Keeps a window of claims waiting at the leader.
+class claim_sender
+{
+public:
+    explicit claim_sender(const claim_options& options) : m_options(options)
+    {
+        std::random_device random;
+        m_run = fmt::format("{:08x}", random());
+        link::peer_handlers handlers;
+        handlers.on_message = [this](const std::string& peer, const std::string& bytes) {
+            receive(peer, bytes);
+        };
+        handlers.on_connected = [this](const std::string& peer) {
+            for (int at = 0; at < m_options.window; ++at) {
+                send_one(peer);
+            }
+        };
+        handlers.on_problem = [](const std::string&, const std::string&) {};
+        m_transport = link::make_websocket_transport(own_name, std::move(handlers));
+    }
+
+    std::uint64_t run()
+    {
+        int number = 0;
+        for (const protocol::endpoint& control : m_options.control_links) {
+            m_transport->dial(fmt::format("control-{}", ++number), control.address, control.port);
+        }
+        m_transport->start();
+        std::this_thread::sleep_for(m_options.duration);
+        m_transport->stop();
+        return m_granted;
+    }
+
+private:
+    void send_one(const std::string& peer)
+    {
+        directory::claim_request claim;
+        const std::uint64_t number = ++m_next;
+        claim.key = {group_name{"claims"}, request_key{fmt::format("{}-{}", m_run, number)}};
+        claim.holder = {{host_name{own_name}, incarnation_id{m_run}}, number};
+        claim.claimed_at = unix_now();
+        claim.retention = retention;
+        m_transport->send(peer, protocol::encode(protocol::claim_call{number, std::move(claim)}));
+    }
+
+    void receive(const std::string& peer, const std::string& bytes)
+    {
+        handle_failure(
+            [&]() -> result<void> {
+                BOOST_LEAF_AUTO(message, protocol::decode(bytes, peer));
+                const auto* reply = std::get_if<protocol::claim_reply>(&message);
+                if (reply != nullptr && reply->answer.verdict == directory::claim_verdict::granted) {
+                    ++m_granted;
+                    send_one(peer);
+                }
+                return {};
+            },
+            [](const failure&) {});
+    }
+
+    claim_options m_options;
+    std::string m_run;
+    std::uint64_t m_next = 0;
+    std::atomic<std::uint64_t> m_granted{0};
+    std::unique_ptr<link::peer_transport> m_transport;
+};
+
+} // namespace
+
+std::uint64_t run_claims(const claim_options& options)
+{
+    return claim_sender(options).run();
+}
+
+} // namespace hickorymount::load
--- a/src/node/tests/control_tests.cpp
+++ b/src/node/tests/control_tests.cpp
@@ -138,6 +138,30 @@
     EXPECT_TRUE(!answer || std::holds_alternative<supervision::refused_answer>(*answer));
 }
 
+TEST_F(control_fixture, leader_does_not_count_itself_before_its_own_sync)
+{
+    const std::string leading = leader();
+    hold_syncs(leading);
+    isolate(other_follower());
+    const std::uint64_t request = change_configuration(leading, "a", 0, default_configuration());
+    pass(milliseconds{400});
+    EXPECT_FALSE(operator_answer(request).has_value());
+    release_syncs(leading);
+    EXPECT_TRUE(pass_until([&] { return operator_answer(request).has_value(); }));
+}
+
+TEST_F(control_fixture, follower_does_not_confirm_entries_before_its_sync)
+{
+    const std::string leading = leader();
+    hold_syncs(follower());
+    isolate(other_follower());
+    const std::uint64_t request = change_configuration(leading, "a", 0, default_configuration());
+    pass(milliseconds{400});
+    EXPECT_FALSE(operator_answer(request).has_value());
+    release_syncs(follower());
+    EXPECT_TRUE(pass_until([&] { return operator_answer(request).has_value(); }));
+}
+
 TEST_F(control_fixture, lost_disk_under_its_old_name_has_no_vote)
 {
     change(leader(), "a", 0);
--- /dev/null
+++ b/src/routing/internal/read_candidates.cpp
@@ -0,0 +1,53 @@
+#include "routing/internal/read_candidates.h"
+
+#include <algorithm>
+
+namespace hickorymount::routing::detail {
+
+namespace {
+
+constexpr std::int64_t milliseconds_in_second = 1000;
+
+} // namespace
+
+session::group_position needed_position(const request_state& request)
+{
+    const auto seen = request.asked.token.seen.find(request.asked.group);
+    return seen == request.asked.token.seen.end() ? session::group_position{} : seen->second;
+}
+
+std::vector<read_candidate> read_candidates(const entry_step& step, const request_state& request,
+                                            const group_state& group)
+{
+    const session::group_position needed = needed_position(request);
+    const bool needs_lease = request.settings.max_age.has_value();
+    std::vector<read_candidate> known;
+    for (const backend_server_name& name : group.members) {
+        const server_state& server = *step.state.servers.find(name);
+        const protocol::server_report& report = server.report;
+        const milliseconds silent = step.now - server.heard_at;
+        const bool is_primary = name == group.record.primary;
+        const bool is_usable = report.at.term == group.record.term && !report.leaving &&
+                               step.now >= server.avoid_until && silent < report_stale &&
+                               (!needs_lease || step.has_lease());
+        if (!is_usable || (is_primary && !step.is_term_usable(group))) {
+            continue;
+        }
+        const auto gained = static_cast<protocol::log_position>(
+            std::max<std::int64_t>(0, server.records_per_second * silent.count() / milliseconds_in_second));
+        read_candidate candidate;
+        candidate.name = name;
+        candidate.is_primary = is_primary;
+        candidate.is_same_zone = report.zone == step.state.zone;
+        candidate.covers = is_primary || report.at.position >= needed.position;
+        candidate.probably_covers =
+            !request.behind.contains(name) && report.at.position + gained >= needed.position;
+        candidate.is_fresh = is_primary || !needs_lease || report.age + silent <= *request.settings.max_age;
+        candidate.free_connections = static_cast<std::uint32_t>(server.connections.idle.size());
+        candidate.busy_connections = static_cast<std::uint32_t>(server.connections.busy.size());
+        known.push_back(std::move(candidate));
+    }
+    return known;
+}
+
+} // namespace hickorymount::routing::detail
--- a/src/routing/internal/request_desk.cpp
+++ b/src/routing/internal/request_desk.cpp
@@ -1,8 +1,9 @@
 #include "routing/internal/request_desk.h"
 
+#include "routing/internal/read_candidates.h"
+#include "routing/internal/request_key.h"
+
 #include <algorithm>
-#include <charconv>
-#include <functional>
 #include <utility>
 
 #include <fmt/format.h>
@@ -17,40 +18,6 @@
 using directory::group_phase;
 using protocol::server_role;
 
-constexpr unix_milliseconds milliseconds_in_second{1000};
-
-/// The time that a request key begins with: `<Unix seconds>-<text>`.
-std::optional<unix_milliseconds> key_time(const request_key& key)
-{
-    std::int64_t seconds = 0;
-    const char* const begin = key.value.data();
-    const char* const end = begin + key.value.size();
-    const auto [rest, status] = std::from_chars(begin, end, seconds);
-    const bool is_formed = status == std::errc{} && rest != end && *rest == '-' && rest + 1 != end;
-    if (!is_formed || seconds < 0) {
-        return std::nullopt;
-    }
-    return milliseconds_in_second * seconds;
-}
-
-/// FNV-1a, which gives the same number on every host and in every release.
-std::uint64_t statement_hash(const caller_request& asked)
-{
-    constexpr std::uint64_t offset_basis = 14695981039346656037ULL;
-    constexpr std::uint64_t prime = 1099511628211ULL;
-    std::uint64_t hash = offset_basis;
-    for (const char each : asked.class_of_request.value + '\n' + asked.statement) {
-        hash = (hash ^ static_cast<unsigned char>(each)) * prime;
-    }
-    return hash;
-}
-
-session::group_position needed_position(const request_state& request)
-{
-    const auto seen = request.asked.token.seen.find(request.asked.group);
-    return seen == request.asked.token.seen.end() ? session::group_position{} : seen->second;
-}
-
 bool is_write(const request_state& request)
 {
     return request.settings.kind == statement_kind::write || request.asked.what != operation::run ||
@@ -361,7 +328,7 @@
 
 bool request_desk::try_start_read(const request_state& request, const group_state& group)
 {
-    const std::vector<read_candidate> known = candidates(request, group);
+    const std::vector<read_candidate> known = read_candidates(m_step, request, group);
     const read_choice choice = m_step.policy.choose(known);
     if (!choice.candidate) {
         return false;
@@ -377,40 +344,6 @@
     return true;
 }
 
-std::vector<read_candidate> request_desk::candidates(const request_state& request,
-                                                     const group_state& group) const
-{
-    const session::group_position needed = needed_position(request);
-    const bool needs_lease = request.settings.max_age.has_value();
-    std::vector<read_candidate> known;
-    for (const backend_server_name& name : group.members) {
-        const server_state& server = *m_step.state.servers.find(name);
-        const protocol::server_report& report = server.report;
-        const milliseconds silent = m_step.now - server.heard_at;
-        const bool is_primary = name == group.record.primary;
-        const bool is_usable = report.at.term == group.record.term && !report.leaving &&
-                               m_step.now >= server.avoid_until && silent < report_stale &&
-                               (!needs_lease || m_step.has_lease());
-        if (!is_usable || (is_primary && !m_step.is_term_usable(group))) {
-            continue;
-        }
-        const auto gained = static_cast<protocol::log_position>(
-            std::max<std::int64_t>(0, server.records_per_second * silent.count() / 1000));
-        read_candidate candidate;
-        candidate.name = name;
-        candidate.is_primary = is_primary;
-        candidate.is_same_zone = report.zone == m_step.state.zone;
-        candidate.covers = is_primary || report.at.position >= needed.position;
-        candidate.probably_covers =
-            !request.behind.contains(name) && report.at.position + gained >= needed.position;
-        candidate.is_fresh = is_primary || !needs_lease || report.age + silent <= *request.settings.max_age;
-        candidate.free_connections = static_cast<std::uint32_t>(server.connections.idle.size());
-        candidate.busy_connections = static_cast<std::uint32_t>(server.connections.busy.size());
-        known.push_back(std::move(candidate));
-    }
-    return known;
-}
-
 void request_desk::start(request_state request, const backend_server_name& server,
                          connection_number connection)
 {
--- a/src/routing/internal/request_desk.h
+++ b/src/routing/internal/request_desk.h
@@ -48,8 +48,6 @@
     bool try_start_write(const request_state& request, const group_state& group);
     bool try_start_read(const request_state& request, const group_state& group);
     void start(request_state request, const backend_server_name& server, connection_number connection);
-    [[nodiscard]] std::vector<read_candidate> candidates(const request_state& request,
-                                                         const group_state& group) const;
 
     void answered_read(request_state request, const statement_answered& what);
     void answered_write(request_state request, const statement_answered& what);
--- /dev/null
+++ b/src/routing/tests/read_policy_tests.cpp
@@ -0,0 +1,84 @@
+#include "routing/read_policy.h"
+
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace hickorymount::routing {
+namespace {
+
+read_candidate replica(const char* name, bool covers, bool is_same_zone, std::uint32_t free,
+                       std::uint32_t busy)
+{
+    return {backend_server_name{name}, false, is_same_zone, covers, covers, true, free, busy};
+}
+
+read_candidate primary(std::uint32_t free, std::uint32_t busy)
+{
+    return {backend_server_name{"primary"}, true, true, true, true, true, free, busy};
+}
+
+read_candidate old(read_candidate candidate)
+{
+    candidate.is_fresh = false;
+    return candidate;
+}
+
+read_candidate likely(read_candidate candidate)
+{
+    candidate.covers = false;
+    candidate.probably_covers = true;
+    return candidate;
+}
+
+struct policy_row
+{
+    const char* name;
+    std::vector<read_candidate> candidates;
+    std::optional<std::size_t> chosen;
+};
+
+class position_policy_fixture : public ::testing::TestWithParam<policy_row>
+{
+};
+
+TEST_P(position_policy_fixture, read_goes_where_the_row_says)
+{
+    EXPECT_EQ(position_policy().choose(GetParam().candidates).candidate, GetParam().chosen);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    rows, position_policy_fixture,
+    ::testing::Values(
+        policy_row{"none", {}, std::nullopt},
+        policy_row{"replica_before_primary", {primary(3, 0), replica("a", true, false, 1, 2)}, 1},
+        policy_row{"same_zone_first", {replica("a", true, false, 3, 0), replica("b", true, true, 1, 2)}, 1},
+        policy_row{"fewest_in_flight_among_equals",
+                   {replica("a", true, true, 1, 2), replica("b", true, true, 2, 1)},
+                   1},
+        policy_row{"uncovering_replica_left_out", {primary(3, 0), replica("a", false, true, 3, 0)}, 0},
+        policy_row{
+            "likely_replica_before_primary", {primary(3, 0), likely(replica("a", false, true, 3, 0))}, 1},
+        policy_row{"sure_replica_before_likely_one",
+                   {likely(replica("a", false, true, 3, 0)), replica("b", true, false, 3, 0)},
+                   1},
+        policy_row{"too_old_replica_left_out", {primary(3, 0), old(replica("a", true, true, 3, 0))}, 0},
+        policy_row{"wait_for_a_full_covering_replica",
+                   {primary(3, 0), replica("a", true, true, 0, 3)},
+                   std::nullopt},
+        policy_row{"last_connection_of_the_primary_is_kept_for_writes", {primary(1, 3)}, std::nullopt},
+        policy_row{"only_connection_to_the_primary_may_read", {primary(1, 0)}, 0}),
+    [](const auto& info) { return info.param.name; });
+
+class primary_policy_fixture : public ::testing::Test
+{
+};
+
+TEST_F(primary_policy_fixture, every_read_goes_to_the_primary)
+{
+    EXPECT_EQ(primary_policy().choose({replica("a", true, true, 3, 0), primary(3, 0)}).candidate, 1U);
+    EXPECT_FALSE(primary_policy().choose({replica("a", true, true, 3, 0)}).candidate.has_value());
+}
+
+} // namespace
+} // namespace hickorymount::routing
--- /dev/null
+++ b/src/routing/tests/request_key_tests.cpp
@@ -0,0 +1,40 @@
+#include "routing/internal/request_key.h"
+
+#include <gtest/gtest.h>
+
+namespace hickorymount::routing::detail {
+namespace {
+
+class request_key_fixture : public ::testing::Test
+{
+};
+
+TEST_F(request_key_fixture, key_of_the_right_form_gives_its_time)
+{
+    EXPECT_EQ(key_time(request_key{"1764000000-order-17"}), unix_milliseconds{1'764'000'000'000});
+}
+
+TEST_F(request_key_fixture, key_of_another_form_gives_none)
+{
+    for (const char* key :
+         {"", "order-17", "1764000000", "1764000000-", "-5-a", "17640 00000-a", "99999999999999999999-a"}) {
+        EXPECT_FALSE(key_time(request_key{key}).has_value()) << key;
+    }
+}
+
+TEST_F(request_key_fixture, hash_tells_class_and_statement_apart)
+{
+    caller_request one;
+    one.class_of_request = class_name{"order"};
+    one.statement = "add orders 1";
+    caller_request other = one;
+    EXPECT_EQ(statement_hash(one), statement_hash(other));
+    other.statement = "add orders 2";
+    EXPECT_NE(statement_hash(one), statement_hash(other));
+    other = one;
+    other.class_of_request = class_name{"credit"};
+    EXPECT_NE(statement_hash(one), statement_hash(other));
+}
+
+} // namespace
+} // namespace hickorymount::routing::detail
