Label metrics with the tenant, and test what fits nothing, another term, and delay with loss

Enumerations are named in one place, their descriptions. A row for an entry host that alone suspects a primary did not send it anything, so it could not fail; it does now.

--- a/src/framework/codec/description.h
+++ b/src/framework/codec/description.h
@@ -44,4 +44,14 @@
     description<T>::enumerators;
 };
 
+/// The name of an enumeration's value; empty for one that is not described.
+template <described_enum T>
+constexpr std::string_view enumerator_name(T value)
+{
+    std::string_view name;
+    std::apply([&](const auto&... each) { ((name = each.value == value ? each.name : name), ...); },
+               description<T>::enumerators);
+    return name;
+}
+
 } // namespace hickorymount::codec
--- a/src/framework/codec/json_codec.h
+++ b/src/framework/codec/json_codec.h
@@ -186,10 +186,7 @@
             description<T>::members);
         return document;
     } else if constexpr (described_enum<T>) {
-        std::string_view name;
-        std::apply([&](const auto&... each) { ((name = each.value == value ? each.name : name), ...); },
-                   description<T>::enumerators);
-        return std::string(name);
+        return std::string(enumerator_name(value));
     } else if constexpr (is_identifier<T>::value) {
         return value.value;
     } else if constexpr (is_duration<T>::value) {
--- a/src/gateway/internal/caller_codec.cpp
+++ b/src/gateway/internal/caller_codec.cpp
@@ -128,7 +128,6 @@
     case refusal::key_not_allowed:
         return 400;
     case refusal::session_position_lost:
-    case refusal::transaction_unknown:
     case refusal::transaction_elsewhere:
     case refusal::transaction_ended:
     case refusal::transaction_busy:
--- a/src/gateway/internal/entry_pages.cpp
+++ b/src/gateway/internal/entry_pages.cpp
@@ -49,15 +49,15 @@
     return made;
 }
 
-std::string class_labels(const std::string& class_of_request)
+std::string class_labels(const std::string& tenant, const std::string& class_of_request)
 {
-    return fmt::format(R"(class="{}")", class_of_request);
+    return fmt::format(R"(tenant="{}",class="{}")", tenant, class_of_request);
 }
 
-void count_outcome(metrics::metric_registry& into, const std::string& class_of_request,
+void count_outcome(metrics::metric_registry& into, const std::string& labels,
                    const routing::caller_outcome& outcome)
 {
-    into.count("hickorymount_requests_total", class_labels(class_of_request) + "," + outcome_name(outcome));
+    into.count("hickorymount_requests_total", labels + "," + outcome_name(outcome));
 }
 
 void set_gauges(metrics::metric_registry& into, const routing::entry_state& state, std::size_t open_calls)
--- a/src/gateway/internal/entry_pages.h
+++ b/src/gateway/internal/entry_pages.h
@@ -11,10 +11,10 @@
 
 http::response plain_page(int status, std::string body);
 
-/// Labels of the metrics kept for each class.
-std::string class_labels(const std::string& class_of_request);
+/// Labels of the metrics kept for each tenant and class.
+std::string class_labels(const std::string& tenant, const std::string& class_of_request);
 
-void count_outcome(metrics::metric_registry& into, const std::string& class_of_request,
+void count_outcome(metrics::metric_registry& into, const std::string& labels,
                    const routing::caller_outcome& outcome);
 
 /// Sets the gauges that follow from the entry host's state.
--- a/src/gateway/internal/entry_service.cpp
+++ b/src/gateway/internal/entry_service.cpp
@@ -179,6 +179,11 @@
     {
         const auto& state = std::get<routing::entry_state>(m_state);
         m_is_ready = routing::is_ready(state, millisecond_clock::now());
+        if (state.configuration->version != m_published_version) {
+            const std::lock_guard lock(m_page_mutex);
+            m_published_version = state.configuration->version;
+            m_tenant = state.configuration->content.tenant.value;
+        }
         if (!m_page_wanted.exchange(false)) {
             return;
         }
@@ -343,11 +348,16 @@
             },
             [&](const failure& what) { return detail::encode_bad_request(what, 400); });
         const std::chrono::duration<double, std::milli> took = std::chrono::steady_clock::now() - began;
-        m_metrics.observe_ms("hickorymount_request_duration_ms", detail::class_labels(class_label),
-                             took.count());
+        m_metrics.observe_ms("hickorymount_request_duration_ms", labels_for(class_label), took.count());
         return answer;
     }
 
+    std::string labels_for(const std::string& class_label)
+    {
+        const std::lock_guard lock(m_page_mutex);
+        return detail::class_labels(m_tenant, class_label);
+    }
+
     http::response finish_call(std::uint64_t number, std::string& class_label)
     {
         std::optional<routing::caller_outcome> outcome = m_calls.wait(number, caller_timeout);
@@ -365,7 +375,7 @@
             refused != nullptr && refused->reason == routing::refusal::unknown_class) {
             class_label = "unknown";
         }
-        detail::count_outcome(m_metrics, class_label, *outcome);
+        detail::count_outcome(m_metrics, labels_for(class_label), *outcome);
         http::response made = detail::encode_outcome(*outcome);
         made.headers[detail::request_header] =
             fmt::format("{}.{}.{}", m_self.name.value, m_self.incarnation.value, number);
@@ -398,6 +408,8 @@
     std::mutex m_page_mutex;
     std::condition_variable m_page_changed;
     routing::entry_state m_page;
+    configuration::configuration_version m_published_version = 0;
+    std::string m_tenant;
     std::mutex m_drained_mutex;
     std::condition_variable m_drained_changed;
     bool m_is_drained = false;
--- a/src/node/tests/failover_tests.cpp
+++ b/src/node/tests/failover_tests.cpp
@@ -80,11 +80,14 @@
     EXPECT_EQ(count_records(primary_of("orders"), "a"), 1);
 }
 
-TEST_F(failover_fixture, primary_cut_off_from_one_entry_host_of_three_stays)
+TEST_F(failover_fixture, primary_cut_off_from_one_entry_host_of_two_stays)
 {
     cut("orders-1", "entry-2");
-    // Two entry hosts: one of two is no majority.
-    pass(milliseconds{4000});
+    // Its statements are lost, so it suspects the primary; one of two is no majority.
+    for (int at = 0; at < 4; ++at) {
+        write("entry-2", "put a 1");
+        pass(milliseconds{1000});
+    }
     EXPECT_EQ(term_of("orders"), 1U);
 }
 
@@ -289,6 +292,23 @@
     EXPECT_EQ(term_of("orders"), 1U);
 }
 
+TEST_F(failover_fixture, delay_up_to_50_ms_and_loss_cause_no_change_while_idle_and_under_load)
+{
+    int message = 0;
+    set_link_delay(milliseconds{50});
+    message_filter = [&](const std::string&, const std::string&, const protocol::message&) {
+        return ++message % 100 != 0;
+    };
+    pass(milliseconds{60'000});
+    EXPECT_EQ(term_of("orders"), 1U);
+    for (int at = 0; at < 600; ++at) {
+        write("entry-1", "put a " + std::to_string(at));
+        read("entry-2", "a");
+        pass(milliseconds{50});
+    }
+    EXPECT_EQ(term_of("orders"), 1U);
+}
+
 TEST_F(failover_fixture, restarted_primary_without_its_data_does_not_go_on_as_primary)
 {
     ASSERT_TRUE(is_answered(outcome(write("entry-1", "put a 1"))));
--- a/src/node/tests/node_fixture.cpp
+++ b/src/node/tests/node_fixture.cpp
@@ -511,7 +511,10 @@
     if (!passes) {
         return;
     }
-    later(step_time, [this, from, to, content] {
+    std::uniform_int_distribution<std::int64_t> spread(0, m_most_delay.count());
+    time_point& arrival = m_last_arrival[{from, to}];
+    arrival = std::max(arrival, m_now + step_time + milliseconds{spread(m_random)});
+    later(arrival - m_now, [this, from, to, content] {
         const auto found = m_hosts.find(to);
         if (found == m_hosts.end() || !is_linked(from, to)) {
             return;
--- a/src/node/tests/node_fixture.h
+++ b/src/node/tests/node_fixture.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -53,6 +54,8 @@
     void hold_syncs(const std::string& host) { m_held_syncs.insert(host); }
     void release_syncs(const std::string& host) { m_held_syncs.erase(host); }
     void lose_disk(const std::string& host);
+    /// Messages between hosts take a random time up to `most`, in order on each link.
+    void set_link_delay(milliseconds most) { m_most_delay = most; }
     /// Gives the data folder of a killed host back as it was, identity included.
     void set_disk(const std::string& host, consensus::stored_state stored);
     /// The host's clock runs this many parts in a thousand faster than true time.
@@ -99,6 +102,12 @@
     /// The same for answers of backend servers to statements.
     std::function<bool(const std::string& server, const database::database_answer&)> answer_filter;
 
+    /// Somebody else promotes a backend server.
+    void promote_directly(const std::string& server, std::uint64_t term)
+    {
+        run_backend(server, database::promote_asked{0, {term}});
+    }
+
     void set_faults(const std::string& server, const database::fault_settings& faults);
 
 private:
@@ -173,6 +182,9 @@
     std::map<std::uint64_t, std::function<void(const database::database_answer&)>> m_calls;
     /// What a dead backend server's connections do to the statements on them.
     std::map<std::pair<std::string, routing::connection_number>, std::function<void()>> m_statements;
+    milliseconds m_most_delay{0};
+    std::map<std::pair<std::string, std::string>, time_point> m_last_arrival;
+    std::minstd_rand m_random{20261204};
     std::uint64_t m_next = 1;
     std::uint64_t m_next_identity = 1;
     /// Elections need hosts whose random numbers differ.
--- a/src/node/tests/traffic_tests.cpp
+++ b/src/node/tests/traffic_tests.cpp
@@ -62,6 +62,37 @@
     }
 };
 
+TEST_F(traffic_fixture, request_that_fits_nothing_is_refused_and_the_host_goes_on)
+{
+    routing::caller_request unknown_group;
+    unknown_group.group = group_name{"nowhere"};
+    unknown_group.class_of_request = class_name{"log"};
+    EXPECT_EQ(reason_of(outcome(ask("entry-1", unknown_group))), refusal::unknown_group);
+    EXPECT_EQ(reason_of(outcome(write("entry-1", "put a 1", "nothing"))), refusal::unknown_class);
+    routing::caller_request expired;
+    expired.group = group_name{"orders"};
+    expired.class_of_request = class_name{"log"};
+    expired.statement = "put a 1";
+    expired.timeout = milliseconds{-1};
+    EXPECT_EQ(reason_of(outcome(ask("entry-1", expired))), refusal::deadline_passed);
+    EXPECT_EQ(reason_of(outcome(transact("entry-1", operation::commit, transaction_id{"no-such"}))),
+              refusal::transaction_elsewhere);
+    EXPECT_EQ(count_records("orders-1", "a"), 0);
+    EXPECT_TRUE(is_answered(outcome(write("entry-1", "put a 1"))));
+}
+
+TEST_F(traffic_fixture, statement_of_another_term_is_refused_and_runs_in_the_present_one)
+{
+    // The backend server is a term ahead of what the entry host knows.
+    set_faults("orders-1", {});
+    promote_directly("orders-1", 2);
+    const std::uint64_t request = write("entry-1", "put a 1");
+    pass(milliseconds{100});
+    EXPECT_EQ(count_records("orders-1", "a"), 0);
+    EXPECT_TRUE(is_answered(outcome(request)));
+    EXPECT_EQ(count_records(primary_of("orders"), "a"), 1);
+}
+
 TEST_F(traffic_fixture, read_after_write_at_another_entry_host_sees_the_write_before_replicas_have_it)
 {
     const routing::caller_outcome written = outcome(write("entry-1", "put a 1"));
--- a/src/routing/descriptions.h
+++ b/src/routing/descriptions.h
@@ -28,7 +28,6 @@
                    enumerator{"deadline_passed", routing::refusal::deadline_passed},
                    enumerator{"queue_full", routing::refusal::queue_full},
                    enumerator{"session_position_lost", routing::refusal::session_position_lost},
-                   enumerator{"transaction_unknown", routing::refusal::transaction_unknown},
                    enumerator{"transaction_elsewhere", routing::refusal::transaction_elsewhere},
                    enumerator{"transaction_ended", routing::refusal::transaction_ended},
                    enumerator{"transaction_busy", routing::refusal::transaction_busy},
@@ -37,9 +36,7 @@
                    enumerator{"key_too_old", routing::refusal::key_too_old},
                    enumerator{"key_reused", routing::refusal::key_reused},
                    enumerator{"key_not_allowed", routing::refusal::key_not_allowed},
-                   enumerator{"control_unavailable", routing::refusal::control_unavailable},
-                   enumerator{"retries_exhausted", routing::refusal::retries_exhausted},
-                   enumerator{"backend_server_refused", routing::refusal::backend_server_refused}};
+                   enumerator{"control_unavailable", routing::refusal::control_unavailable}};
 };
 
 template <>
--- a/src/routing/internal/reduce.cpp
+++ b/src/routing/internal/reduce.cpp
@@ -1,5 +1,6 @@
 #include "routing/reduce.h"
 
+#include "routing/descriptions.h"
 #include "routing/internal/connection_keeper.h"
 #include "routing/internal/entry_step.h"
 #include "routing/internal/lease_holder.h"
@@ -7,7 +8,6 @@
 #include "routing/internal/view_keeper.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace hickorymount::routing {
@@ -198,27 +198,7 @@
 
 std::string_view to_string(refusal reason)
 {
-    static constexpr std::array<std::string_view, 20> names{"draining",
-                                                            "not_ready",
-                                                            "unknown_group",
-                                                            "unknown_class",
-                                                            "class_not_allowed",
-                                                            "deadline_passed",
-                                                            "queue_full",
-                                                            "session_position_lost",
-                                                            "transaction_unknown",
-                                                            "transaction_elsewhere",
-                                                            "transaction_ended",
-                                                            "transaction_busy",
-                                                            "key_missing",
-                                                            "key_malformed",
-                                                            "key_too_old",
-                                                            "key_reused",
-                                                            "key_not_allowed",
-                                                            "control_unavailable",
-                                                            "retries_exhausted",
-                                                            "backend_server_refused"};
-    return names[static_cast<std::size_t>(reason)];
+    return codec::enumerator_name(reason);
 }
 
 } // namespace hickorymount::routing
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -97,7 +97,6 @@
     deadline_passed,
     queue_full,
     session_position_lost,
-    transaction_unknown,
     transaction_elsewhere,
     transaction_ended,
     transaction_busy,
@@ -106,9 +105,7 @@
     key_too_old,
     key_reused,
     key_not_allowed,
-    control_unavailable,
-    retries_exhausted,
-    backend_server_refused
+    control_unavailable
 };
 
 /// The whole answer to the request.
--- a/src/supervision/internal/reduce.cpp
+++ b/src/supervision/internal/reduce.cpp
@@ -1,12 +1,12 @@
 #include "supervision/reduce.h"
 
 #include "consensus/reduce.h"
+#include "supervision/descriptions.h"
 #include "supervision/internal/lease_keeper.h"
 #include "supervision/internal/operator_desk.h"
 #include "supervision/internal/primary_changer.h"
 #include "supervision/internal/supervision_step.h"
 
-#include <array>
 #include <utility>
 
 namespace hickorymount::supervision {
@@ -276,10 +276,7 @@
 
 std::string_view to_string(change_stage stage)
 {
-    static constexpr std::array<std::string_view, 9> names{"confirming", "holding",   "catching_up",
-                                                           "closing",    "revoking",  "collecting",
-                                                           "naming",     "promoting", "opening"};
-    return names[static_cast<std::size_t>(stage)];
+    return codec::enumerator_name(stage);
 }
 
 } // namespace hickorymount::supervision
