--- a/src/load/tests/history_check_tests.cpp
+++ b/src/load/tests/history_check_tests.cpp
@@ -54,6 +54,22 @@
     EXPECT_EQ(checked.run_though_refused, 1U);
 }
 
+TEST_F(history_fixture, booking_that_ran_and_was_refused_when_sent_again_is_no_fault)
+{
+    const auto checked = check_histories({told(request_kind::booking, "a", told_outcome::answered),
+                                          told(request_kind::booking, "a", told_outcome::not_run)},
+                                         {history("orders-1", 1, {"a"})}, false);
+    EXPECT_EQ(checked.run_though_refused, 0U);
+}
+
+TEST_F(history_fixture, booking_refused_twice_and_held_is_reported)
+{
+    const auto checked = check_histories({told(request_kind::booking, "a", told_outcome::not_run),
+                                          told(request_kind::booking, "a", told_outcome::not_run)},
+                                         {history("orders-1", 1, {"a"})}, false);
+    EXPECT_EQ(checked.run_though_refused, 1U);
+}
+
 TEST_F(history_fixture, servers_of_one_term_that_differ_have_diverged)
 {
     const auto checked =
