--- a/src/supervision/types.h
+++ b/src/supervision/types.h
@@ -24,8 +24,6 @@
 
 /// A lease lasts this long by the leader's clock.
 inline constexpr milliseconds lease_duration{2000};
-/// Entry hosts stop this much earlier: clocks may differ in rate by 1% each.
-inline constexpr milliseconds lease_drift_margin{40};
 inline constexpr milliseconds supervision_interval{25};
 /// Silence of a primary, at all entry hosts together, that starts a check.
 inline constexpr milliseconds report_silence{250};
