--- a/src/node/internal/control_reducer.cpp
+++ b/src/node/internal/control_reducer.cpp
@@ -127,7 +127,7 @@
 void control_reducer::carry_out(consensus::send_message&& effect)
 {
     protocol::message content =
-        std::visit([](auto&& each) { return protocol::message(std::move(each)); }, std::move(effect.content));
+        std::visit([](auto& each) { return protocol::message(std::move(each)); }, effect.content);
     m_effects.emplace_back(send_to_peer{effect.to, std::move(content)});
 }
 
