--- a/src/routing/internal/request_desk.cpp
+++ b/src/routing/internal/request_desk.cpp
@@ -369,12 +369,18 @@
     m_step.set_request(std::move(request));
 }
 
-void request_desk::handle(const statement_answered& what)
+const request_state* request_desk::awaited(request_number number, connection_number connection) const
 {
-    const request_state* known = m_step.state.requests.find(what.request);
+    const request_state* known = m_step.state.requests.find(number);
     const bool is_awaited =
-        known != nullptr && known->stage == request_stage::running && known->connection == what.connection;
-    if (!is_awaited) {
+        known != nullptr && known->stage == request_stage::running && known->connection == connection;
+    return is_awaited ? known : nullptr;
+}
+
+void request_desk::handle(const statement_answered& what)
+{
+    const request_state* known = awaited(what.request, what.connection);
+    if (known == nullptr) {
         return;
     }
     request_state request = *known;
@@ -498,10 +504,8 @@
 
 void request_desk::handle(const statement_refused& what)
 {
-    const request_state* known = m_step.state.requests.find(what.request);
-    const bool is_awaited =
-        known != nullptr && known->stage == request_stage::running && known->connection == what.connection;
-    if (!is_awaited) {
+    const request_state* known = awaited(what.request, what.connection);
+    if (known == nullptr) {
         return;
     }
     request_state request = *known;
@@ -527,10 +531,8 @@
 
 void request_desk::handle(const statement_not_sent& what)
 {
-    const request_state* known = m_step.state.requests.find(what.request);
-    const bool is_awaited =
-        known != nullptr && known->stage == request_stage::running && known->connection == what.connection;
-    if (!is_awaited) {
+    const request_state* known = awaited(what.request, what.connection);
+    if (known == nullptr) {
         return;
     }
     request_state request = *known;
@@ -547,10 +549,8 @@
 
 void request_desk::handle(const statement_lost& what)
 {
-    const request_state* known = m_step.state.requests.find(what.request);
-    const bool is_awaited =
-        known != nullptr && known->stage == request_stage::running && known->connection == what.connection;
-    if (!is_awaited) {
+    const request_state* known = awaited(what.request, what.connection);
+    if (known == nullptr) {
         return;
     }
     request_state request = *known;
--- a/src/routing/internal/request_desk.h
+++ b/src/routing/internal/request_desk.h
@@ -36,6 +36,9 @@
     void resend_records();
 
 private:
+    /// The request whose statement runs on the connection; null when its outcome is no longer awaited.
+    [[nodiscard]] const request_state* awaited(request_number number, connection_number connection) const;
+
     void admit(request_state request);
     void admit_statement_of_transaction(request_state request);
     bool check_key(request_state& request);
