--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -1,5 +1,6 @@
-# g++ 12 reports members of std::map as maybe uninitialized where they are not.
-set(HICKORYMOUNT_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Werror -Wno-maybe-uninitialized)
+# g++ 12 reports members of std::map as maybe uninitialized, and parts of strings as overlapping, where they are
+# not.
+set(HICKORYMOUNT_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Werror -Wno-maybe-uninitialized -Wno-restrict)
 
 # hickorymount_module(NAME FOLDER SOURCES… LINKS …): one module as a static library.
 # Headers are included from src/ or src/framework/.
--- a/src/app/controld/main.cpp
+++ b/src/app/controld/main.cpp
@@ -1,5 +1,7 @@
 #include "command_line/command_line.h"
 #include "gateway/control_service.h"
+#include "platform/control_pages.h"
+#include "platform/promotion_call.h"
 #include "runtime/stop_signal.h"
 #include "settings/types.h"
 
@@ -28,7 +30,8 @@
     }
     const runtime::stop_signal signal;
     // After a failed write nothing this process believes to be on disk can be trusted.
-    BOOST_LEAF_AUTO(service, gateway::start_control(own, [] { _exit(EXIT_FAILURE); }));
+    BOOST_LEAF_AUTO(service, gateway::start_control(own, [] { _exit(EXIT_FAILURE); }, platform::make_control_pages(),
+                                                         platform::make_promotion_caller(own)));
     signal.wait();
     service->stop();
     return EXIT_SUCCESS;
--- a/src/app/entryd/main.cpp
+++ b/src/app/entryd/main.cpp
@@ -1,5 +1,6 @@
 #include "command_line/command_line.h"
 #include "gateway/entry_service.h"
+#include "platform/session_wire.h"
 #include "runtime/stop_signal.h"
 #include "settings/types.h"
 
@@ -25,7 +26,7 @@
         return EXIT_SUCCESS;
     }
     const runtime::stop_signal signal;
-    BOOST_LEAF_AUTO(service, gateway::start_entry(own));
+    BOOST_LEAF_AUTO(service, gateway::start_entry(own, platform::make_session_wire()));
     signal.wait();
     service->drain();
     service->stop();
--- a/src/configuration/descriptions.h
+++ b/src/configuration/descriptions.h
@@ -49,6 +49,34 @@
     };
 };
 
+template <>
+struct description<configuration::read_consistency>
+{
+    static constexpr auto enumerators =
+        std::tuple{enumerator{"primary", configuration::read_consistency::primary},
+                   enumerator{"bounded_staleness", configuration::read_consistency::bounded_staleness},
+                   enumerator{"read_your_writes", configuration::read_consistency::read_your_writes}};
+};
+
+template <>
+struct description<configuration::database_route>
+{
+    using type = configuration::database_route;
+    static constexpr std::string_view name = "database_route";
+    static constexpr auto members = std::tuple{
+        member{"name", &type::name},
+        member{"database", &type::database},
+        member{"path_prefix", &type::path_prefix},
+        member{"group", &type::group},
+        member{"consistency", &type::consistency},
+        member{"max_staleness", &type::max_staleness},
+        member{"statement_timeout", &type::statement_timeout},
+        member{"target_latency", &type::target_latency},
+        member{"priority", &type::priority},
+        member{"max_attempts", &type::max_attempts},
+    };
+};
+
 template <>
 struct description<configuration::configuration>
 {
@@ -58,6 +86,8 @@
         member{"deployment", &type::deployment}, member{"tenant", &type::tenant},
         member{"zones", &type::zones},           member{"entry_hosts", &type::entry_hosts},
         member{"groups", &type::groups},         member{"classes", &type::classes},
+        member{"databases", &type::databases},   member{"transaction_idle_timeout", &type::transaction_idle_timeout},
+        member{"source", &type::source},
     };
 };
 
--- /dev/null
+++ b/src/configuration/internal/databases.cpp
@@ -0,0 +1,28 @@
+#include "configuration/types.h"
+
+#include <set>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace hickorymount::configuration {
+
+std::string databases_problem(const configuration& checked)
+{
+    std::set<std::pair<std::string, std::string>> known;
+    for (const database_route& route : checked.databases) {
+        if (!checked.groups.contains(route.group)) {
+            return fmt::format("route '{}' names the unknown service '{}'", route.name, route.group.value);
+        }
+        if (route.statement_timeout <= milliseconds{0}) {
+            return fmt::format("route '{}' has no time limit", route.name);
+        }
+        if (!known.insert({route.database, route.path_prefix}).second) {
+            return fmt::format("route '{}' names the database '{}', which has a route already", route.name,
+                               route.database);
+        }
+    }
+    return {};
+}
+
+} // namespace hickorymount::configuration
--- a/src/configuration/types.h
+++ b/src/configuration/types.h
@@ -57,6 +57,40 @@
     friend bool operator==(const group_settings&, const group_settings&) = default;
 };
 
+/// Which servers of a group may run the reads of a database.
+enum class read_consistency
+{
+    /// Every read sees every acknowledged commit.
+    primary,
+    /// A read sees what was acknowledged longer than `max_staleness` ago.
+    bounded_staleness,
+    /// The same, and every commit of its own session.
+    read_your_writes
+};
+
+/// A database name that callers open sessions to, and the group that serves it.
+struct database_route
+{
+    std::string name;
+    std::string database;
+    /// Routes to one database name differ in this; sessions take the shortest.
+    std::string path_prefix;
+    group_name group;
+    read_consistency consistency = read_consistency::primary;
+    /// Not used with `primary`.
+    milliseconds max_staleness{0};
+    /// Longest time for one statement.
+    milliseconds statement_timeout{0};
+    /// The time within which a whole operation should end.
+    milliseconds target_latency{0};
+    /// Zero is served first.
+    std::uint32_t priority = 0;
+    /// Backend servers that a statement may be offered to, one after the other.
+    std::uint32_t max_attempts = 1;
+
+    friend bool operator==(const database_route&, const database_route&) = default;
+};
+
 /// Generated from a questionnaire, and the same on every host.
 struct configuration
 {
@@ -67,6 +101,12 @@
     std::uint32_t entry_hosts = 0;
     std::map<group_name, group_settings> groups;
     std::map<class_name, class_settings> classes;
+    /// Databases for callers that open sessions.
+    std::vector<database_route> databases;
+    /// A transaction without a statement for this long may be ended.
+    milliseconds transaction_idle_timeout{10'000};
+    /// The operator's own document, shown back to operators as it was sent. Empty for a questionnaire.
+    std::string source;
 
     friend bool operator==(const configuration&, const configuration&) = default;
 };
@@ -93,6 +133,9 @@
     friend bool operator==(const questionnaire_problem&, const questionnaire_problem&) = default;
 };
 
+/// What is wrong with the databases of a configuration, in one line; empty when nothing is.
+std::string databases_problem(const configuration& checked);
+
 /// `file:line:column: expected …`
 std::string to_string(const questionnaire_problem& problem);
 
--- a/src/consensus/descriptions.h
+++ b/src/consensus/descriptions.h
@@ -131,6 +131,14 @@
     static constexpr auto members = std::tuple{member{"joining", &type::joining}};
 };
 
+template <>
+struct description<consensus::member_hint>
+{
+    using type = consensus::member_hint;
+    static constexpr std::string_view name = "member_hint";
+    static constexpr auto members = std::tuple{member{"voters", &type::voters}};
+};
+
 template <>
 struct description<consensus::persist_log>
 {
--- a/src/consensus/internal/consensus_reducer.cpp
+++ b/src/consensus/internal/consensus_reducer.cpp
@@ -127,17 +127,20 @@
         }
         return;
     }
-    if (is_voter(m_state.self)) {
-        if (m_now >= m_state.election_at) {
-            start_election(true);
-        }
-        return;
+    if (is_voter(m_state.self) && m_now >= m_state.election_at) {
+        start_election(true);
     }
-    if (m_now >= m_state.join_at) {
-        m_state.join_at = m_now + join_interval;
-        for (const host_name& contact : m_state.contacts) {
-            send(contact, join_request{m_state.self});
-        }
+    const bool seeks_admission = !is_voter(m_state.self) || m_state.is_excluded;
+    if (seeks_admission && m_now >= m_state.join_at) {
+        ask_for_admission();
+    }
+}
+
+void consensus_reducer::ask_for_admission()
+{
+    m_state.join_at = m_now + join_interval;
+    for (const host_name& contact : m_state.contacts) {
+        send(contact, join_request{m_state.self});
     }
 }
 
@@ -166,7 +169,11 @@
 
 void consensus_reducer::handle(const host_name& from, const vote_request& request)
 {
-    if (!is_voter(m_state.self) || !is_voter(request.candidate)) {
+    if (!is_voter(m_state.self)) {
+        return;
+    }
+    if (!is_voter(request.candidate)) {
+        send_hint(from);
         return;
     }
     if (heard_leader_lately() && request.term > m_state.hard.term) {
@@ -287,12 +294,11 @@
 void consensus_reducer::handle(const host_name& from, const join_request& request)
 {
     const bool has_open_change = m_state.members_index > m_state.commit;
-    const bool is_ready = m_state.current_role == role::leader && !has_open_change;
-    if (!is_ready || request.joining.name != from || is_member(request.joining)) {
+    if (m_state.current_role != role::leader) {
+        send_hint(from);
         return;
     }
-    if (!has_name(m_state.members.voters, from) &&
-        std::find(m_state.contacts.begin(), m_state.contacts.end(), from) == m_state.contacts.end()) {
+    if (has_open_change || request.joining.name != from || is_member(request.joining)) {
         return;
     }
     membership next = m_state.members;
@@ -302,6 +308,33 @@
     broadcast();
 }
 
+void consensus_reducer::handle(const host_name& /*from*/, const member_hint& hint)
+{
+    if (m_state.current_role == role::leader) {
+        return;
+    }
+    m_state.is_excluded = is_voter(m_state.self);
+    for (const host_name& voter : hint.voters) {
+        const bool is_known =
+            voter == m_state.self.name ||
+            std::find(m_state.contacts.begin(), m_state.contacts.end(), voter) != m_state.contacts.end();
+        if (!is_known && m_state.contacts.size() < max_contacts) {
+            m_state.contacts.push_back(voter);
+        }
+    }
+}
+
+void consensus_reducer::send_hint(const host_name& to)
+{
+    member_hint hint;
+    for (const member& voter : m_state.members.voters) {
+        hint.voters.push_back(voter.name);
+    }
+    if (!hint.voters.empty()) {
+        send(to, std::move(hint));
+    }
+}
+
 void consensus_reducer::start_election(bool pre_vote)
 {
     arm_election();
@@ -373,6 +406,7 @@
     }
     m_state.leader = leader.name;
     m_state.last_leader_contact = m_now;
+    m_state.is_excluded = false;
     if (is_member(m_state.self)) {
         m_state.join_at = m_now + join_interval;
     }
@@ -397,10 +431,18 @@
     if (m_state.members_index > m_state.commit || !is_serving(m_state)) {
         return;
     }
+    if (!add_caught_up_learner()) {
+        remove_silent_voter();
+    }
+}
+
+bool consensus_reducer::add_caught_up_learner()
+{
     for (const member& learner : m_state.members.learners) {
         const auto found = m_state.followers.find(learner.name);
         const bool is_caught_up = found != m_state.followers.end() && found->second.who == learner &&
-                                  found->second.match >= m_state.commit;
+                                  found->second.match >= m_state.commit &&
+                                  m_now - found->second.last_answer <= election_timeout_max;
         if (!is_caught_up) {
             continue;
         }
@@ -412,8 +454,25 @@
             next.learners = without(std::move(next.learners), learner);
         }
         append(next);
+        return true;
+    }
+    return false;
+}
+
+void consensus_reducer::remove_silent_voter()
+{
+    if (m_state.members.voters.size() <= least_voters) {
         return;
     }
+    for (const auto& [name, follower] : m_state.followers) {
+        const bool is_silent = m_now - follower.last_answer >= voter_removal_delay;
+        if (is_silent && is_voter(follower.who)) {
+            membership next = m_state.members;
+            next.voters = without(std::move(next.voters), follower.who);
+            append(next);
+            return;
+        }
+    }
 }
 
 void consensus_reducer::append(const entry_content& content)
--- a/src/consensus/internal/consensus_reducer.h
+++ b/src/consensus/internal/consensus_reducer.h
@@ -27,6 +27,7 @@
     void handle(const host_name& from, const append_answer& answer);
     void handle(const host_name& from, const install_request& request);
     void handle(const host_name& from, const join_request& request);
+    void handle(const host_name& from, const member_hint& hint);
 
     void start_election(bool pre_vote);
     void become_leader();
@@ -35,6 +36,10 @@
     bool accept_leader(const member& leader, log_term term);
     void check_quorum();
     void change_members_if_due();
+    bool add_caught_up_learner();
+    void remove_silent_voter();
+    void ask_for_admission();
+    void send_hint(const host_name& to);
 
     void append(const entry_content& content);
     log_index append_received(const append_request& request);
--- a/src/consensus/internal/reduce.cpp
+++ b/src/consensus/internal/reduce.cpp
@@ -41,7 +41,10 @@
     }
     const auto& voters = state.members.voters;
     const bool is_voter = std::find(voters.begin(), voters.end(), state.self) != voters.end();
-    return is_voter ? state.election_at : state.join_at;
+    if (!is_voter) {
+        return state.join_at;
+    }
+    return state.is_excluded ? std::min(state.election_at, state.join_at) : state.election_at;
 }
 
 } // namespace hickorymount::consensus
--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -28,6 +28,12 @@
 inline constexpr milliseconds election_timeout_max{600};
 inline constexpr milliseconds join_interval{500};
 inline constexpr milliseconds snapshot_resend_interval{1000};
+/// A voter that has been silent for this long is removed, as long as enough voters remain.
+inline constexpr milliseconds voter_removal_delay{4000};
+/// Fewer voters than this would not bear the loss of one.
+inline constexpr std::size_t least_voters = 3;
+/// Hosts that a host asks for admission.
+inline constexpr std::size_t max_contacts = 16;
 inline constexpr std::size_t max_entries_in_message = 128;
 /// Applied entries beyond the last snapshot that cause the next one.
 inline constexpr log_index snapshot_entries = 512;
@@ -164,8 +170,16 @@
     friend bool operator==(const join_request&, const join_request&) = default;
 };
 
-using message =
-    std::variant<vote_request, vote_answer, append_request, append_answer, install_request, join_request>;
+/// Tells a host that is not a member, as far as the sender knows, whom to ask for admission.
+struct member_hint
+{
+    std::vector<host_name> voters;
+
+    friend bool operator==(const member_hint&, const member_hint&) = default;
+};
+
+using message = std::variant<vote_request, vote_answer, append_request, append_answer, install_request,
+                             join_request, member_hint>;
 
 enum class role
 {
@@ -210,8 +224,10 @@
 struct consensus_state
 {
     member self;
-    /// Control hosts named in the settings, asked for admission by a host that is not a member.
+    /// Control hosts named in the settings or in hints, asked for admission by a host that is not a member.
     std::vector<host_name> contacts;
+    /// A member has said that this host is none; it asks for admission although its own log names it.
+    bool is_excluded = false;
     hard_state hard;
     shared_value<snapshot> latest;
     shared_map<log_index, log_entry> log;
--- a/src/directory/descriptions.h
+++ b/src/directory/descriptions.h
@@ -119,6 +119,15 @@
         std::tuple{member{"id", &type::id}, member{"base", &type::base}, member{"content", &type::content}};
 };
 
+template <>
+struct description<directory::replace_configuration>
+{
+    using type = directory::replace_configuration;
+    static constexpr std::string_view name = "replace_configuration";
+    static constexpr auto members =
+        std::tuple{member{"version", &type::version}, member{"content", &type::content}};
+};
+
 template <>
 struct description<directory::admit_entry_host>
 {
--- a/src/directory/internal/reduce.cpp
+++ b/src/directory/internal/reduce.cpp
@@ -38,6 +38,16 @@
     return {remember(std::move(state), change.id, answer), answer};
 }
 
+directory_transition apply(directory_state state, const replace_configuration& replacement)
+{
+    if (replacement.version > state.configuration->version) {
+        state.configuration = shared_value(
+            configuration::versioned_configuration{replacement.version, replacement.content});
+    }
+    const change_answer answer{change_outcome::accepted, state.configuration->version};
+    return {std::move(state), answer};
+}
+
 directory_transition apply(directory_state state, const admit_entry_host& admitted)
 {
     state.entry_hosts = std::move(state.entry_hosts).set(admitted.entry, entry_record{admitted.zone});
--- a/src/directory/types.h
+++ b/src/directory/types.h
@@ -133,6 +133,16 @@
     friend bool operator==(const change_configuration&, const change_configuration&) = default;
 };
 
+/// Puts a whole configuration in force if its version is higher than the present one; otherwise changes
+/// nothing. For operators who number their configurations themselves.
+struct replace_configuration
+{
+    configuration_version version = 0;
+    configuration::configuration content;
+
+    friend bool operator==(const replace_configuration&, const replace_configuration&) = default;
+};
+
 /// Takes on an entry host's process before it gets its first lease.
 struct admit_entry_host
 {
@@ -219,7 +229,8 @@
 /// Everything that can be agreed on.
 using command =
     std::variant<change_configuration, admit_entry_host, dismiss_entry_host, open_term, close_term,
-                 name_candidate, claim_request, record_outcome, withdraw_claim, expire_claims>;
+                 name_candidate, claim_request, record_outcome, withdraw_claim, expire_claims,
+                 replace_configuration>;
 
 /// The agreed state. Every control host that has applied the same commands holds an equal value.
 struct directory_state
--- a/src/framework/base/internal/millisecond_clock.cpp
+++ b/src/framework/base/internal/millisecond_clock.cpp
@@ -1,11 +1,16 @@
 #include "base/millisecond_clock.h"
 
+#include <ctime>
+
 namespace hickorymount {
 
 time_point millisecond_clock::now()
 {
-    const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
-    return time_point{std::chrono::duration_cast<duration>(since_start)};
+    // CLOCK_BOOTTIME counts the time for which a host was suspended; a lease must not outlive that.
+    timespec reading{};
+    ::clock_gettime(CLOCK_BOOTTIME, &reading);
+    const auto since_boot = std::chrono::seconds{reading.tv_sec} + std::chrono::nanoseconds{reading.tv_nsec};
+    return time_point{std::chrono::duration_cast<duration>(since_boot)};
 }
 
 unix_milliseconds unix_now()
--- a/src/framework/base/millisecond_clock.h
+++ b/src/framework/base/millisecond_clock.h
@@ -6,7 +6,8 @@
 
 namespace hickorymount {
 
-/// Monotonic clock of one process, in milliseconds. Readings of two processes can't be compared.
+/// Monotonic clock of one host, in milliseconds; counts the time for which the host is suspended.
+/// Readings of two hosts can't be compared.
 struct millisecond_clock
 {
     using rep = std::int64_t;
--- a/src/framework/http/internal/server.cpp
+++ b/src/framework/http/internal/server.cpp
@@ -28,7 +28,10 @@
 
     bool start()
     {
-        const std::string listening = fmt::format("{}:{}", m_options.address, m_options.port);
+        std::string listening = fmt::format("{}:{}", m_options.address, m_options.port);
+        if (!m_options.also_on.empty()) {
+            listening += "," + m_options.also_on;
+        }
         const std::string threads = std::to_string(m_options.threads);
         const std::string timeout = std::to_string(m_options.keep_alive_timeout_ms);
         const std::array<const char*, 13> settings{"listening_ports",
--- a/src/framework/http/server.h
+++ b/src/framework/http/server.h
@@ -18,6 +18,8 @@
     std::uint16_t port = 0;
     /// Each connection holds one thread until it closes.
     unsigned threads = 16;
+    /// A second `address:port` that is listened on; empty for none.
+    std::string also_on;
     /// Connections beyond this number are closed after one response, so that new callers find a thread.
     unsigned kept_alive_connections = 12;
     /// An idle connection is closed after this time, in milliseconds.
--- a/src/framework/link/internal/websocket_transport.cpp
+++ b/src/framework/link/internal/websocket_transport.cpp
@@ -6,6 +6,8 @@
 #include <thread>
 #include <utility>
 
+#include <netinet/tcp.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -27,11 +29,16 @@
 constexpr std::size_t max_name_bytes = 64;
 constexpr std::chrono::milliseconds redial_interval{100};
 constexpr long handshake_timeout_ms = 1000;
+/// A connection whose bytes are not acknowledged for this long is dead, and dialled anew.
+constexpr int silence_limit_ms = 1200;
+
+using user_timeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 bool is_name(const std::string& text)
 {
     const auto is_allowed = [](char each) {
-        return (each >= 'a' && each <= 'z') || (each >= '0' && each <= '9') || each == '-';
+        return (each >= 'a' && each <= 'z') || (each >= '0' && each <= '9') || each == '-' || each == '.' ||
+               each == ':';
     };
     return !text.empty() && text.size() <= max_name_bytes &&
            std::all_of(text.begin(), text.end(), is_allowed);
@@ -127,6 +134,7 @@
         if (!problem) {
             boost::system::error_code ignored;
             connection->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+            connection->get_raw_socket().set_option(user_timeout(silence_limit_ms), ignored);
         }
     }
 
--- a/src/gateway/control_service.h
+++ b/src/gateway/control_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/error.h"
+#include "gateway/control_pages.h"
 #include "settings/types.h"
 
 #include <cstdint>
@@ -23,7 +24,10 @@
 };
 
 /// `on_disk_failure` is called once when a write or a sync fails; the process has to stop then.
+/// `pages` and `promotions` may be null.
 result<std::unique_ptr<control_service>> start_control(const settings::control_settings& own,
-                                                       std::function<void()> on_disk_failure);
+                                                       std::function<void()> on_disk_failure,
+                                                       std::unique_ptr<control_pages> pages = nullptr,
+                                                       std::unique_ptr<promotion_caller> promotions = nullptr);
 
 } // namespace hickorymount::gateway
--- a/src/gateway/entry_service.h
+++ b/src/gateway/entry_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/error.h"
+#include "sessions/wire.h"
 #include "settings/types.h"
 
 #include <cstdint>
@@ -24,6 +25,7 @@
     virtual void stop() = 0;
 };
 
-result<std::unique_ptr<entry_service>> start_entry(const settings::entry_settings& own);
+result<std::unique_ptr<entry_service>> start_entry(const settings::entry_settings& own,
+                                                   std::unique_ptr<sessions::wire> wire = nullptr);
 
 } // namespace hickorymount::gateway
--- a/src/gateway/internal/control_service.cpp
+++ b/src/gateway/internal/control_service.cpp
@@ -14,11 +14,14 @@
 #include "routing/read_policy.h"
 #include "runtime/call_desk.h"
 #include "runtime/control_thread.h"
+#include "runtime/worker_pool.h"
 #include "storage/posix_disk.h"
 #include "supervision/descriptions.h"
 
+#include <algorithm>
 #include <atomic>
 #include <random>
+#include <set>
 #include <utility>
 
 #include <fmt/format.h>
@@ -30,6 +33,9 @@
 constexpr unsigned operator_threads = 8;
 constexpr unsigned keep_alive_timeout_ms = 1000;
 constexpr milliseconds operator_timeout{10'000};
+/// Callers of another interface's pages ask the next host after a second.
+constexpr milliseconds page_timeout{1500};
+constexpr unsigned promotion_threads = 2;
 
 folder_identity make_identity()
 {
@@ -42,11 +48,19 @@
     return detail::plain_page(status, body.dump());
 }
 
-class control_process final : public control_service
+/// The identity of a founder's data folder; the founders know one another's without asking.
+folder_identity founder_identity(const host_name& name)
+{
+    return folder_identity{"founder-" + name.value};
+}
+
+class control_process final : public control_service, private control_desk
 {
 public:
-    control_process(settings::control_settings own, std::function<void()> on_disk_failure)
-        : m_own(std::move(own)), m_on_disk_failure(std::move(on_disk_failure)),
+    control_process(settings::control_settings own, std::function<void()> on_disk_failure,
+                    std::unique_ptr<control_pages> pages, std::unique_ptr<promotion_caller> promotions)
+        : m_own(std::move(own)), m_on_disk_failure(std::move(on_disk_failure)), m_pages(std::move(pages)),
+          m_promotions(std::move(promotions)), m_promotion_calls(promotion_threads),
           m_log(m_own.name.value, m_own.log_level), m_state(node::control_state{}),
           m_control([this](node::node_event event) { return step(std::move(event)); },
                     [] { return event_now(node::control_time_passed{}); })
@@ -72,7 +86,8 @@
         m_storage = std::make_unique<detail::storage_thread>(
             std::move(files), [this](consensus::sync_id id) { post(consensus::synced{id}); },
             [this](const failure& what) { disk_failed(what); });
-        BOOST_LEAF_AUTO(stored, m_storage->load(make_identity()));
+        const bool founds = m_own.founds && is_seed();
+        BOOST_LEAF_AUTO(stored, m_storage->load(founds ? founder_identity(m_own.name) : make_identity()));
         m_identity = stored.identity;
         const std::uint16_t link_port = m_transport->listen(m_own.link.address, m_own.link.port);
         if (link_port == 0) {
@@ -84,6 +99,7 @@
         options.threads = operator_threads;
         options.kept_alive_connections = 0;
         options.keep_alive_timeout_ms = keep_alive_timeout_ms;
+        options.also_on = m_own.metrics ? to_string(*m_own.metrics) : "";
         BOOST_LEAF_ASSIGN(
             m_server,
             http::start_server(options, [this](const http::request& asked) { return serve(asked); }, {}));
@@ -91,13 +107,18 @@
         m_control.start();
         std::vector<host_name> contacts;
         for (const settings::control_host& host : m_own.control_hosts) {
-            contacts.push_back(host.name);
+            if (host.name != m_own.name) {
+                contacts.push_back(host.name);
+            }
         }
         std::random_device random;
         const std::size_t entries = stored.entries.size();
         post(node::control_started{m_own.name, contacts, std::move(stored), random()});
+        if (founds) {
+            post(consensus::formed{founders()});
+        }
         for (const settings::control_host& host : m_own.control_hosts) {
-            m_transport->dial(host.name.value, host.address.address, host.address.port);
+            dial(host.name, host.address);
         }
         m_transport->start();
         m_log.write({logging::log_level::information, "start", "",
@@ -117,6 +138,7 @@
         if (m_server != nullptr) {
             m_server->stop();
         }
+        m_promotion_calls.stop();
         m_transport->stop();
         m_control.stop();
         if (m_storage != nullptr) {
@@ -125,6 +147,47 @@
     }
 
 private:
+    [[nodiscard]] bool is_seed() const
+    {
+        const auto& seeds = m_own.control_hosts;
+        return std::any_of(seeds.begin(), seeds.end(),
+                           [this](const settings::control_host& each) { return each.name == m_own.name; });
+    }
+
+    [[nodiscard]] consensus::membership founders() const
+    {
+        consensus::membership members;
+        for (const settings::control_host& seed : m_own.control_hosts) {
+            members.voters.push_back({seed.name, founder_identity(seed.name)});
+        }
+        std::sort(members.voters.begin(), members.voters.end());
+        return members;
+    }
+
+    void dial(const host_name& name, const protocol::endpoint& address)
+    {
+        if (name != m_own.name && m_dialled.insert(name).second) {
+            m_transport->dial(name.value, address.address, address.port);
+        }
+    }
+
+    /// Hosts that are named by their address may join without being in the settings.
+    void dial_members(const consensus::consensus_state& log)
+    {
+        const auto dial_named = [this](const host_name& name) {
+            if (const auto address = protocol::parse_endpoint(name.value)) {
+                dial(name, *address);
+            }
+        };
+        for (const consensus::member& each : log.members.voters) {
+            dial_named(each.name);
+        }
+        for (const consensus::member& each : log.members.learners) {
+            dial_named(each.name);
+        }
+        std::for_each(log.contacts.begin(), log.contacts.end(), dial_named);
+    }
+
     static node::node_event event_now(node::control_event_kind what)
     {
         return {millisecond_clock::now(), unix_now(), std::move(what)};
@@ -164,6 +227,9 @@
                 std::visit([this](auto& each) { carry_out(std::move(each)); }, *own);
             }
         }
+        const auto& log = std::get<node::control_state>(m_state).consensus;
+        dial_members(log);
+        m_knows_leader = log.leader.has_value();
         return next.wake_at;
     }
 
@@ -182,6 +248,45 @@
     }
     void carry_out(logging::log_record&& effect) { m_log.write(effect); }
 
+    void carry_out(supervision::order_promotion&& effect)
+    {
+        m_promotion_calls.post([this, order = std::move(effect)] {
+            supervision::promotion_outcome outcome = supervision::promotion_outcome::unclear;
+            // A host that stood still meanwhile may have been replaced by another leader.
+            if (m_promotions != nullptr && millisecond_clock::now() < order.valid_until) {
+                outcome = m_promotions->promote(order);
+            }
+            m_log.write({logging::log_level::information, "promotion_answered", order.server.value,
+                         fmt::format("group={} token={} outcome={}", order.group.value, order.fencing_token,
+                                     codec::enumerator_name(outcome))});
+            post(supervision::promotion_answered{order.order, order.group, outcome});
+        });
+    }
+
+    std::optional<supervision::operator_answer> replace(directory::replace_configuration change) override
+    {
+        const std::uint64_t number = m_calls.open();
+        post(supervision::replacement_asked{number, std::move(change)});
+        return m_calls.wait(number, page_timeout);
+    }
+
+    std::optional<supervision::operator_answer> show_configuration() override
+    {
+        const std::uint64_t number = m_calls.open();
+        post(supervision::configuration_shown{number});
+        return m_calls.wait(number, page_timeout);
+    }
+
+    bool announce(protocol::server_report report) override
+    {
+        if (!m_knows_leader) {
+            return false;
+        }
+        report.report_interval = m_own.report_interval;
+        post(supervision::server_announced{std::move(report)});
+        return true;
+    }
+
     template <class MakeEvent>
     http::response ask(MakeEvent make_event)
     {
@@ -227,6 +332,11 @@
     result<http::response> route(const http::request& asked)
     {
         const std::string target = asked.method + " " + asked.path;
+        if (m_pages != nullptr && !asked.is_body_too_large) {
+            if (auto page = m_pages->serve(asked, *this)) {
+                return std::move(*page);
+            }
+        }
         if (asked.is_body_too_large) {
             return json_page(413, {{"error", "the body is larger than the limit"}});
         }
@@ -274,6 +384,11 @@
 
     settings::control_settings m_own;
     std::function<void()> m_on_disk_failure;
+    std::unique_ptr<control_pages> m_pages;
+    std::unique_ptr<promotion_caller> m_promotions;
+    runtime::worker_pool m_promotion_calls;
+    std::set<host_name> m_dialled;
+    std::atomic<bool> m_knows_leader{false};
     logging::log_writer m_log;
     metrics::metric_registry m_metrics;
     routing::position_policy m_policy;
@@ -290,9 +405,12 @@
 } // namespace
 
 result<std::unique_ptr<control_service>> start_control(const settings::control_settings& own,
-                                                       std::function<void()> on_disk_failure)
+                                                       std::function<void()> on_disk_failure,
+                                                       std::unique_ptr<control_pages> pages,
+                                                       std::unique_ptr<promotion_caller> promotions)
 {
-    auto started = std::make_unique<control_process>(own, std::move(on_disk_failure));
+    auto started = std::make_unique<control_process>(own, std::move(on_disk_failure), std::move(pages),
+                                                     std::move(promotions));
     BOOST_LEAF_CHECK(started->start());
     return std::unique_ptr<control_service>(std::move(started));
 }
--- a/src/gateway/internal/entry_service.cpp
+++ b/src/gateway/internal/entry_service.cpp
@@ -5,6 +5,8 @@
 #include "gateway/internal/backend_connections.h"
 #include "gateway/internal/caller_codec.h"
 #include "gateway/internal/entry_pages.h"
+#include "gateway/internal/session_front.h"
+#include "gateway/internal/traffic_view.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "link/peer_transport.h"
@@ -23,6 +25,7 @@
 #include <condition_variable>
 #include <mutex>
 #include <random>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -48,6 +51,8 @@
 /// The balancer learns within this time that the host is stopping; until then requests are still served.
 constexpr milliseconds balancer_grace{2000};
 constexpr milliseconds drain_timeout{15'000};
+/// Time at the end of a stop to give the lease back.
+constexpr milliseconds lease_return_time{200};
 
 incarnation_id make_incarnation()
 {
@@ -58,7 +63,7 @@
 class entry_process final : public entry_service
 {
 public:
-    explicit entry_process(settings::entry_settings own)
+    entry_process(settings::entry_settings own, std::unique_ptr<sessions::wire> wire)
         : m_own(std::move(own)), m_self{m_own.name, make_incarnation()},
           m_log(m_own.name.value, m_own.log_level), m_state(routing::entry_state{}),
           m_control([this](node::node_event event) { return step(std::move(event)); },
@@ -78,6 +83,13 @@
             m_log.write({logging::log_level::warning, "link", peer, reason});
         };
         m_transport = link::make_websocket_transport(m_own.name.value, std::move(handlers));
+        if (wire != nullptr && m_own.sessions) {
+            m_sessions = std::make_unique<detail::session_front>(
+                std::move(wire), m_own.zone,
+                detail::session_front::handlers{[this](routing::entry_event_kind what) { post(std::move(what)); },
+                                                [this] { note_sessions_stopped(); }},
+                m_log, m_metrics);
+        }
     }
     ~entry_process() override { entry_process::stop(); }
     entry_process(const entry_process&) = delete;
@@ -91,6 +103,7 @@
         options.kept_alive_connections = m_own.caller_connections;
         options.threads = m_own.caller_connections + spare_caller_threads;
         options.keep_alive_timeout_ms = keep_alive_timeout_ms;
+        options.also_on = m_own.metrics ? to_string(*m_own.metrics) : "";
         BOOST_LEAF_ASSIGN(
             m_server,
             http::start_server(options, [this](const http::request& asked) { return serve(asked); }, {}));
@@ -100,7 +113,11 @@
             control_hosts.push_back(host.name);
         }
         post(routing::entry_started{m_self, m_own.zone, control_hosts});
+        if (m_sessions != nullptr) {
+            BOOST_LEAF_CHECK(m_sessions->start(*m_own.sessions));
+        }
         for (const settings::control_host& host : m_own.control_hosts) {
+            m_dialled.insert(host.name);
             m_transport->dial(host.name.value, host.address.address, host.address.port);
         }
         m_transport->start();
@@ -115,6 +132,10 @@
     {
         m_log.write({logging::log_level::information, "drain", "", ""});
         m_is_draining = true;
+        if (m_sessions != nullptr) {
+            drain_sessions();
+            return;
+        }
         std::this_thread::sleep_for(balancer_grace);
         post(routing::drain_asked{});
         std::unique_lock lock(m_drained_mutex);
@@ -128,6 +149,9 @@
         if (std::exchange(m_is_stopped, true)) {
             return;
         }
+        if (m_sessions != nullptr) {
+            m_sessions->stop();
+        }
         if (m_server != nullptr) {
             m_server->stop();
         }
@@ -138,6 +162,27 @@
     }
 
 private:
+    /// Sessions end on their thread; the lease is given back after them.
+    void drain_sessions()
+    {
+        m_sessions->drain(m_own.stop_time);
+        {
+            std::unique_lock lock(m_drained_mutex);
+            m_drained_changed.wait_for(lock, m_own.stop_time, [this] { return m_have_sessions_stopped; });
+        }
+        post(routing::drain_asked{});
+        std::unique_lock lock(m_drained_mutex);
+        m_drained_changed.wait_for(lock, lease_return_time, [this] { return m_is_drained; });
+        m_log.write({logging::log_level::information, "drained", "", fmt::format("complete={}", m_is_drained)});
+    }
+
+    void note_sessions_stopped()
+    {
+        const std::lock_guard lock(m_drained_mutex);
+        m_have_sessions_stopped = true;
+        m_drained_changed.notify_all();
+    }
+
     static node::node_event event_now(routing::entry_event_kind what)
     {
         return {millisecond_clock::now(), unix_now(), std::move(what)};
@@ -179,6 +224,15 @@
     {
         const auto& state = std::get<routing::entry_state>(m_state);
         m_is_ready = routing::is_ready(state, millisecond_clock::now());
+        for (const host_name& host : state.control_hosts) {
+            const auto address = protocol::parse_endpoint(host.value);
+            if (address && m_dialled.insert(host).second) {
+                m_transport->dial(host.value, address->address, address->port);
+            }
+        }
+        if (m_sessions != nullptr) {
+            publish_view(state);
+        }
         if (state.configuration->version != m_published_version) {
             const std::lock_guard lock(m_page_mutex);
             m_published_version = state.configuration->version;
@@ -192,6 +246,15 @@
         m_page_changed.notify_all();
     }
 
+    void publish_view(const routing::entry_state& state)
+    {
+        sessions::traffic_view view = detail::traffic_view_of(state);
+        if (view != m_published_view) {
+            m_published_view = view;
+            m_sessions->publish(std::move(view));
+        }
+    }
+
     void carry_out(routing::run_statement&& effect) { m_backends.run(effect); }
     void carry_out(routing::ask_position&& effect) { m_backends.ask(effect); }
     void carry_out(routing::open_connection&& effect) { m_backends.open(effect); }
@@ -211,11 +274,19 @@
 
     void carry_out(routing::probe_server&& effect)
     {
+        if (m_sessions != nullptr && effect.order.speaks == protocol::server_interface::sessions) {
+            m_sessions->probe(std::move(effect));
+            return;
+        }
         m_administration.post([this, effect = std::move(effect)] { probe(effect); });
     }
 
     void carry_out(routing::tell_server&& effect)
     {
+        if (m_sessions != nullptr && effect.order.speaks == protocol::server_interface::sessions) {
+            m_sessions->tell(std::move(effect));
+            return;
+        }
         m_administration.post([this, effect = std::move(effect)] { tell(effect); });
     }
 
@@ -396,6 +467,9 @@
     }
 
     settings::entry_settings m_own;
+    std::set<host_name> m_dialled;
+    sessions::traffic_view m_published_view;
+    bool m_have_sessions_stopped = false;
     directory::entry_key m_self;
     logging::log_writer m_log;
     metrics::metric_registry m_metrics;
@@ -419,13 +493,15 @@
     runtime::control_thread<node::node_event> m_control;
     runtime::worker_pool m_administration;
     backend_connections m_backends;
+    std::unique_ptr<detail::session_front> m_sessions;
 };
 
 } // namespace
 
-result<std::unique_ptr<entry_service>> start_entry(const settings::entry_settings& own)
+result<std::unique_ptr<entry_service>> start_entry(const settings::entry_settings& own,
+                                                   std::unique_ptr<sessions::wire> wire)
 {
-    auto started = std::make_unique<entry_process>(own);
+    auto started = std::make_unique<entry_process>(own, std::move(wire));
     BOOST_LEAF_CHECK(started->start());
     return std::unique_ptr<entry_service>(std::move(started));
 }
--- /dev/null
+++ b/src/gateway/internal/traffic_view.cpp
@@ -0,0 +1,26 @@
+#include "gateway/internal/traffic_view.h"
+
+namespace hickorymount::gateway::detail {
+
+sessions::traffic_view traffic_view_of(const routing::entry_state& state)
+{
+    sessions::traffic_view view;
+    view.lease_until = state.lease.valid_until;
+    view.configuration = state.configuration;
+    for (const auto& [name, group] : state.groups) {
+        const bool is_open =
+            group.record.phase == directory::group_phase::open && group.record.term > group.closed_term;
+        view.groups[name] = {group.record.primary, group.record.term, is_open,
+                             group.held_term == group.record.term && is_open};
+    }
+    for (const auto& [name, server] : state.servers) {
+        const protocol::server_report& report = server.report;
+        if (report.speaks == protocol::server_interface::sessions && !report.is_gone) {
+            view.servers[name] = {report.group,      report.address, report.zone,
+                                  report.started_at, report.leaving, server.connections.share};
+        }
+    }
+    return view;
+}
+
+} // namespace hickorymount::gateway::detail
--- a/src/node/internal/control_reducer.cpp
+++ b/src/node/internal/control_reducer.cpp
@@ -70,6 +70,21 @@
     run_supervision(what);
 }
 
+void control_reducer::apply(const supervision::replacement_asked& what)
+{
+    run_supervision(what);
+}
+
+void control_reducer::apply(const supervision::server_announced& what)
+{
+    run_supervision(what);
+}
+
+void control_reducer::apply(const supervision::promotion_answered& what)
+{
+    run_supervision(what);
+}
+
 void control_reducer::apply(const supervision::switch_asked& what)
 {
     run_supervision(what);
@@ -178,6 +193,16 @@
     }
 }
 
+void control_reducer::carry_out(supervision::send_to_control_host&& effect)
+{
+    m_effects.emplace_back(send_to_peer{std::move(effect.to), std::move(effect.content)});
+}
+
+void control_reducer::carry_out(supervision::order_promotion&& effect)
+{
+    m_effects.emplace_back(std::move(effect));
+}
+
 void control_reducer::carry_out(supervision::propose&& effect)
 {
     m_proposals.push_back(std::move(effect));
--- a/src/node/internal/control_reducer.h
+++ b/src/node/internal/control_reducer.h
@@ -20,9 +20,12 @@
     void apply(const consensus::synced& what);
     void apply(const control_time_passed& what);
     void apply(const supervision::configuration_asked& what);
+    void apply(const supervision::replacement_asked& what);
     void apply(const supervision::switch_asked& what);
     void apply(const supervision::status_asked& what);
     void apply(const supervision::configuration_shown& what);
+    void apply(const supervision::server_announced& what);
+    void apply(const supervision::promotion_answered& what);
 
     /// The state made, and when it wants to be woken.
     std::pair<control_state, time_point> finish();
@@ -39,7 +42,9 @@
     void carry_out(consensus::replace_directory&& effect);
 
     void carry_out(supervision::send_to_entry&& effect);
+    void carry_out(supervision::send_to_control_host&& effect);
     void carry_out(supervision::propose&& effect);
+    void carry_out(supervision::order_promotion&& effect);
     void carry_out(supervision::answer_operator&& effect);
     void carry_out(logging::log_record&& effect);
 
--- a/src/node/types.h
+++ b/src/node/types.h
@@ -63,8 +63,9 @@
 
 using control_event_kind =
     std::variant<control_started, peer_message, consensus::formed, consensus::synced, control_time_passed,
-                 supervision::configuration_asked, supervision::switch_asked, supervision::status_asked,
-                 supervision::configuration_shown>;
+                 supervision::configuration_asked, supervision::replacement_asked, supervision::switch_asked,
+                 supervision::status_asked, supervision::configuration_shown, supervision::server_announced,
+                 supervision::promotion_answered>;
 
 using node_event_kind = std::variant<control_event_kind, routing::entry_event_kind>;
 
@@ -86,8 +87,9 @@
     friend bool operator==(const send_to_peer&, const send_to_peer&) = default;
 };
 
-using control_effect = std::variant<send_to_peer, consensus::persist_log, consensus::persist_snapshot,
-                                    supervision::answer_operator, logging::log_record>;
+using control_effect =
+    std::variant<send_to_peer, consensus::persist_log, consensus::persist_snapshot,
+                 supervision::answer_operator, supervision::order_promotion, logging::log_record>;
 
 using node_effect = std::variant<control_effect, routing::entry_effect>;
 
--- a/src/protocol/descriptions.h
+++ b/src/protocol/descriptions.h
@@ -16,6 +16,14 @@
                                                    enumerator{"replica", protocol::server_role::replica}};
 };
 
+template <>
+struct description<protocol::server_interface>
+{
+    static constexpr auto enumerators =
+        std::tuple{enumerator{"requests", protocol::server_interface::requests},
+                   enumerator{"sessions", protocol::server_interface::sessions}};
+};
+
 template <>
 struct description<protocol::takeover_kind>
 {
@@ -46,7 +54,10 @@
                                                member{"role", &type::role},
                                                member{"at", &type::at},
                                                member{"age", &type::age},
-                                               member{"leaving", &type::leaving}};
+                                               member{"leaving", &type::leaving},
+                                               member{"speaks", &type::speaks},
+                                               member{"report_interval", &type::report_interval},
+                                               member{"is_gone", &type::is_gone}};
 };
 
 template <>
@@ -60,7 +71,8 @@
                                                member{"revision", &type::revision},
                                                member{"version", &type::version},
                                                member{"held_connections", &type::held_connections},
-                                               member{"wanted_connections", &type::wanted_connections}};
+                                               member{"wanted_connections", &type::wanted_connections},
+                                               member{"servers_digest", &type::servers_digest}};
 };
 
 template <>
@@ -78,7 +90,8 @@
     static constexpr std::string_view name = "lease_grant";
     static constexpr auto members =
         std::tuple{member{"entry", &type::entry}, member{"sequence", &type::sequence},
-                   member{"duration", &type::duration}, member{"connections", &type::connections}};
+                   member{"duration", &type::duration}, member{"connections", &type::connections},
+                   member{"control_hosts", &type::control_hosts}};
 };
 
 template <>
@@ -112,7 +125,7 @@
 {
     using type = protocol::server_reports;
     static constexpr std::string_view name = "server_reports";
-    static constexpr auto members = std::tuple{member{"reports", &type::reports}};
+    static constexpr auto members = std::tuple{member{"reports", &type::reports}, member{"is_whole_list", &type::is_whole_list}};
 };
 
 template <>
@@ -130,8 +143,10 @@
 {
     using type = protocol::probe_order;
     static constexpr std::string_view name = "probe_order";
-    static constexpr auto members = std::tuple{member{"probe", &type::probe}, member{"server", &type::server},
-                                               member{"address", &type::address}};
+    static constexpr auto members =
+        std::tuple{member{"probe", &type::probe},   member{"server", &type::server},
+                   member{"address", &type::address}, member{"group", &type::group},
+                   member{"speaks", &type::speaks}, member{"pause_below", &type::pause_below}};
 };
 
 template <>
@@ -158,7 +173,8 @@
     using type = protocol::close_confirmation;
     static constexpr std::string_view name = "close_confirmation";
     static constexpr auto members = std::tuple{member{"entry", &type::entry}, member{"group", &type::group},
-                                               member{"term", &type::term}, member{"drain", &type::drain}};
+                                               member{"term", &type::term}, member{"drain", &type::drain},
+                                               member{"acknowledged", &type::acknowledged}};
 };
 
 template <>
@@ -180,6 +196,8 @@
                                                member{"server", &type::server},
                                                member{"address", &type::address},
                                                member{"term", &type::term},
+                                               member{"speaks", &type::speaks},
+                                               member{"demotes", &type::demotes},
                                                member{"primary_address", &type::primary_address},
                                                member{"start", &type::start}};
 };
--- a/src/protocol/internal/types.cpp
+++ b/src/protocol/internal/types.cpp
@@ -4,6 +4,7 @@
 #include <tuple>
 
 #include <fmt/format.h>
+#include <xxhash.h>
 
 namespace hickorymount::protocol {
 
@@ -27,6 +28,17 @@
     return parsed;
 }
 
+std::uint64_t server_hash(const server_report& report)
+{
+    if (report.is_gone || report.speaks != server_interface::sessions) {
+        return 0;
+    }
+    const std::string known = fmt::format("{} {} {} {} {} {}", report.name.value, to_string(report.address),
+                                          report.started_at.count(), report.group.value,
+                                          static_cast<int>(report.role), report.leaving);
+    return XXH3_64bits(known.data(), known.size());
+}
+
 bool is_newer(const server_report& report, const server_report& known)
 {
     return std::tuple(report.started_at, report.sequence) > std::tuple(known.started_at, known.sequence);
--- a/src/protocol/types.h
+++ b/src/protocol/types.h
@@ -47,6 +47,18 @@
     replica
 };
 
+/// How a backend server is spoken to.
+enum class server_interface
+{
+    /// One HTTP request a statement.
+    requests,
+    /// Sessions over TCP that hold values, prepared statements and transactions.
+    sessions
+};
+
+/// Between two reports of a backend server, unless it says otherwise.
+inline constexpr milliseconds usual_report_interval{100};
+
 /// What a backend server says of itself, over and over.
 struct server_report
 {
@@ -63,10 +75,18 @@
     /// Upper bound of how old a replica's data was when the report was made.
     milliseconds age{0};
     bool leaving = false;
+    server_interface speaks = server_interface::requests;
+    milliseconds report_interval = usual_report_interval;
+    /// The last word of a process that ends.
+    bool is_gone = false;
 
     friend bool operator==(const server_report&, const server_report&) = default;
 };
 
+/// Order-independent hash of what a host has to know of servers that speak in sessions: each adds
+/// `server_hash`. Servers that are gone, or are spoken to by requests, count as absent.
+std::uint64_t server_hash(const server_report& report);
+
 /// True when `report` was made after `known`.
 bool is_newer(const server_report& report, const server_report& known);
 
@@ -82,6 +102,8 @@
     std::map<backend_server_name, std::uint32_t> held_connections;
     /// Connections it could use.
     std::map<backend_server_name, std::uint32_t> wanted_connections;
+    /// `servers_digest` of the servers it knows that speak in sessions.
+    std::uint64_t servers_digest = 0;
 
     friend bool operator==(const lease_request&, const lease_request&) = default;
 };
@@ -100,6 +122,8 @@
     std::uint64_t sequence = 0;
     milliseconds duration{0};
     std::map<backend_server_name, std::uint32_t> connections;
+    /// The control hosts that vote, for entry hosts that know others from their settings.
+    std::vector<host_name> control_hosts;
 
     friend bool operator==(const lease_grant&, const lease_grant&) = default;
 };
@@ -134,6 +158,8 @@
 struct server_reports
 {
     std::vector<server_report> reports;
+    /// There are no other servers that speak in sessions.
+    bool is_whole_list = false;
 
     friend bool operator==(const server_reports&, const server_reports&) = default;
 };
@@ -154,6 +180,10 @@
     std::uint64_t probe = 0;
     backend_server_name server;
     endpoint address;
+    group_name group;
+    server_interface speaks = server_interface::requests;
+    /// Not zero: a replica also stops receiving from primaries of lower terms.
+    group_term pause_below = 0;
 
     friend bool operator==(const probe_order&, const probe_order&) = default;
 };
@@ -184,6 +214,8 @@
     group_name group;
     group_term term = 0;
     bool drain = false;
+    /// The newest position whose commit this entry host has acknowledged to a caller.
+    group_position acknowledged;
 
     friend bool operator==(const close_confirmation&, const close_confirmation&) = default;
 };
@@ -212,6 +244,10 @@
     backend_server_name server;
     endpoint address;
     group_term term = 0;
+    server_interface speaks = server_interface::requests;
+    /// For follow in sessions: the server believes to be the primary and is told that it is not; otherwise it
+    /// is told to receive again.
+    bool demotes = false;
     /// For follow: where the term's primary is, and the position the term starts from.
     endpoint primary_address;
     log_position start = 0;
@@ -254,7 +290,8 @@
 
 using message =
     std::variant<consensus::vote_request, consensus::vote_answer, consensus::append_request,
-                 consensus::append_answer, consensus::install_request, consensus::join_request, lease_request,
+                 consensus::append_answer, consensus::install_request, consensus::join_request,
+                 consensus::member_hint, lease_request,
                  lease_return, lease_grant, not_leader, view_update, server_reports, suspicion, probe_order,
                  probe_report, close_order, close_confirmation, resume_order, takeover_order, takeover_report,
                  claim_call, claim_reply>;
--- a/src/routing/descriptions.h
+++ b/src/routing/descriptions.h
@@ -250,6 +250,42 @@
     static constexpr auto members = std::tuple{};
 };
 
+template <>
+struct description<routing::session_use>
+{
+    using type = routing::session_use;
+    static constexpr std::string_view name = "session_use";
+    static constexpr auto members = std::tuple{member{"open", &type::open}, member{"wanted", &type::wanted}};
+};
+
+template <>
+struct description<routing::session_hold>
+{
+    using type = routing::session_hold;
+    static constexpr std::string_view name = "session_hold";
+    static constexpr auto members =
+        std::tuple{member{"term", &type::term}, member{"in_flight", &type::in_flight}};
+};
+
+template <>
+struct description<routing::sessions_told>
+{
+    using type = routing::sessions_told;
+    static constexpr std::string_view name = "sessions_told";
+    static constexpr auto members = std::tuple{member{"uses", &type::uses}, member{"commits", &type::commits},
+                                               member{"holds", &type::holds}};
+};
+
+template <>
+struct description<routing::primary_suspected>
+{
+    using type = routing::primary_suspected;
+    static constexpr std::string_view name = "primary_suspected";
+    static constexpr auto members =
+        std::tuple{member{"group", &type::group}, member{"term", &type::term},
+                   member{"server", &type::server}, member{"reason", &type::reason}};
+};
+
 template <>
 struct description<routing::drain_asked>
 {
--- a/src/routing/internal/connection_keeper.cpp
+++ b/src/routing/internal/connection_keeper.cpp
@@ -147,6 +147,10 @@
         }
         return;
     }
+    // The traffic thread opens the others itself.
+    if (known.report.speaks == protocol::server_interface::sessions) {
+        return;
+    }
     const bool may_open = m_step.now >= known.connections.open_after && !known.report.leaving &&
                           m_step.now - known.heard_at < report_stale && open < known.connections.share;
     if (!may_open) {
@@ -173,7 +177,10 @@
 {
     std::map<backend_server_name, std::uint32_t> counts;
     for (const auto& [name, server] : m_step.state.servers) {
-        const std::uint32_t held = std::max(server.connections.share, open_count(server.connections));
+        const auto use = m_step.state.session_uses.find(name);
+        const std::uint32_t in_sessions = use == m_step.state.session_uses.end() ? 0 : use->second.open;
+        const std::uint32_t held =
+            std::max({server.connections.share, open_count(server.connections), in_sessions});
         if (held > 0) {
             counts[name] = held;
         }
@@ -185,6 +192,11 @@
 {
     std::map<backend_server_name, std::uint32_t> counts;
     for (const auto& [name, server] : m_step.state.servers) {
+        const auto use = m_step.state.session_uses.find(name);
+        if (use != m_step.state.session_uses.end()) {
+            counts[name] = std::max(1U, use->second.wanted);
+            continue;
+        }
         const group_state* group = m_step.state.groups.find(server.report.group);
         const std::uint32_t queued = group == nullptr ? 0 : count(group->queue.size());
         const std::uint32_t wanted = server.connections.peak_busy + queued;
--- a/src/routing/internal/lease_holder.cpp
+++ b/src/routing/internal/lease_holder.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t max_remembered_renewals = 16;
+constexpr std::size_t max_control_hosts = 16;
 /// Hosts that are no leaders may name one another; a hint is followed this often at most.
 constexpr milliseconds hint_interval{100};
 
@@ -33,6 +34,13 @@
         m_step.log(logging::log_level::information, "lease_granted", from.value, "");
     }
     lease.was_valid = m_step.has_lease();
+    for (const host_name& host : grant.control_hosts) {
+        auto& known = m_step.state.control_hosts;
+        if (std::find(known.begin(), known.end(), host) == known.end()) {
+            known.push_back(host);
+        }
+    }
+    forget_control_hosts(grant.control_hosts);
     for (const auto& [server, share] : grant.connections) {
         m_connections.set_share(server, share);
     }
@@ -74,6 +82,16 @@
     }
 }
 
+/// Keeps the list short: hosts that vote no more go first.
+void lease_holder::forget_control_hosts(const std::vector<host_name>& voters)
+{
+    auto& known = m_step.state.control_hosts;
+    for (auto each = known.begin(); each != known.end() && known.size() > max_control_hosts;) {
+        const bool votes = std::find(voters.begin(), voters.end(), *each) != voters.end();
+        each = votes ? std::next(each) : known.erase(each);
+    }
+}
+
 void lease_holder::renew()
 {
     lease_state& lease = m_step.state.lease;
@@ -88,6 +106,9 @@
     request.version = m_step.state.configuration->version;
     request.held_connections = m_connections.held();
     request.wanted_connections = m_connections.wanted();
+    for (const auto& [name, server] : m_step.state.servers) {
+        request.servers_digest += protocol::server_hash(server.report);
+    }
     m_connections.reset_peaks();
     lease.sent[request.sequence] = m_step.now;
     if (lease.sent.size() > max_remembered_renewals) {
--- a/src/routing/internal/lease_holder.h
+++ b/src/routing/internal/lease_holder.h
@@ -22,6 +22,7 @@
 
     void note_report(const protocol::server_report& report);
     void send_reports();
+    void forget_control_hosts(const std::vector<host_name>& voters);
 
 private:
     entry_step& m_step;
--- a/src/routing/internal/reduce.cpp
+++ b/src/routing/internal/reduce.cpp
@@ -69,8 +69,11 @@
     void receive(const host_name& from, const protocol::probe_order& order)
     {
         protocol::probe_order known = order;
-        if (const server_state* server = m_step.state.servers.find(order.server); known.address.port == 0) {
-            known.address = server == nullptr ? known.address : server->report.address;
+        const server_state* server = m_step.state.servers.find(order.server);
+        if (known.address.port == 0 && server != nullptr) {
+            known.address = server->report.address;
+            known.group = server->report.group;
+            known.speaks = server->report.speaks;
         }
         if (known.address.port != 0) {
             m_step.effects.emplace_back(probe_server{from, std::move(known)});
@@ -136,6 +139,33 @@
         }
     }
 
+    void apply(const sessions_told& told)
+    {
+        m_step.state.session_uses = told.uses;
+        m_step.state.session_holds = told.holds;
+        for (const auto& [group, position] : told.commits) {
+            auto& known = m_step.state.session_commits[group];
+            known = std::max(known, position);
+        }
+    }
+
+    void apply(const primary_suspected& suspected)
+    {
+        const group_state* known = m_step.state.groups.find(suspected.group);
+        const bool is_due = known != nullptr && known->record.term == suspected.term &&
+                            m_step.now - known->suspicion_sent >= suspicion_interval;
+        if (!is_due) {
+            return;
+        }
+        group_state group = *known;
+        group.suspicion_sent = m_step.now;
+        m_step.set_group(suspected.group, std::move(group));
+        m_step.log(logging::log_level::warning, "suspect_primary", suspected.server.value,
+                   "group=" + suspected.group.value + " reason=\"" + suspected.reason + "\"");
+        m_step.send_to_leader(
+            protocol::suspicion{suspected.group, suspected.term, suspected.server, suspected.reason});
+    }
+
     void apply(const drain_asked& /*asked*/) { m_step.state.is_draining = true; }
 
     void ring_alarms()
--- a/src/routing/internal/view_keeper.cpp
+++ b/src/routing/internal/view_keeper.cpp
@@ -68,7 +68,11 @@
         return;
     }
     close(order.group, order.term);
-    m_step.send(from, protocol::close_confirmation{m_step.state.self, order.group, order.term, false});
+    const auto commit = m_step.state.session_commits.find(order.group);
+    m_step.send(from,
+                protocol::close_confirmation{
+                    m_step.state.self, order.group, order.term, false,
+                    commit == m_step.state.session_commits.end() ? session::group_position{} : commit->second});
 }
 
 void view_keeper::handle(const host_name& /*from*/, const protocol::resume_order& order)
@@ -89,12 +93,24 @@
     for (const protocol::server_report& report : passed_on.reports) {
         take_report(report);
     }
+    if (!passed_on.is_whole_list) {
+        return;
+    }
+    const auto servers = m_step.state.servers;
+    for (const auto& [name, server] : servers) {
+        const bool is_named = std::any_of(passed_on.reports.begin(), passed_on.reports.end(),
+                                          [&name = name](const auto& each) { return each.name == name; });
+        if (!is_named && server.report.speaks == protocol::server_interface::sessions) {
+            forget(name, server);
+        }
+    }
 }
 
 void view_keeper::take_report(const protocol::server_report& report)
 {
     const server_state* known = m_step.state.servers.find(report.name);
-    if (known != nullptr && !protocol::is_newer(report, known->report)) {
+    const bool is_farewell = report.is_gone && known != nullptr && !known->report.is_gone;
+    if (known != nullptr && !is_farewell && !protocol::is_newer(report, known->report)) {
         return;
     }
     const bool has_restarted = known != nullptr && known->report.started_at != report.started_at;
@@ -167,28 +183,50 @@
             handle({}, protocol::resume_order{name, group.held_term});
             continue;
         }
-        if (!group.is_hold_confirmed && m_requests.in_flight(name, group.held_term) == 0) {
+        if (!group.is_hold_confirmed && m_requests.in_flight(name, group.held_term) == 0 &&
+            have_sessions_stopped(name, group.held_term)) {
             group.is_hold_confirmed = true;
             const group_term term = group.held_term;
             m_step.set_group(name, std::move(group));
-            m_step.send_to_leader(protocol::close_confirmation{m_step.state.self, name, term, true});
+            m_step.send_to_leader(protocol::close_confirmation{m_step.state.self, name, term, true, {}});
         }
     }
 }
 
+/// True when the traffic thread has seen the hold and has nothing left at the primary.
+bool view_keeper::have_sessions_stopped(const group_name& name, group_term held_term) const
+{
+    const server_state* primary = m_step.state.servers.find(m_step.state.groups.find(name)->record.primary);
+    if (primary == nullptr || primary->report.speaks != protocol::server_interface::sessions) {
+        return true;
+    }
+    const auto told = m_step.state.session_holds.find(name);
+    return told != m_step.state.session_holds.end() && told->second.term == held_term &&
+           told->second.in_flight == 0;
+}
+
 void view_keeper::forget_silent_servers()
 {
     const auto servers = m_step.state.servers;
     for (const auto& [name, server] : servers) {
         const bool is_open = open_count(server.connections) > 0;
-        if (m_step.now - server.heard_at < report_forgotten || is_open) {
+        const bool is_kept_by_control =
+            server.report.speaks == protocol::server_interface::sessions && !server.report.is_gone;
+        if (m_step.now - server.heard_at < report_forgotten || is_open || is_kept_by_control) {
             continue;
         }
-        group_state group = *m_step.state.groups.find(server.report.group);
+        forget(name, server);
+    }
+}
+
+void view_keeper::forget(const backend_server_name& name, const server_state& server)
+{
+    if (const group_state* known = m_step.state.groups.find(server.report.group)) {
+        group_state group = *known;
         group.members.erase(name);
         m_step.set_group(server.report.group, std::move(group));
-        m_step.state.servers = std::move(m_step.state.servers).erase(name);
     }
+    m_step.state.servers = std::move(m_step.state.servers).erase(name);
 }
 
 } // namespace hickorymount::routing::detail
--- a/src/routing/internal/view_keeper.h
+++ b/src/routing/internal/view_keeper.h
@@ -27,6 +27,8 @@
 private:
     void take_group(const protocol::group_view& view);
     void close(const group_name& name, group_term term);
+    void forget(const backend_server_name& name, const server_state& server);
+    [[nodiscard]] bool have_sessions_stopped(const group_name& name, group_term held_term) const;
 
     entry_step& m_step;
     connection_keeper& m_connections;
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -265,6 +265,25 @@
     friend bool operator==(const alarm&, const alarm&) = default;
 };
 
+/// What the traffic thread has open to one backend server.
+struct session_use
+{
+    std::uint32_t open = 0;
+    /// Most of them in use at once since the last time it was told, and what waited beside.
+    std::uint32_t wanted = 0;
+
+    friend bool operator==(const session_use&, const session_use&) = default;
+};
+
+/// What the traffic thread still has at the primary of a term that is held back.
+struct session_hold
+{
+    group_term term = 0;
+    std::uint32_t in_flight = 0;
+
+    friend bool operator==(const session_hold&, const session_hold&) = default;
+};
+
 struct lease_state
 {
     time_point valid_until{};
@@ -299,6 +318,10 @@
     protocol::view_revision revision = 0;
     shared_map<group_name, group_state> groups;
     shared_map<backend_server_name, server_state> servers;
+    std::map<backend_server_name, session_use> session_uses;
+    /// The newest commit of each group that was acknowledged to a session.
+    std::map<group_name, session::group_position> session_commits;
+    std::map<group_name, session_hold> session_holds;
     lease_state lease;
     shared_map<request_number, request_state> requests;
     shared_map<std::pair<group_name, class_name>, std::uint32_t> waiting;
@@ -453,6 +476,27 @@
     friend bool operator==(const time_passed&, const time_passed&) = default;
 };
 
+/// What the traffic thread did since it told last.
+struct sessions_told
+{
+    std::map<backend_server_name, session_use> uses;
+    std::map<group_name, session::group_position> commits;
+    std::map<group_name, session_hold> holds;
+
+    friend bool operator==(const sessions_told&, const sessions_told&) = default;
+};
+
+/// The traffic thread could not use a primary.
+struct primary_suspected
+{
+    group_name group;
+    group_term term = 0;
+    backend_server_name server;
+    std::string reason;
+
+    friend bool operator==(const primary_suspected&, const primary_suspected&) = default;
+};
+
 /// Finish what is in flight and take nothing new.
 struct drain_asked
 {
@@ -462,8 +506,8 @@
 using entry_event_kind =
     std::variant<entry_started, control_message, control_connected, announced, caller_request,
                  statement_answered, statement_refused, statement_not_sent, statement_lost, position_told,
-                 connection_opened, connection_ended, probe_finished, takeover_finished, time_passed,
-                 drain_asked>;
+                 connection_opened, connection_ended, probe_finished, takeover_finished, sessions_told,
+                 primary_suspected, time_passed, drain_asked>;
 
 struct entry_event
 {
--- /dev/null
+++ b/src/sessions/internal/freshness.cpp
@@ -0,0 +1,37 @@
+#include "sessions/internal/freshness.h"
+
+#include <algorithm>
+
+namespace hickorymount::sessions::detail {
+
+namespace {
+
+/// Samples closer together than this say little more.
+constexpr milliseconds sample_spacing{20};
+constexpr milliseconds sample_lifetime{10'000};
+
+} // namespace
+
+void add_sample(std::deque<position_sample>& samples, const position_sample& taken, time_point now)
+{
+    while (!samples.empty() && now - samples.front().sent_at > sample_lifetime) {
+        samples.pop_front();
+    }
+    if (!samples.empty() && taken.sent_at - samples.back().sent_at < sample_spacing) {
+        return;
+    }
+    samples.push_back(taken);
+}
+
+std::optional<group_position> position_covering(const std::deque<position_sample>& samples, time_point moment)
+{
+    const auto covering =
+        std::find_if(samples.begin(), samples.end(),
+                     [&](const position_sample& each) { return each.sent_at >= moment; });
+    if (covering == samples.end()) {
+        return std::nullopt;
+    }
+    return covering->at;
+}
+
+} // namespace hickorymount::sessions::detail
--- /dev/null
+++ b/src/sessions/internal/waiting_line.cpp
@@ -0,0 +1,18 @@
+#include "sessions/internal/waiting_line.h"
+
+#include <tuple>
+
+namespace hickorymount::sessions::detail {
+
+bool goes_before(const waiting_statement& left, const waiting_statement& right)
+{
+    return std::tuple(!left.continues_transaction, left.priority, left.received_at, left.session) <
+           std::tuple(!right.continues_transaction, right.priority, right.received_at, right.session);
+}
+
+bool is_too_late(const pending_statement& waiting, time_point now)
+{
+    return now + send_margin >= waiting.deadline;
+}
+
+} // namespace hickorymount::sessions::detail
--- /dev/null
+++ b/src/sessions/wire.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "sessions/statement.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace hickorymount::sessions {
+
+struct open_request
+{
+    std::string database;
+
+    friend bool operator==(const open_request&, const open_request&) = default;
+};
+
+struct statement_request
+{
+    std::string id;
+    statement what;
+
+    friend bool operator==(const statement_request&, const statement_request&) = default;
+};
+
+struct leave_request
+{
+    friend bool operator==(const leave_request&, const leave_request&) = default;
+};
+
+/// A line that is none of the others.
+struct malformed_request
+{
+    friend bool operator==(const malformed_request&, const malformed_request&) = default;
+};
+
+using caller_line = std::variant<open_request, statement_request, leave_request, malformed_request>;
+
+struct row_line
+{
+    std::string text;
+
+    friend bool operator==(const row_line&, const row_line&) = default;
+};
+
+struct done_line
+{
+    std::string signature;
+
+    friend bool operator==(const done_line&, const done_line&) = default;
+};
+
+struct error_line
+{
+    answer_code code = answer_code::failed;
+    std::string detail;
+
+    friend bool operator==(const error_line&, const error_line&) = default;
+};
+
+struct ready_line
+{
+    transaction_state state = transaction_state::none;
+    std::optional<group_position> at;
+
+    friend bool operator==(const ready_line&, const ready_line&) = default;
+};
+
+struct malformed_line
+{
+    friend bool operator==(const malformed_line&, const malformed_line&) = default;
+};
+
+using server_line = std::variant<row_line, done_line, error_line, ready_line, malformed_line>;
+
+/// How sessions are written on a connection, line by line. Lines are passed without their end.
+class wire
+{
+public:
+    wire() = default;
+    wire(const wire&) = delete;
+    wire& operator=(const wire&) = delete;
+    virtual ~wire() = default;
+
+    [[nodiscard]] virtual caller_line decode_caller(std::string_view line) const = 0;
+    [[nodiscard]] virtual server_line decode_server(std::string_view line) const = 0;
+    /// Empty when the row is no status.
+    [[nodiscard]] virtual std::optional<server_status> decode_status(std::string_view row) const = 0;
+
+    /// These return whole messages, their ends included.
+    [[nodiscard]] virtual std::string encode_open(const std::string& service, const std::string& server) const = 0;
+    [[nodiscard]] virtual std::string encode_statement(const std::string& id, const statement& what,
+                                                       const std::optional<group_position>& least) const = 0;
+    [[nodiscard]] virtual std::string encode_ready(const ready_line& ready) const = 0;
+    [[nodiscard]] virtual std::string encode_refusal(const error_line& refusal) const = 0;
+    [[nodiscard]] virtual std::string encode_answer(const answer& whole) const = 0;
+};
+
+} // namespace hickorymount::sessions
--- a/src/settings/internal/types.cpp
+++ b/src/settings/internal/types.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::int64_t max_caller_connections = 10'000;
+constexpr std::int64_t max_port = 65'535;
+constexpr std::int64_t max_milliseconds = 3'600'000;
 
 leaf::error_id wrong(const toml::source_region& where, const std::string& file, const std::string& expected)
 {
@@ -89,6 +91,49 @@
         return static_cast<std::uint32_t>(*value);
     }
 
+    [[nodiscard]] result<std::optional<endpoint>> optional_address(std::string_view key) const
+    {
+        if (m_table.get(key) == nullptr) {
+            return std::optional<endpoint>{};
+        }
+        BOOST_LEAF_AUTO(value, address(key));
+        return std::optional(std::move(value));
+    }
+
+    [[nodiscard]] result<bool> flag(std::string_view key) const
+    {
+        const toml::node* node = m_table.get(key);
+        if (node == nullptr) {
+            return false;
+        }
+        const auto value = node->value_exact<bool>();
+        if (!value) {
+            return wrong(node->source(), m_file, fmt::format("'{}' to be true or false", key));
+        }
+        return *value;
+    }
+
+    /// Control hosts that are named by their link's address. Seeds give the address for operators.
+    [[nodiscard]] result<std::vector<control_host>> seeds(std::uint16_t link_port) const
+    {
+        const toml::array* list = m_table.get("seeds")->as_array();
+        if (list == nullptr) {
+            return wrong(m_table.get("seeds")->source(), m_file, "'seeds' to be a list of addresses");
+        }
+        std::vector<control_host> hosts;
+        for (const toml::node& item : *list) {
+            const auto parsed = protocol::parse_endpoint(item.value_exact<std::string>().value_or(""));
+            if (!parsed) {
+                return wrong(item.source(), m_file, "a seed to be an IP number and port");
+            }
+            const endpoint link{parsed->address, link_port};
+            hosts.push_back({host_name{to_string(link)}, link});
+        }
+        return hosts;
+    }
+
+    [[nodiscard]] bool has(std::string_view key) const { return m_table.get(key) != nullptr; }
+
     [[nodiscard]] result<logging::log_level> log_level() const
     {
         const toml::node* node = m_table.get("log_level");
@@ -156,13 +201,26 @@
     BOOST_LEAF_AUTO(table, parse(toml_text, file));
     const settings_reader reader(table, file);
     BOOST_LEAF_CHECK(
-        reader.refuse_unknown({"name", "link", "operators", "data_folder", "control_hosts", "log_level"}));
+        reader.refuse_unknown({"name", "link", "operators", "data_folder", "control_hosts", "seeds", "founds",
+                               "promotions", "report_interval_ms", "metrics", "log_level"}));
     control_settings made;
-    BOOST_LEAF_ASSIGN(made.name.value, reader.name("name"));
     BOOST_LEAF_ASSIGN(made.link, reader.address("link"));
     BOOST_LEAF_ASSIGN(made.operators, reader.address("operators"));
     BOOST_LEAF_ASSIGN(made.data_folder, reader.text("data_folder"));
-    BOOST_LEAF_ASSIGN(made.control_hosts, reader.control_hosts());
+    if (reader.has("seeds")) {
+        made.name.value = to_string(made.link);
+        BOOST_LEAF_ASSIGN(made.control_hosts, reader.seeds(made.link.port));
+    } else {
+        BOOST_LEAF_ASSIGN(made.name.value, reader.name("name"));
+        BOOST_LEAF_ASSIGN(made.control_hosts, reader.control_hosts());
+    }
+    BOOST_LEAF_ASSIGN(made.founds, reader.flag("founds"));
+    BOOST_LEAF_ASSIGN(made.promotions, reader.optional_address("promotions"));
+    BOOST_LEAF_ASSIGN(made.metrics, reader.optional_address("metrics"));
+    BOOST_LEAF_AUTO(report_interval,
+                    reader.count("report_interval_ms",
+                                 static_cast<std::uint32_t>(made.report_interval.count()), max_milliseconds));
+    made.report_interval = milliseconds{report_interval};
     BOOST_LEAF_ASSIGN(made.log_level, reader.log_level());
     return made;
 }
@@ -172,12 +230,24 @@
     BOOST_LEAF_AUTO(table, parse(toml_text, file));
     const settings_reader reader(table, file);
     BOOST_LEAF_CHECK(reader.refuse_unknown(
-        {"name", "availability_zone", "callers", "control_hosts", "caller_connections", "log_level"}));
+        {"name", "availability_zone", "callers", "sessions", "control_hosts", "seeds", "link_port",
+         "stop_time_ms", "metrics", "caller_connections", "log_level"}));
     entry_settings made;
     BOOST_LEAF_ASSIGN(made.name.value, reader.name("name"));
     BOOST_LEAF_ASSIGN(made.zone.value, reader.name("availability_zone"));
     BOOST_LEAF_ASSIGN(made.callers, reader.address("callers"));
-    BOOST_LEAF_ASSIGN(made.control_hosts, reader.control_hosts());
+    if (reader.has("seeds")) {
+        BOOST_LEAF_AUTO(link_port, reader.count("link_port", 0, max_port));
+        BOOST_LEAF_ASSIGN(made.control_hosts, reader.seeds(static_cast<std::uint16_t>(link_port)));
+    } else {
+        BOOST_LEAF_ASSIGN(made.control_hosts, reader.control_hosts());
+    }
+    BOOST_LEAF_ASSIGN(made.sessions, reader.optional_address("sessions"));
+    BOOST_LEAF_ASSIGN(made.metrics, reader.optional_address("metrics"));
+    BOOST_LEAF_AUTO(stop_time, reader.count("stop_time_ms",
+                                            static_cast<std::uint32_t>(made.stop_time.count()),
+                                            max_milliseconds));
+    made.stop_time = milliseconds{stop_time};
     BOOST_LEAF_ASSIGN(made.caller_connections,
                       reader.count("caller_connections", made.caller_connections, max_caller_connections));
     BOOST_LEAF_ASSIGN(made.log_level, reader.log_level());
--- a/src/settings/types.h
+++ b/src/settings/types.h
@@ -6,6 +6,7 @@
 #include "protocol/types.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,14 @@
     std::string data_folder;
     /// The other control hosts.
     std::vector<control_host> control_hosts;
+    /// With its seeds, founds the group of control hosts when its data folder is empty.
+    bool founds = false;
+    /// Where the platform takes orders for promotions; without it, entry hosts carry them.
+    std::optional<endpoint> promotions;
+    /// How often backend servers report.
+    milliseconds report_interval = protocol::usual_report_interval;
+    /// Serves metrics beside `operators`.
+    std::optional<endpoint> metrics;
     logging::log_level log_level = logging::log_level::information;
 
     friend bool operator==(const control_settings&, const control_settings&) = default;
@@ -45,6 +54,12 @@
     /// Accepts callers, backend servers' announcements and the balancer.
     endpoint callers;
     std::vector<control_host> control_hosts;
+    /// Accepts callers' sessions; without it, there are none.
+    std::optional<endpoint> sessions;
+    /// Time from the order to stop until the process is ended.
+    milliseconds stop_time{6000};
+    /// Serves metrics beside `callers`.
+    std::optional<endpoint> metrics;
     /// Callers' connections held open at once.
     std::uint32_t caller_connections = 64;
     logging::log_level log_level = logging::log_level::information;
--- a/src/supervision/descriptions.h
+++ b/src/supervision/descriptions.h
@@ -66,6 +66,52 @@
         std::tuple{member{"request", &type::request}, member{"change", &type::change}};
 };
 
+template <>
+struct description<supervision::replacement_asked>
+{
+    using type = supervision::replacement_asked;
+    static constexpr std::string_view name = "replacement_asked";
+    static constexpr auto members =
+        std::tuple{member{"request", &type::request}, member{"change", &type::change}};
+};
+
+template <>
+struct description<supervision::server_announced>
+{
+    using type = supervision::server_announced;
+    static constexpr std::string_view name = "server_announced";
+    static constexpr auto members = std::tuple{member{"report", &type::report}};
+};
+
+template <>
+struct description<supervision::promotion_outcome>
+{
+    static constexpr auto enumerators =
+        std::tuple{enumerator{"accepted", supervision::promotion_outcome::accepted},
+                   enumerator{"not_running", supervision::promotion_outcome::not_running},
+                   enumerator{"unclear", supervision::promotion_outcome::unclear}};
+};
+
+template <>
+struct description<supervision::promotion_answered>
+{
+    using type = supervision::promotion_answered;
+    static constexpr std::string_view name = "promotion_answered";
+    static constexpr auto members = std::tuple{member{"order", &type::order}, member{"group", &type::group},
+                                               member{"outcome", &type::outcome}};
+};
+
+template <>
+struct description<supervision::order_promotion>
+{
+    using type = supervision::order_promotion;
+    static constexpr std::string_view name = "order_promotion";
+    static constexpr auto members =
+        std::tuple{member{"order", &type::order},   member{"group", &type::group},
+                   member{"server", &type::server}, member{"holder", &type::holder},
+                   member{"fencing_token", &type::fencing_token}, member{"valid_until", &type::valid_until}};
+};
+
 template <>
 struct description<supervision::switch_asked>
 {
--- a/src/supervision/internal/lease_keeper.cpp
+++ b/src/supervision/internal/lease_keeper.cpp
@@ -150,8 +150,14 @@
     entry_status status = *m_step.state.entries.find(entry);
     if (pending.request.revision < m_step.state.revision) {
         send_view(entry.name);
+    } else if (pending.request.servers_digest != servers_digest()) {
+        send_servers(entry.name);
+    }
+    protocol::lease_grant grant{
+        entry, pending.request.sequence, lease_duration, shares_for(pending.request), {}};
+    for (const consensus::member& voter : m_step.around.consensus.members.voters) {
+        grant.control_hosts.push_back(voter.name);
     }
-    protocol::lease_grant grant{entry, pending.request.sequence, lease_duration, shares_for(pending.request)};
     for (const auto& [server, share] : grant.connections) {
         status.held[server] = std::max(share, value_or_zero(pending.request.held_connections, server));
     }
@@ -171,13 +177,29 @@
         view.groups.push_back({name, record});
     }
     m_step.send(to, std::move(view));
+    send_servers(to);
+}
+
+void lease_keeper::send_servers(const host_name& to)
+{
     protocol::server_reports known;
     for (const auto& [name, status] : m_step.state.servers) {
         known.reports.push_back(status.report);
     }
+    // A new leader has not heard of all servers yet.
+    known.is_whole_list = m_step.now() - m_step.state.leading_since >= server_forgotten;
     m_step.send(to, std::move(known));
 }
 
+std::uint64_t lease_keeper::servers_digest() const
+{
+    std::uint64_t digest = 0;
+    for (const auto& [name, status] : m_step.state.servers) {
+        digest += protocol::server_hash(status.report);
+    }
+    return digest;
+}
+
 bool lease_keeper::is_held_back(const entry_key& entry) const
 {
     const auto& changes = m_step.state.changes;
--- a/src/supervision/internal/lease_keeper.h
+++ b/src/supervision/internal/lease_keeper.h
@@ -32,6 +32,8 @@
 private:
     void issue(const pending_grant& pending);
     void send_view(const host_name& to);
+    void send_servers(const host_name& to);
+    [[nodiscard]] std::uint64_t servers_digest() const;
     [[nodiscard]] bool is_held_back(const entry_key& entry) const;
     [[nodiscard]] std::map<backend_server_name, std::uint32_t>
     shares_for(const protocol::lease_request& request) const;
--- a/src/supervision/internal/operator_desk.cpp
+++ b/src/supervision/internal/operator_desk.cpp
@@ -27,6 +27,15 @@
     m_step.propose(asked.change, operator_caller{asked.request});
 }
 
+void operator_desk::handle(const replacement_asked& asked)
+{
+    if (!m_step.state.is_leading) {
+        refuse(asked.request, not_leader);
+        return;
+    }
+    m_step.propose(asked.change, operator_caller{asked.request});
+}
+
 void operator_desk::handle(const switch_asked& asked)
 {
     if (!m_step.state.is_leading) {
@@ -86,6 +95,12 @@
     answer_in_force();
 }
 
+void operator_desk::answer_replacement(const operator_caller& caller, const directory::change_answer& answer)
+{
+    m_step.effects.emplace_back(answer_operator{
+        caller.request, configuration_answer{answer.outcome, answer.version, false, {}}});
+}
+
 void operator_desk::answer_in_force()
 {
     std::vector<pending_in_force> waiting;
--- a/src/supervision/internal/operator_desk.h
+++ b/src/supervision/internal/operator_desk.h
@@ -13,12 +13,15 @@
     operator_desk(supervision_step& step, const lease_keeper& leases, primary_changer& changer);
 
     void handle(const configuration_asked& asked);
+    void handle(const replacement_asked& asked);
     void handle(const switch_asked& asked);
     void handle(const status_asked& asked);
     void handle(const configuration_shown& asked);
 
     /// The change was agreed on or refused.
     void handle(const operator_caller& caller, const directory::change_answer& answer);
+    /// Answers at once: the version is committed, and the entry hosts have been told.
+    void answer_replacement(const operator_caller& caller, const directory::change_answer& answer);
 
     /// Answers readings that a majority has confirmed by now.
     void answer_readings();
--- a/src/supervision/internal/primary_changer.cpp
+++ b/src/supervision/internal/primary_changer.cpp
@@ -20,7 +20,8 @@
 
 bool is_primary_of(const server_report& report, protocol::group_term term)
 {
-    return report.role == server_role::primary && report.at.term == term;
+    const bool numbers_its_own_terms = report.speaks == protocol::server_interface::sessions;
+    return report.role == server_role::primary && (numbers_its_own_terms || report.at.term == term);
 }
 
 } // namespace
@@ -49,6 +50,9 @@
 
 void primary_changer::handle(const host_name& from, const protocol::probe_report& probed)
 {
+    if (probed.status && probed.status->name == probed.server) {
+        adopt_first_primary(*probed.status);
+    }
     for (const auto& [group, change] : m_step.state.changes) {
         if (change.probe != probed.probe) {
             continue;
@@ -68,6 +72,12 @@
         case change_stage::catching_up:
             finish_catching_up_if_done(name, std::move(next));
             return;
+        case change_stage::promoting:
+            if (probed.status && probed.server == next.candidate &&
+                probed.status->role == server_role::primary) {
+                propose_opening(name, std::move(next), probed.status->at.position);
+            }
+            return;
         default:
             return;
         }
@@ -86,6 +96,7 @@
     }
     group_change next = *change;
     next.awaiting.erase(confirmed.entry);
+    next.acknowledged = std::max(next.acknowledged, confirmed.acknowledged);
     finish_revoking_if_done(confirmed.group, std::move(next));
 }
 
@@ -102,13 +113,44 @@
         retry_promotion(reported.group, std::move(next));
         return;
     }
-    next.start = reported.start;
-    next.times.promoted = m_step.now();
-    const directory::open_term command{reported.group, next.next_term, next.candidate, next.start};
-    set_stage(reported.group, std::move(next), change_stage::opening);
+    propose_opening(reported.group, std::move(next), reported.start);
+}
+
+void primary_changer::propose_opening(const group_name& group, group_change change,
+                                      protocol::log_position start)
+{
+    change.start = start;
+    change.times.promoted = m_step.now();
+    const directory::open_term command{group, change.next_term, change.candidate, start};
+    set_stage(group, std::move(change), change_stage::opening);
     m_step.propose(command);
 }
 
+void primary_changer::handle(const promotion_answered& answered)
+{
+    const group_change* change = m_step.state.changes.find(answered.group);
+    const bool fits = change != nullptr && change->stage == change_stage::promoting &&
+                      change->order == answered.order && !change->is_promotion_accepted;
+    if (!fits) {
+        return;
+    }
+    group_change next = *change;
+    switch (answered.outcome) {
+    case promotion_outcome::accepted:
+        next.is_promotion_accepted = true;
+        probe_candidate(answered.group, std::move(next));
+        return;
+    case promotion_outcome::not_running:
+        m_step.log(logging::log_level::warning, "promote", change->candidate.value,
+                   "group=" + answered.group.value + " outcome=not_running");
+        next.target.reset();
+        start_collecting(answered.group, std::move(next));
+        return;
+    case promotion_outcome::unclear:
+        return;
+    }
+}
+
 void primary_changer::handle(const directory::open_term& opened)
 {
     const group_record* record = m_step.directory().groups.find(opened.group);
@@ -192,8 +234,25 @@
     }
 }
 
+/// Marks a server whose farewell names nothing but it.
+void primary_changer::take_farewell(const backend_server_name& name)
+{
+    const server_status* known = m_step.state.servers.find(name);
+    if (known == nullptr || known->report.is_gone) {
+        return;
+    }
+    server_status next = *known;
+    next.report.leaving = next.report.is_gone = true;
+    m_step.state.servers = std::move(m_step.state.servers).set(name, std::move(next));
+    m_step.state.unsent_reports.insert(name);
+}
+
 void primary_changer::take_report(const host_name& from, const server_report& report)
 {
+    if (report.is_gone) {
+        take_farewell(report.name);
+        return;
+    }
     if (!m_step.directory().configuration->content.groups.contains(report.group)) {
         return;
     }
@@ -201,27 +260,75 @@
     if (known != nullptr && !protocol::is_newer(report, known->report)) {
         return;
     }
+    const bool is_new_to_others = known == nullptr || known->report.leaving != report.leaving ||
+                                  known->report.is_gone != report.is_gone ||
+                                  known->report.role != report.role ||
+                                  known->report.address != report.address ||
+                                  known->report.started_at != report.started_at;
     server_status status = known == nullptr ? server_status{} : *known;
     status.report = report;
     status.heard_at = m_step.now();
     m_step.state.servers = std::move(m_step.state.servers).set(report.name, std::move(status));
-    m_step.state.unsent_reports.insert(report.name);
+    if (report.speaks == protocol::server_interface::requests || is_new_to_others) {
+        m_step.state.unsent_reports.insert(report.name);
+    }
+    retire_others_at(report);
     adopt_first_primary(report);
     correct_follower(from, report);
+    const group_change* change = m_step.state.changes.find(report.group);
+    if (change != nullptr && change->stage == change_stage::promoting && change->is_promotion_accepted &&
+        change->candidate == report.name && report.role == server_role::primary) {
+        propose_opening(report.group, *change, report.at.position);
+    }
+}
+
+/// An address belongs to the server that started there last.
+void primary_changer::retire_others_at(const server_report& newcomer)
+{
+    const auto servers = m_step.state.servers;
+    for (const auto& [name, known] : servers) {
+        const bool is_replaced = name != newcomer.name && known.report.address == newcomer.address &&
+                                 !known.report.is_gone && known.report.started_at < newcomer.started_at;
+        if (is_replaced) {
+            server_status next = known;
+            next.report.leaving = next.report.is_gone = true;
+            m_step.state.servers = std::move(m_step.state.servers).set(name, std::move(next));
+            m_step.state.unsent_reports.insert(name);
+        }
+    }
+}
+
+void primary_changer::forget_silent_servers()
+{
+    const auto servers = m_step.state.servers;
+    for (const auto& [name, known] : servers) {
+        if (m_step.now() - known.heard_at >= server_forgotten) {
+            m_step.state.servers = std::move(m_step.state.servers).erase(name);
+        }
+    }
 }
 
 void primary_changer::adopt_first_primary(const server_report& report)
 {
-    const bool is_first = report.role == server_role::primary && report.at.term > 0 &&
-                          !m_step.directory().groups.contains(report.group) && !is_paused(report.group);
-    if (is_first) {
+    const bool is_first =
+        report.role == server_role::primary && !m_step.directory().groups.contains(report.group);
+    if (is_first && report.at.term > 0 && !is_paused(report.group)) {
         pause(report.group, adoption_pause);
         m_step.propose(directory::open_term{report.group, report.at.term, report.name, 0});
+        return;
+    }
+    // A report without a term: the server has to be asked for it.
+    const std::vector<host_name> live = m_leases.live_hosts();
+    if (is_first && report.at.term == 0 && report.speaks == protocol::server_interface::sessions &&
+        !live.empty()) {
+        probe(report.name, m_step.next_number(), {live.front()});
     }
 }
 
-void primary_changer::correct_follower(const host_name& through, const server_report& report)
+void primary_changer::correct_follower(const host_name& from, const server_report& report)
 {
+    const std::vector<host_name> live = m_leases.live_hosts();
+    const host_name through = from.empty() && !live.empty() ? live.front() : from;
     const group_record* record = m_step.directory().groups.find(report.group);
     if (record == nullptr || record->phase != group_phase::open) {
         return;
@@ -232,7 +339,9 @@
         }
         return;
     }
-    const bool is_astray = report.role == server_role::primary || report.at.term < record->term;
+    const bool is_behind =
+        report.speaks == protocol::server_interface::requests && report.at.term < record->term;
+    const bool is_astray = !through.empty() && (report.role == server_role::primary || is_behind);
     const server_status* status = m_step.state.servers.find(report.name);
     if (is_astray && m_step.now() - status->follow_sent >= follow_interval) {
         send_follow(through, report, *record);
@@ -244,7 +353,7 @@
 {
     const server_status* primary = m_step.state.servers.find(record.primary);
     const server_status* known = m_step.state.servers.find(follower.name);
-    if (primary == nullptr || known == nullptr || record.starts.empty()) {
+    if (primary == nullptr || known == nullptr || record.starts.empty() || known->report.is_gone) {
         return;
     }
     server_status status = *known;
@@ -257,6 +366,8 @@
     order.server = follower.name;
     order.address = follower.address;
     order.term = record.term;
+    order.speaks = follower.speaks;
+    order.demotes = follower.role == server_role::primary;
     order.primary_address = m_step.state.servers.find(record.primary)->report.address;
     order.start = record.starts.back().position;
     m_step.send(through, std::move(order));
@@ -280,7 +391,10 @@
     const server_status* primary = m_step.state.servers.find(record.primary);
     const time_point heard =
         std::max(primary == nullptr ? time_point{} : primary->heard_at, m_step.state.leading_since);
-    if (m_step.now() - heard > report_silence) {
+    const bool reports_to_control = primary != nullptr && speaks_in_sessions(record.primary);
+    const milliseconds silence =
+        reports_to_control ? missed_reports * primary->report.report_interval : report_silence;
+    if (m_step.now() - heard > silence) {
         start_confirming(group, record, "no report from the primary");
         return;
     }
@@ -356,7 +470,9 @@
 void primary_changer::finish_revoking_if_done(const group_name& group, group_change change)
 {
     const std::set<entry_key> leased = m_leases.leased();
-    std::erase_if(change.awaiting, [&](const entry_key& entry) { return !leased.contains(entry); });
+    const std::size_t expired =
+        std::erase_if(change.awaiting, [&](const entry_key& entry) { return !leased.contains(entry); });
+    change.have_all_confirmed = change.have_all_confirmed && expired == 0;
     if (!change.awaiting.empty()) {
         set_change(group, std::move(change));
         return;
@@ -382,8 +498,9 @@
     change.sent_at = m_step.now();
     std::vector<host_name> through = m_leases.live_hosts();
     through.resize(std::min(through.size(), probes_for_position));
+    const group_record* record = m_step.directory().groups.find(group);
     for (const server_report& candidate : candidates(group, change)) {
-        probe(candidate.name, change.probe, through);
+        probe(candidate.name, change.probe, through, record == nullptr ? 0 : record->last_named_term + 1);
     }
     set_stage(group, std::move(change), change_stage::collecting);
 }
@@ -398,7 +515,7 @@
             answered.push_back(found->second);
         }
     }
-    const bool is_late = m_step.now() - change.stage_since >= collect_timeout();
+    const bool is_late = m_step.now() - change.stage_since >= collect_timeout(change, answered);
     if (answered.empty() || (answered.size() < asked.size() && !is_late)) {
         set_change(group, std::move(change));
         return;
@@ -426,6 +543,10 @@
 
 void primary_changer::send_promotion(const group_name& group, group_change change)
 {
+    if (speaks_in_sessions(change.candidate)) {
+        order_platform_promotion(group, std::move(change));
+        return;
+    }
     const std::vector<host_name> live = m_leases.live_hosts();
     const server_status* status = m_step.state.servers.find(change.candidate);
     if (live.empty() || status == nullptr) {
@@ -444,6 +565,54 @@
     set_change(group, std::move(change));
 }
 
+void primary_changer::order_platform_promotion(const group_name& group, group_change change)
+{
+    change.order = m_step.next_number();
+    change.sent_at = m_step.now();
+    change.is_promotion_accepted = false;
+    // A call of an earlier leader, with a lower token, may still be under way.
+    const bool is_alone = m_step.now() - m_step.state.leading_since >= promotion_call_bound;
+    if (is_alone) {
+        const consensus::consensus_state& log = m_step.around.consensus;
+        m_step.effects.emplace_back(order_promotion{change.order, group, change.candidate, log.self.name,
+                                                    log.hard.term, m_step.now() + probe_resend_interval});
+        m_step.log(logging::log_level::information, "promote", change.candidate.value,
+                   fmt::format("group={} term={} token={}", group.value, change.next_term, log.hard.term));
+    }
+    set_change(group, std::move(change));
+}
+
+void primary_changer::probe_candidate(const group_name& group, group_change change)
+{
+    std::vector<host_name> through = m_leases.live_hosts();
+    through.resize(std::min(through.size(), probes_for_position));
+    change.probe = m_step.next_number();
+    change.sent_at = m_step.now();
+    probe(change.candidate, change.probe, through);
+    set_change(group, std::move(change));
+}
+
+void primary_changer::advance_platform_promotion(const group_name& group, const group_change& change)
+{
+    const milliseconds since_sent = m_step.now() - change.sent_at;
+    if (m_step.now() - change.stage_since >= promotion_limit) {
+        m_step.log(logging::log_level::warning, "promote", change.candidate.value,
+                   "group=" + group.value + " given up: the candidate did not take over in time");
+        group_change next = change;
+        next.target.reset();
+        start_collecting(group, std::move(next));
+        return;
+    }
+    if (change.is_promotion_accepted && since_sent >= promotion_poll_interval) {
+        probe_candidate(group, change);
+        return;
+    }
+    const bool was_sent = m_step.now() - m_step.state.leading_since >= promotion_call_bound + since_sent;
+    if (!change.is_promotion_accepted && since_sent >= (was_sent ? promotion_call_bound : supervision_interval)) {
+        order_platform_promotion(group, change);
+    }
+}
+
 void primary_changer::retry_promotion(const group_name& group, group_change change)
 {
     if (++change.attempts < takeover_attempts) {
@@ -495,7 +664,9 @@
     const milliseconds since_sent = m_step.now() - change.sent_at;
     switch (change.stage) {
     case change_stage::confirming:
-        if (in_stage >= confirm_timeout) {
+        if (const group_record* record = m_step.directory().groups.find(group);
+            in_stage >= (record != nullptr && speaks_in_sessions(record->primary) ? confirm_timeout_sessions
+                                                                                  : confirm_timeout)) {
             give_up(group, change, "not confirmed in time");
         }
         return;
@@ -530,6 +701,10 @@
         finish_collecting_if_done(group, change);
         return;
     case change_stage::promoting:
+        if (speaks_in_sessions(change.candidate)) {
+            advance_platform_promotion(group, change);
+            return;
+        }
         if (since_sent >= takeover_timeout) {
             retry_promotion(group, change);
         }
@@ -555,15 +730,26 @@
 }
 
 void primary_changer::probe(const backend_server_name& server, std::uint64_t number,
-                            const std::vector<host_name>& through)
+                            const std::vector<host_name>& through, protocol::group_term pause_below)
 {
     const server_status* status = m_step.state.servers.find(server);
-    const protocol::endpoint address = status == nullptr ? protocol::endpoint{} : status->report.address;
+    protocol::probe_order order{number, server, {}, {}, protocol::server_interface::requests, pause_below};
+    if (status != nullptr) {
+        order.address = status->report.address;
+        order.group = status->report.group;
+        order.speaks = status->report.speaks;
+    }
     for (const host_name& host : through) {
-        m_step.send(host, protocol::probe_order{number, server, address});
+        m_step.send(host, order);
     }
 }
 
+bool primary_changer::speaks_in_sessions(const backend_server_name& server) const
+{
+    const server_status* status = m_step.state.servers.find(server);
+    return status != nullptr && status->report.speaks == protocol::server_interface::sessions;
+}
+
 void primary_changer::set_stage(const group_name& group, group_change change, change_stage stage)
 {
     change.stage = stage;
@@ -601,8 +787,19 @@
     return reports;
 }
 
-milliseconds primary_changer::collect_timeout() const
+milliseconds primary_changer::collect_timeout(const group_change& change,
+                                              const std::vector<server_report>& answered) const
 {
+    const auto speaks = [](const server_report& each) {
+        return each.speaks == protocol::server_interface::sessions;
+    };
+    if (std::any_of(answered.begin(), answered.end(), speaks)) {
+        const bool is_covered =
+            change.have_all_confirmed &&
+            std::any_of(answered.begin(), answered.end(),
+                        [&](const server_report& each) { return each.at >= change.acknowledged; });
+        return is_covered ? collect_timeout_default : collect_limit;
+    }
     const auto& classes = m_step.directory().configuration->content.classes;
     const bool needs_replica = std::any_of(classes.begin(), classes.end(), [](const auto& each) {
         return each.second.acknowledged_by == configuration::acknowledgement::replica;
--- a/src/supervision/internal/reduce.cpp
+++ b/src/supervision/internal/reduce.cpp
@@ -9,6 +9,8 @@
 
 #include <utility>
 
+#include <fmt/format.h>
+
 namespace hickorymount::supervision {
 
 namespace {
@@ -92,7 +94,10 @@
     void receive(const host_name& from, const protocol::server_reports& passed_on)
     {
         if (m_step.state.is_leading) {
-            m_changer.handle(from, passed_on);
+            const auto& members = m_step.around.consensus.members.voters;
+            const bool is_control_host = std::any_of(
+                members.begin(), members.end(), [&](const auto& each) { return each.name == from; });
+            m_changer.handle(is_control_host ? host_name{} : from, passed_on);
         }
     }
 
@@ -136,10 +141,15 @@
         if (const auto* caller = std::get_if<claim_caller>(&applied.caller)) {
             answer_claim(*caller, applied.report);
         }
-        if (const auto* caller = std::get_if<operator_caller>(&applied.caller)) {
-            if (const auto* answer = std::get_if<directory::change_answer>(&applied.report)) {
-                m_desk.handle(*caller, *answer);
-            }
+        const auto* caller = std::get_if<operator_caller>(&applied.caller);
+        const auto* answer = std::get_if<directory::change_answer>(&applied.report);
+        if (caller == nullptr || answer == nullptr) {
+            return;
+        }
+        if (std::holds_alternative<directory::replace_configuration>(applied.command)) {
+            m_desk.answer_replacement(*caller, *answer);
+        } else {
+            m_desk.handle(*caller, *answer);
         }
     }
 
@@ -167,6 +177,15 @@
         }
     }
 
+    void follow(const command_applied& applied, const directory::replace_configuration& command)
+    {
+        if (command.version == m_step.directory().configuration->version) {
+            publish(applied.index, m_step.directory().configuration, {});
+            m_step.log(logging::log_level::information, "configuration_committed", "",
+                       fmt::format("version={} index={}", command.version, applied.index));
+        }
+    }
+
     void follow(const command_applied& applied, const directory::open_term& command)
     {
         publish_group(applied.index, command.group);
@@ -224,7 +243,22 @@
     }
 
     void apply(const configuration_asked& asked) { m_desk.handle(asked); }
+    void apply(const replacement_asked& asked) { m_desk.handle(asked); }
     void apply(const switch_asked& asked) { m_desk.handle(asked); }
+    void apply(const promotion_answered& answered) { m_changer.handle(answered); }
+
+    void apply(const server_announced& announced)
+    {
+        if (m_step.state.is_leading) {
+            m_changer.handle(host_name{}, protocol::server_reports{{announced.report}});
+            return;
+        }
+        if (m_step.around.consensus.leader) {
+            m_step.effects.emplace_back(send_to_control_host{*m_step.around.consensus.leader,
+                                                             protocol::server_reports{{announced.report}}});
+        }
+    }
+
     void apply(const status_asked& asked) { m_desk.handle(asked); }
     void apply(const configuration_shown& asked) { m_desk.handle(asked); }
 
@@ -236,6 +270,7 @@
             return;
         }
         m_changer.pass_time();
+        m_changer.forget_silent_servers();
         m_leases.dismiss_expired();
         m_desk.answer_in_force();
         pass_on_reports();
--- a/src/supervision/types.h
+++ b/src/supervision/types.h
@@ -38,6 +38,21 @@
 inline constexpr milliseconds probe_resend_interval{250};
 inline constexpr milliseconds takeover_timeout{400};
 inline constexpr milliseconds follow_interval{200};
+/// Missed reports, in a row, that start a check of a primary that speaks in sessions.
+inline constexpr int missed_reports = 3;
+/// A probe over a session opens a connection, which waits for a slot of its own.
+inline constexpr milliseconds confirm_timeout_sessions{1500};
+/// The replicas' positions are known, or the acknowledged position is covered, before this much has passed;
+/// after it the service's return weighs more than a commit that only the lost servers may hold.
+inline constexpr milliseconds collect_limit{15'000};
+/// Longest time that one call to the platform for a promotion may be under way.
+inline constexpr milliseconds promotion_call_bound{1000};
+/// Between two looks at a candidate whose promotion was accepted.
+inline constexpr milliseconds promotion_poll_interval{60};
+/// A candidate that has not taken over by then is given up.
+inline constexpr milliseconds promotion_limit{6000};
+/// A backend server that was not heard for this long is forgotten.
+inline constexpr milliseconds server_forgotten{60'000};
 /// Longest time for which a planned change holds new writes back.
 inline constexpr milliseconds hold_timeout{2500};
 inline constexpr milliseconds planned_retry_pause{5000};
@@ -135,12 +150,17 @@
     std::set<host_name> failed;
     std::set<host_name> reached;
     std::set<entry_key> awaiting;
+    /// The newest commit acknowledged by an entry host that has confirmed the term's end.
+    session::group_position acknowledged;
+    /// No entry host's lease ran out before it confirmed the term's end.
+    bool have_all_confirmed = true;
     std::map<backend_server_name, protocol::server_report> positions;
     backend_server_name candidate;
     protocol::group_term next_term = 0;
     protocol::log_position start = 0;
     std::uint64_t order = 0;
     int attempts = 0;
+    bool is_promotion_accepted = false;
 
     friend bool operator==(const group_change&, const group_change&) = default;
 };
@@ -242,6 +262,41 @@
     friend bool operator==(const configuration_asked&, const configuration_asked&) = default;
 };
 
+/// An operator's whole configuration, under a version that the operator chose.
+struct replacement_asked
+{
+    std::uint64_t request = 0;
+    directory::replace_configuration change;
+
+    friend bool operator==(const replacement_asked&, const replacement_asked&) = default;
+};
+
+/// A backend server's report that came to this control host directly.
+struct server_announced
+{
+    protocol::server_report report;
+
+    friend bool operator==(const server_announced&, const server_announced&) = default;
+};
+
+enum class promotion_outcome
+{
+    accepted,
+    /// The server named is not running.
+    not_running,
+    /// Not accepted, or no answer.
+    unclear
+};
+
+struct promotion_answered
+{
+    std::uint64_t order = 0;
+    group_name group;
+    promotion_outcome outcome = promotion_outcome::unclear;
+
+    friend bool operator==(const promotion_answered&, const promotion_answered&) = default;
+};
+
 struct switch_asked
 {
     std::uint64_t request = 0;
@@ -276,8 +331,9 @@
     friend bool operator==(const log_progressed&, const log_progressed&) = default;
 };
 
-using supervision_event = std::variant<entry_message, command_applied, configuration_asked, switch_asked,
-                                       status_asked, configuration_shown, time_passed, log_progressed>;
+using supervision_event = std::variant<entry_message, command_applied, configuration_asked, replacement_asked,
+                                       switch_asked, status_asked, configuration_shown, server_announced,
+                                       promotion_answered, time_passed, log_progressed>;
 
 /// Sends to one entry host, or to all with a live lease when `to` is empty.
 struct send_to_entry
@@ -296,6 +352,31 @@
     friend bool operator==(const propose&, const propose&) = default;
 };
 
+/// Passes a message on to another control host.
+struct send_to_control_host
+{
+    host_name to;
+    protocol::message content;
+
+    friend bool operator==(const send_to_control_host&, const send_to_control_host&) = default;
+};
+
+/// Asks the platform to make the server its group's primary.
+struct order_promotion
+{
+    std::uint64_t order = 0;
+    group_name group;
+    backend_server_name server;
+    /// The control host that gives the order.
+    host_name holder;
+    /// Increases with each control host that takes over the duty.
+    std::uint64_t fencing_token = 0;
+    /// Not to be sent later than this.
+    time_point valid_until{};
+
+    friend bool operator==(const order_promotion&, const order_promotion&) = default;
+};
+
 struct entry_summary
 {
     host_name name;
@@ -380,7 +461,8 @@
     friend bool operator==(const answer_operator&, const answer_operator&) = default;
 };
 
-using supervision_effect = std::variant<send_to_entry, propose, answer_operator, logging::log_record>;
+using supervision_effect = std::variant<send_to_entry, send_to_control_host, propose, answer_operator,
+                                        order_promotion, logging::log_record>;
 
 struct supervision_transition
 {
