--- a/src/app/controld/main.cpp
+++ b/src/app/controld/main.cpp
@@ -1,3 +1,4 @@
+#include "app/settings_watch.h"
 #include "command_line/command_line.h"
 #include "gateway/control_service.h"
 #include "platform/control_pages.h"
@@ -32,7 +33,8 @@
     // After a failed write nothing this process believes to be on disk can be trusted.
     BOOST_LEAF_AUTO(service, gateway::start_control(own, [] { _exit(EXIT_FAILURE); }, platform::make_control_pages(),
                                                          platform::make_promotion_caller(own)));
-    signal.wait();
+    app::wait_for_stop(signal, file, text, settings::parse_control_settings,
+                       [&](const settings::control_settings& changed) { service->reload(changed); });
     service->stop();
     return EXIT_SUCCESS;
 }
--- a/src/app/entryd/main.cpp
+++ b/src/app/entryd/main.cpp
@@ -1,3 +1,4 @@
+#include "app/settings_watch.h"
 #include "command_line/command_line.h"
 #include "gateway/entry_service.h"
 #include "platform/session_wire.h"
@@ -27,7 +28,8 @@
     }
     const runtime::stop_signal signal;
     BOOST_LEAF_AUTO(service, gateway::start_entry(own, platform::make_session_wire()));
-    signal.wait();
+    app::wait_for_stop(signal, file, text, settings::parse_entry_settings,
+                       [&](const settings::entry_settings& changed) { service->reload(changed); });
     service->drain();
     service->stop();
     return EXIT_SUCCESS;
--- a/src/consensus/descriptions.h
+++ b/src/consensus/descriptions.h
@@ -177,6 +177,14 @@
     static constexpr auto members = std::tuple{member{"members", &type::members}};
 };
 
+template <>
+struct description<consensus::contacts_named>
+{
+    using type = consensus::contacts_named;
+    static constexpr std::string_view name = "contacts_named";
+    static constexpr auto members = std::tuple{member{"contacts", &type::contacts}};
+};
+
 template <>
 struct description<consensus::synced>
 {
--- a/src/consensus/internal/consensus_reducer.cpp
+++ b/src/consensus/internal/consensus_reducer.cpp
@@ -160,6 +160,11 @@
     save_snapshot();
 }
 
+void consensus_reducer::apply(const contacts_named& what)
+{
+    add_contacts(what.contacts);
+}
+
 transition consensus_reducer::finish()
 {
     persist();
@@ -314,14 +319,19 @@
         return;
     }
     m_state.is_excluded = is_voter(m_state.self);
-    for (const host_name& voter : hint.voters) {
-        const bool is_known =
-            voter == m_state.self.name ||
-            std::find(m_state.contacts.begin(), m_state.contacts.end(), voter) != m_state.contacts.end();
-        if (!is_known && m_state.contacts.size() < max_contacts) {
-            m_state.contacts.push_back(voter);
+    add_contacts(hint.voters);
+}
+
+/// The newest go first; the oldest are forgotten when there are too many.
+void consensus_reducer::add_contacts(const std::vector<host_name>& hosts)
+{
+    auto& known = m_state.contacts;
+    for (const host_name& host : hosts) {
+        if (host != m_state.self.name && std::find(known.begin(), known.end(), host) == known.end()) {
+            known.insert(known.begin(), host);
         }
     }
+    known.resize(std::min(known.size(), max_contacts));
 }
 
 void consensus_reducer::send_hint(const host_name& to)
--- a/src/consensus/internal/consensus_reducer.h
+++ b/src/consensus/internal/consensus_reducer.h
@@ -17,6 +17,7 @@
     void apply(const synced& what);
     void apply(const timer_passed& what);
     void apply(const compaction_due& what);
+    void apply(const contacts_named& what);
 
     transition finish();
 
@@ -39,6 +40,7 @@
     bool add_caught_up_learner();
     void remove_silent_voter();
     void ask_for_admission();
+    void add_contacts(const std::vector<host_name>& hosts);
     void send_hint(const host_name& to);
 
     void append(const entry_content& content);
--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -312,7 +312,16 @@
     friend bool operator==(const compaction_due&, const compaction_due&) = default;
 };
 
-using event_kind = std::variant<started, formed, received, proposed, synced, timer_passed, compaction_due>;
+/// Changed settings name other control hosts to ask for admission.
+struct contacts_named
+{
+    std::vector<host_name> contacts;
+
+    friend bool operator==(const contacts_named&, const contacts_named&) = default;
+};
+
+using event_kind = std::variant<started, formed, received, proposed, synced, timer_passed, compaction_due,
+                                contacts_named>;
 
 struct event
 {
--- a/src/framework/runtime/stop_signal.h
+++ b/src/framework/runtime/stop_signal.h
@@ -1,12 +1,23 @@
 #pragma once
 
+#include "base/millisecond_clock.h"
+
 #include <csignal>
+#include <ctime>
 
 #include <pthread.h>
 
 namespace hickorymount::runtime {
 
-/// Blocks SIGTERM and SIGINT in this thread and those it starts, so that one place can wait for them.
+enum class signal_request
+{
+    none,
+    stop,
+    /// The settings may have changed.
+    reload
+};
+
+/// Blocks SIGTERM, SIGINT and SIGHUP in this thread and those it starts, so that one place can wait for them.
 /// Also ignores SIGPIPE: a closed connection is an error of its call.
 class stop_signal
 {
@@ -16,6 +27,7 @@
         sigemptyset(&m_set);
         sigaddset(&m_set, SIGTERM);
         sigaddset(&m_set, SIGINT);
+        sigaddset(&m_set, SIGHUP);
         pthread_sigmask(SIG_BLOCK, &m_set, nullptr);
         std::signal(SIGPIPE, SIG_IGN);
     }
@@ -24,7 +36,27 @@
     void wait() const
     {
         int signal = 0;
-        sigwait(&m_set, &signal);
+        do {
+            sigwait(&m_set, &signal);
+        } while (signal == SIGHUP);
+    }
+
+    /// Returns at the first signal, or `none` when none came for so long.
+    [[nodiscard]] signal_request wait_for(milliseconds longest) const
+    {
+        constexpr std::int64_t nanoseconds_in_millisecond = 1'000'000;
+        constexpr std::int64_t milliseconds_in_second = 1000;
+        const timespec wait{longest.count() / milliseconds_in_second,
+                            longest.count() % milliseconds_in_second * nanoseconds_in_millisecond};
+        switch (sigtimedwait(&m_set, nullptr, &wait)) {
+        case SIGTERM:
+        case SIGINT:
+            return signal_request::stop;
+        case SIGHUP:
+            return signal_request::reload;
+        default:
+            return signal_request::none;
+        }
     }
 
 private:
--- a/src/gateway/control_service.h
+++ b/src/gateway/control_service.h
@@ -21,6 +21,9 @@
 
     [[nodiscard]] virtual std::uint16_t operators_port() const = 0;
     virtual void stop() = 0;
+
+    /// Takes the control hosts of changed settings; the rest holds from the next start. Safe from any thread.
+    virtual void reload(const settings::control_settings& changed) = 0;
 };
 
 /// `on_disk_failure` is called once when a write or a sync fails; the process has to stop then.
--- a/src/gateway/entry_service.h
+++ b/src/gateway/entry_service.h
@@ -23,6 +23,9 @@
     /// A planned stop: tells the balancer, finishes what is in flight, gives the lease back. Blocks.
     virtual void drain() = 0;
     virtual void stop() = 0;
+
+    /// Takes the control hosts of changed settings; the rest holds from the next start. Safe from any thread.
+    virtual void reload(const settings::entry_settings& changed) = 0;
 };
 
 result<std::unique_ptr<entry_service>> start_entry(const settings::entry_settings& own,
--- a/src/gateway/internal/control_service.cpp
+++ b/src/gateway/internal/control_service.cpp
@@ -105,15 +105,9 @@
             http::start_server(options, [this](const http::request& asked) { return serve(asked); }, {}));
         m_storage->start();
         m_control.start();
-        std::vector<host_name> contacts;
-        for (const settings::control_host& host : m_own.control_hosts) {
-            if (host.name != m_own.name) {
-                contacts.push_back(host.name);
-            }
-        }
         std::random_device random;
         const std::size_t entries = stored.entries.size();
-        post(node::control_started{m_own.name, contacts, std::move(stored), random()});
+        post(node::control_started{m_own.name, contacts_in(m_own), std::move(stored), random()});
         if (founds) {
             post(consensus::formed{founders()});
         }
@@ -130,6 +124,13 @@
 
     [[nodiscard]] std::uint16_t operators_port() const override { return m_server->port(); }
 
+    void reload(const settings::control_settings& changed) override
+    {
+        m_log.write({logging::log_level::information, "reload", "",
+                     fmt::format("control_hosts={}", changed.control_hosts.size())});
+        post(consensus::contacts_named{contacts_in(changed)});
+    }
+
     void stop() override
     {
         if (std::exchange(m_is_stopped, true)) {
@@ -147,6 +148,17 @@
     }
 
 private:
+    static std::vector<host_name> contacts_in(const settings::control_settings& own)
+    {
+        std::vector<host_name> contacts;
+        for (const settings::control_host& host : own.control_hosts) {
+            if (host.name != own.name) {
+                contacts.push_back(host.name);
+            }
+        }
+        return contacts;
+    }
+
     [[nodiscard]] bool is_seed() const
     {
         const auto& seeds = m_own.control_hosts;
--- a/src/gateway/internal/entry_service.cpp
+++ b/src/gateway/internal/entry_service.cpp
@@ -108,11 +108,7 @@
             m_server,
             http::start_server(options, [this](const http::request& asked) { return serve(asked); }, {}));
         m_control.start();
-        std::vector<host_name> control_hosts;
-        for (const settings::control_host& host : m_own.control_hosts) {
-            control_hosts.push_back(host.name);
-        }
-        post(routing::entry_started{m_self, m_own.zone, control_hosts});
+        post(routing::entry_started{m_self, m_own.zone, names_of(m_own.control_hosts)});
         if (m_sessions != nullptr) {
             BOOST_LEAF_CHECK(m_sessions->start(*m_own.sessions));
         }
@@ -144,6 +140,13 @@
             {logging::log_level::information, "drained", "", fmt::format("complete={}", m_is_drained)});
     }
 
+    void reload(const settings::entry_settings& changed) override
+    {
+        m_log.write({logging::log_level::information, "reload", "",
+                     fmt::format("control_hosts={}", changed.control_hosts.size())});
+        post(routing::control_hosts_named{names_of(changed.control_hosts)});
+    }
+
     void stop() override
     {
         if (std::exchange(m_is_stopped, true)) {
@@ -162,6 +165,15 @@
     }
 
 private:
+    static std::vector<host_name> names_of(const std::vector<settings::control_host>& hosts)
+    {
+        std::vector<host_name> names;
+        for (const settings::control_host& host : hosts) {
+            names.push_back(host.name);
+        }
+        return names;
+    }
+
     /// Sessions end on their thread; the lease is given back after them.
     void drain_sessions()
     {
--- a/src/node/internal/control_reducer.cpp
+++ b/src/node/internal/control_reducer.cpp
@@ -51,6 +51,11 @@
     run_consensus(what);
 }
 
+void control_reducer::apply(const consensus::contacts_named& what)
+{
+    run_consensus(what);
+}
+
 void control_reducer::apply(const consensus::synced& what)
 {
     run_consensus(what);
--- a/src/node/internal/control_reducer.h
+++ b/src/node/internal/control_reducer.h
@@ -17,6 +17,7 @@
     void apply(const control_started& what);
     void apply(const peer_message& what);
     void apply(const consensus::formed& what);
+    void apply(const consensus::contacts_named& what);
     void apply(const consensus::synced& what);
     void apply(const control_time_passed& what);
     void apply(const supervision::configuration_asked& what);
--- a/src/node/types.h
+++ b/src/node/types.h
@@ -62,7 +62,8 @@
 };
 
 using control_event_kind =
-    std::variant<control_started, peer_message, consensus::formed, consensus::synced, control_time_passed,
+    std::variant<control_started, peer_message, consensus::formed, consensus::contacts_named,
+                 consensus::synced, control_time_passed,
                  supervision::configuration_asked, supervision::replacement_asked, supervision::switch_asked,
                  supervision::status_asked, supervision::configuration_shown, supervision::server_announced,
                  supervision::promotion_answered>;
--- a/src/routing/descriptions.h
+++ b/src/routing/descriptions.h
@@ -276,6 +276,14 @@
                                                member{"holds", &type::holds}};
 };
 
+template <>
+struct description<routing::control_hosts_named>
+{
+    using type = routing::control_hosts_named;
+    static constexpr std::string_view name = "control_hosts_named";
+    static constexpr auto members = std::tuple{member{"hosts", &type::hosts}};
+};
+
 template <>
 struct description<routing::primary_suspected>
 {
--- a/src/routing/internal/lease_holder.cpp
+++ b/src/routing/internal/lease_holder.cpp
@@ -34,12 +34,7 @@
         m_step.log(logging::log_level::information, "lease_granted", from.value, "");
     }
     lease.was_valid = m_step.has_lease();
-    for (const host_name& host : grant.control_hosts) {
-        auto& known = m_step.state.control_hosts;
-        if (std::find(known.begin(), known.end(), host) == known.end()) {
-            known.push_back(host);
-        }
-    }
+    add_control_hosts(grant.control_hosts);
     forget_control_hosts(grant.control_hosts);
     for (const auto& [server, share] : grant.connections) {
         m_connections.set_share(server, share);
@@ -65,6 +60,16 @@
     }
 }
 
+void lease_holder::add_control_hosts(const std::vector<host_name>& hosts)
+{
+    auto& known = m_step.state.control_hosts;
+    for (const host_name& host : hosts) {
+        if (std::find(known.begin(), known.end(), host) == known.end()) {
+            known.push_back(host);
+        }
+    }
+}
+
 void lease_holder::pass_time()
 {
     lease_state& lease = m_step.state.lease;
--- a/src/routing/internal/lease_holder.h
+++ b/src/routing/internal/lease_holder.h
@@ -15,6 +15,7 @@
     void handle(const host_name& from, const protocol::not_leader& answer);
     void connected(const host_name& host);
 
+    void add_control_hosts(const std::vector<host_name>& hosts);
     void pass_time();
     /// Asks for the lease at once, so that control learns what this entry host has taken over.
     void renew();
--- a/src/routing/internal/reduce.cpp
+++ b/src/routing/internal/reduce.cpp
@@ -149,6 +149,8 @@
         }
     }
 
+    void apply(const control_hosts_named& named) { m_lease.add_control_hosts(named.hosts); }
+
     void apply(const primary_suspected& suspected)
     {
         const group_state* known = m_step.state.groups.find(suspected.group);
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -486,6 +486,14 @@
     friend bool operator==(const sessions_told&, const sessions_told&) = default;
 };
 
+/// Changed settings name other control hosts.
+struct control_hosts_named
+{
+    std::vector<host_name> hosts;
+
+    friend bool operator==(const control_hosts_named&, const control_hosts_named&) = default;
+};
+
 /// The traffic thread could not use a primary.
 struct primary_suspected
 {
@@ -507,7 +515,7 @@
     std::variant<entry_started, control_message, control_connected, announced, caller_request,
                  statement_answered, statement_refused, statement_not_sent, statement_lost, position_told,
                  connection_opened, connection_ended, probe_finished, takeover_finished, sessions_told,
-                 primary_suspected, time_passed, drain_asked>;
+                 primary_suspected, control_hosts_named, time_passed, drain_asked>;
 
 struct entry_event
 {
