--- a/src/consensus/internal/consensus_reducer.cpp
+++ b/src/consensus/internal/consensus_reducer.cpp
@@ -20,6 +20,15 @@
     return std::any_of(members.begin(), members.end(), [&](const member& each) { return each.name == name; });
 }
 
+/// About the bytes of the parts of an entry that may be large.
+std::size_t size_of(const log_entry& entry)
+{
+    const auto* command = std::get_if<directory::command>(&*entry.content);
+    const auto* replacement =
+        command == nullptr ? nullptr : std::get_if<directory::replace_configuration>(command);
+    return replacement == nullptr ? 0 : replacement->content.source.size();
+}
+
 std::vector<member> without(std::vector<member> members, const member& who)
 {
     members.erase(std::remove(members.begin(), members.end(), who), members.end());
@@ -156,7 +165,7 @@
     next.members = m_state.members;
     next.directory = what.directory;
     m_state.latest = shared_value(std::move(next));
-    drop_entries_up_to(m_state.commit > kept_behind_snapshot ? m_state.commit - kept_behind_snapshot : 0);
+    drop_entries_up_to(m_state.commit > what.kept ? m_state.commit - what.kept : 0);
     save_snapshot();
 }
 
@@ -621,14 +630,21 @@
     const log_index previous = needs_snapshot ? m_state.latest->last_index : follower.next - 1;
     append_request request{m_state.hard.term, m_state.self, previous, term_at(previous), {},
                            m_state.commit,    m_state.round};
-    const bool may_carry = !needs_snapshot && (!follower.awaiting_answer || is_heartbeat);
+    std::size_t bytes = 0;
     for (auto each = m_state.log.lower_bound(follower.next);
-         may_carry && each != m_state.log.end() && request.entries.size() < max_entries_in_message; ++each) {
+         !needs_snapshot && each != m_state.log.end() && request.entries.size() < max_entries_in_message &&
+         bytes < max_bytes_in_message;
+         ++each) {
         request.entries.push_back(each->second);
+        bytes += size_of(each->second);
     }
     if (request.entries.empty() && !is_heartbeat) {
         return;
     }
+    if (!request.entries.empty()) {
+        // Taken to arrive; a follower that misses them refuses the next message, and says from where it does.
+        follower.next = request.entries.back().index + 1;
+    }
     follower.awaiting_answer = true;
     send(follower.who.name, std::move(request));
 }
--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -35,8 +35,12 @@
 /// Hosts that a host asks for admission.
 inline constexpr std::size_t max_contacts = 16;
 inline constexpr std::size_t max_entries_in_message = 128;
+/// Configurations in one message; the one that exceeds it is the last.
+inline constexpr std::size_t max_bytes_in_message = std::size_t{128} << 10;
 /// Applied entries beyond the last snapshot that cause the next one.
 inline constexpr log_index snapshot_entries = 512;
+/// Bytes of applied configurations that cause one earlier.
+inline constexpr std::size_t snapshot_bytes = std::size_t{1} << 20;
 /// Entries kept behind a snapshot for followers that are slightly behind.
 inline constexpr log_index kept_behind_snapshot = 64;
 
@@ -308,6 +312,8 @@
 struct compaction_due
 {
     directory::directory_state directory;
+    /// Entries to keep for followers that are slightly behind.
+    log_index kept = kept_behind_snapshot;
 
     friend bool operator==(const compaction_due&, const compaction_due&) = default;
 };
--- a/src/directory/descriptions.h
+++ b/src/directory/descriptions.h
@@ -125,7 +125,34 @@
     using type = directory::replace_configuration;
     static constexpr std::string_view name = "replace_configuration";
     static constexpr auto members =
-        std::tuple{member{"version", &type::version}, member{"content", &type::content}};
+        std::tuple{member{"version", &type::version}, member{"is_repeated", &type::is_repeated},
+                   member{"content", &type::content}};
+};
+
+template <>
+struct description<directory::server_record>
+{
+    using type = directory::server_record;
+    static constexpr std::string_view name = "server_record";
+    static constexpr auto members =
+        std::tuple{member{"group", &type::group}, member{"zone", &type::zone}, member{"address", &type::address},
+                   member{"started_at", &type::started_at}, member{"report_interval", &type::report_interval}};
+};
+
+template <>
+struct description<directory::register_server>
+{
+    using type = directory::register_server;
+    static constexpr std::string_view name = "register_server";
+    static constexpr auto members = std::tuple{member{"name", &type::name}, member{"record", &type::record}};
+};
+
+template <>
+struct description<directory::unregister_server>
+{
+    using type = directory::unregister_server;
+    static constexpr std::string_view name = "unregister_server";
+    static constexpr auto members = std::tuple{member{"name", &type::name}};
 };
 
 template <>
@@ -232,6 +259,7 @@
         member{"groups", &type::groups},
         member{"entry_hosts", &type::entry_hosts},
         member{"claims", &type::claims},
+        member{"servers", &type::servers},
     };
 };
 
--- a/src/directory/internal/reduce.cpp
+++ b/src/directory/internal/reduce.cpp
@@ -40,7 +40,7 @@
 
 directory_transition apply(directory_state state, const replace_configuration& replacement)
 {
-    if (replacement.version > state.configuration->version) {
+    if (replacement.version > state.configuration->version && !replacement.is_repeated) {
         state.configuration = shared_value(
             configuration::versioned_configuration{replacement.version, replacement.content});
     }
@@ -48,6 +48,18 @@
     return {std::move(state), answer};
 }
 
+directory_transition apply(directory_state state, const register_server& registered)
+{
+    state.servers = std::move(state.servers).set(registered.name, registered.record);
+    return unchanged(std::move(state));
+}
+
+directory_transition apply(directory_state state, const unregister_server& unregistered)
+{
+    state.servers = std::move(state.servers).erase(unregistered.name);
+    return unchanged(std::move(state));
+}
+
 directory_transition apply(directory_state state, const admit_entry_host& admitted)
 {
     state.entry_hosts = std::move(state.entry_hosts).set(admitted.entry, entry_record{admitted.zone});
--- a/src/directory/types.h
+++ b/src/directory/types.h
@@ -138,11 +138,42 @@
 struct replace_configuration
 {
     configuration_version version = 0;
+    /// The version was proposed before, earlier in the log; `content` is left out and changes nothing.
+    bool is_repeated = false;
     configuration::configuration content;
 
     friend bool operator==(const replace_configuration&, const replace_configuration&) = default;
 };
 
+/// What is kept of a backend server that speaks in sessions, so that a control host that starts anew knows
+/// where the servers are. Whether a server is alive, and in which role, only its own reports tell.
+struct server_record
+{
+    group_name group;
+    availability_zone zone;
+    /// `address:port`
+    std::string address;
+    unix_milliseconds started_at{0};
+    milliseconds report_interval{0};
+
+    friend bool operator==(const server_record&, const server_record&) = default;
+};
+
+struct register_server
+{
+    backend_server_name name;
+    server_record record;
+
+    friend bool operator==(const register_server&, const register_server&) = default;
+};
+
+struct unregister_server
+{
+    backend_server_name name;
+
+    friend bool operator==(const unregister_server&, const unregister_server&) = default;
+};
+
 /// Takes on an entry host's process before it gets its first lease.
 struct admit_entry_host
 {
@@ -230,7 +261,7 @@
 using command =
     std::variant<change_configuration, admit_entry_host, dismiss_entry_host, open_term, close_term,
                  name_candidate, claim_request, record_outcome, withdraw_claim, expire_claims,
-                 replace_configuration>;
+                 replace_configuration, register_server, unregister_server>;
 
 /// The agreed state. Every control host that has applied the same commands holds an equal value.
 struct directory_state
@@ -243,6 +274,7 @@
     shared_map<group_name, group_record> groups;
     shared_map<entry_key, entry_record> entry_hosts;
     shared_map<claim_key, claim_record> claims;
+    shared_map<backend_server_name, server_record> servers;
 
     friend bool operator==(const directory_state&, const directory_state&) = default;
 };
--- a/src/gateway/control_pages.h
+++ b/src/gateway/control_pages.h
@@ -22,6 +22,9 @@
     virtual std::optional<supervision::operator_answer> replace(directory::replace_configuration change) = 0;
     virtual std::optional<supervision::operator_answer> show_configuration() = 0;
 
+    /// The leader, when it is known and another host.
+    [[nodiscard]] virtual std::optional<host_name> other_leader() const = 0;
+
     /// Takes a backend server's report. False when no leader is known that could use it.
     virtual bool announce(protocol::server_report report) = 0;
 
--- a/src/gateway/internal/control_service.cpp
+++ b/src/gateway/internal/control_service.cpp
@@ -20,6 +20,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <mutex>
 #include <random>
 #include <set>
 #include <utility>
@@ -242,14 +243,19 @@
         const auto& log = std::get<node::control_state>(m_state).consensus;
         dial_members(log);
         m_knows_leader = log.leader.has_value();
+        note_leader(log.leader);
         return next.wake_at;
     }
 
     void carry_out(node::send_to_peer&& effect)
     {
-        const std::string bytes = protocol::encode(effect.content);
-        m_metrics.count("hickorymount_control_bytes_sent_total", "", bytes.size());
-        m_transport->send(effect.to.value, bytes);
+        // A message to all is encoded once; its large parts are shared, so comparing it is cheap.
+        if (m_last_encoded.bytes.empty() || m_last_encoded.content != effect.content) {
+            m_last_encoded = {std::move(effect.content), {}};
+            m_last_encoded.bytes = protocol::encode(m_last_encoded.content);
+        }
+        m_metrics.count("hickorymount_control_bytes_sent_total", "", m_last_encoded.bytes.size());
+        m_transport->send(effect.to.value, m_last_encoded.bytes);
     }
 
     void carry_out(consensus::persist_log&& effect) { m_storage->write(std::move(effect)); }
@@ -289,6 +295,18 @@
         return m_calls.wait(number, page_timeout);
     }
 
+    void note_leader(const std::optional<host_name>& leader)
+    {
+        const std::lock_guard lock(m_leader_mutex);
+        m_other_leader = leader == m_own.name ? std::nullopt : leader;
+    }
+
+    [[nodiscard]] std::optional<host_name> other_leader() const override
+    {
+        const std::lock_guard lock(m_leader_mutex);
+        return m_other_leader;
+    }
+
     bool announce(protocol::server_report report) override
     {
         if (!m_knows_leader) {
@@ -399,8 +417,16 @@
     std::unique_ptr<control_pages> m_pages;
     std::unique_ptr<promotion_caller> m_promotions;
     runtime::worker_pool m_promotion_calls;
+    struct encoded_message
+    {
+        protocol::message content;
+        std::string bytes;
+    };
+    encoded_message m_last_encoded;
     std::set<host_name> m_dialled;
     std::atomic<bool> m_knows_leader{false};
+    mutable std::mutex m_leader_mutex;
+    std::optional<host_name> m_other_leader;
     logging::log_writer m_log;
     metrics::metric_registry m_metrics;
     routing::position_policy m_policy;
--- a/src/node/internal/control_reducer.cpp
+++ b/src/node/internal/control_reducer.cpp
@@ -167,6 +167,9 @@
     if (command == nullptr) {
         return;
     }
+    if (const auto* replacement = std::get_if<directory::replace_configuration>(command)) {
+        m_state.applied_bytes += replacement->content.source.size();
+    }
     directory::directory_transition next = directory::reduce(std::move(m_state.directory), *command);
     m_state.directory = std::move(next.state);
     supervision::command_applied applied{effect.entry.index, *command, std::move(next.report), {}};
@@ -262,8 +265,11 @@
 {
     const bool is_due =
         m_state.consensus.commit >= m_state.consensus.latest->last_index + consensus::snapshot_entries;
-    if (is_due) {
-        run_consensus(consensus::compaction_due{m_state.directory});
+    const bool is_heavy = m_state.applied_bytes >= consensus::snapshot_bytes;
+    if (is_due || is_heavy) {
+        m_state.applied_bytes = 0;
+        run_consensus(consensus::compaction_due{m_state.directory,
+                                                is_heavy ? 0 : consensus::kept_behind_snapshot});
     }
 }
 
--- a/src/node/types.h
+++ b/src/node/types.h
@@ -31,6 +31,8 @@
     supervision::supervision_state supervision;
     shared_map<consensus::log_index, pending_caller> callers;
     time_point supervise_at{};
+    /// Size of the configurations applied since the last snapshot.
+    std::size_t applied_bytes = 0;
 
     friend bool operator==(const control_state&, const control_state&) = default;
 };
--- a/src/routing/internal/connection_keeper.cpp
+++ b/src/routing/internal/connection_keeper.cpp
@@ -102,6 +102,10 @@
 {
     const auto servers = m_step.state.servers;
     for (const auto& [name, server] : servers) {
+        // Reads of replicas go on without a lease; the servers refuse what is over their limit.
+        if (server.report.speaks == protocol::server_interface::sessions) {
+            continue;
+        }
         set_share(name, 0);
         for (const connection_number connection : server.connections.busy) {
             end(name, connection);
--- a/src/sessions/internal/statement_desk.cpp
+++ b/src/sessions/internal/statement_desk.cpp
@@ -288,8 +288,7 @@
             pending.least_position = server.is_primary ? std::nullopt : least;
             return link;
         }
-    }
-    for (const read_server& server : preferred) {
+        // A better server gets one more connection, whether or not another can run this read now.
         m_links.open_if_allowed(server.name);
     }
     return std::nullopt;
@@ -342,22 +341,42 @@
         go_on(number, holder, *session);
         return;
     }
+    refuse_own(number, holder, *session, whole);
+    dispatch(group);
+}
+
+/// The server did not do what has to come before the caller's statement.
+void statement_desk::refuse_own(link_number number, session_number holder, caller_session& session,
+                                const answer& whole)
+{
+    server_link& link = *m_step.link(number);
     const backend_server_name server = link.server;
-    session->pending->tried.insert(server);
-    session->pending->needs_primary =
-        session->pending->needs_primary || whole.code == answer_code::lagging;
+    const bool is_begin =
+        link.own->kind == statement_kind::begin || link.own->kind == statement_kind::begin_read;
+    const std::string reason = "refused before it ran: code=" + std::to_string(static_cast<int>(whole.code));
     link.own.reset();
-    // A server that does not begin a transaction may go on being used; any other refusal leaves the
-    // connection's values in doubt.
-    const bool is_clean = own.kind == statement_kind::begin || own.kind == statement_kind::begin_read;
-    requeue(holder, *session, "refused_own code=" + std::to_string(static_cast<int>(whole.code)));
-    if (is_clean && whole.state == transaction_state::none) {
+    m_links.avoid(server);
+    session.pending->tried.insert(server);
+    session.pending->needs_primary = session.pending->needs_primary || whole.code == answer_code::lagging;
+    // A connection that did not begin a transaction is as it was; after any other refusal its values are in
+    // doubt.
+    if (is_begin && whole.state == transaction_state::none) {
         m_links.release(number);
     } else {
         m_links.close(number);
     }
-    m_links.avoid(server);
-    dispatch(group);
+    move_or_abort(holder, session, reason);
+}
+
+/// The connection is gone before the statement was sent: another may take it, unless the transaction has run
+/// statements there.
+void statement_desk::move_or_abort(session_number number, caller_session& session, const std::string& reason)
+{
+    if (session.transaction && session.transaction->has_run) {
+        settle(number, session, std::nullopt, reason);
+        return;
+    }
+    requeue(number, session, reason);
 }
 
 void statement_desk::finish(link_number number, answer whole)
@@ -369,6 +388,7 @@
         add_sample(m_step.state.samples[group], {link.sent_at, *whole.at}, m_step.now);
     }
     link.is_in_transaction = whole.state != transaction_state::none;
+    link.stage = link_stage::reserved;
     const session_number holder = link.holder;
     caller_session* session = holder == 0 ? nullptr : m_step.session(holder);
     if (session == nullptr || !session->pending) {
@@ -415,10 +435,8 @@
         session->pending->tried.insert(server);
         if (session->pending->stage == statement_stage::running) {
             settle(holder, *session, std::nullopt, reason);
-        } else if (session->transaction && session->transaction->has_written) {
-            settle(holder, *session, std::nullopt, reason);
         } else {
-            requeue(holder, *session, reason);
+            move_or_abort(holder, *session, reason);
         }
     }
     dispatch(group);
@@ -428,15 +446,10 @@
 void statement_desk::requeue(session_number number, caller_session& session, const std::string& reason)
 {
     pending_statement& pending = *session.pending;
-    const bool was_begun = session.transaction && session.transaction->link != 0 &&
-                           m_step.link(session.transaction->link) != nullptr &&
-                           m_step.link(session.transaction->link)->is_in_transaction;
-    if (session.transaction && !was_begun) {
+    if (session.transaction) {
         session.transaction->link = 0;
-        pending.link = 0;
-    } else if (!session.transaction) {
-        pending.link = 0;
     }
+    pending.link = 0;
     pending.stage = statement_stage::queued;
     pending.least_position.reset();
     pending.retry_at = pending.needs_primary && pending.attempts > 0 ? m_step.now + refusal_pause : m_step.now;
@@ -520,6 +533,7 @@
     } else if (pending.asked.what.kind == statement_kind::commit) {
         end_transaction(session);
     } else {
+        session.transaction->has_run = true;
         session.transaction->has_written = session.transaction->has_written || !session.transaction->only_reads;
         m_step.state.links.at(link).stage = link_stage::reserved;
         if (whole.state != transaction_state::open) {
--- a/src/sessions/internal/statement_desk.h
+++ b/src/sessions/internal/statement_desk.h
@@ -52,6 +52,8 @@
     void start_on(link_number link, session_number number, caller_session& session);
     void go_on(link_number link, session_number number, caller_session& session);
 
+    void refuse_own(link_number number, session_number holder, caller_session& session, const answer& whole);
+    void move_or_abort(session_number number, caller_session& session, const std::string& reason);
     void requeue(session_number number, caller_session& session, const std::string& reason);
     void settle(session_number number, caller_session& session, std::optional<answer> whole, const std::string& reason);
     void pass_on(session_number number, caller_session& session, answer whole);
--- /dev/null
+++ b/src/sessions/tests/decision_tests.cpp
@@ -0,0 +1,155 @@
+#include "sessions/internal/freshness.h"
+#include "sessions/internal/outcome.h"
+#include "sessions/internal/placement.h"
+#include "sessions/internal/waiting_line.h"
+
+#include <algorithm>
+#include <optional>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace hickorymount::sessions::detail {
+
+namespace {
+
+struct outcome_case
+{
+    statement_scope scope;
+    std::optional<answer_code> code;
+    bool is_transaction_open;
+    verdict expected;
+};
+
+} // namespace
+
+class outcome_fixture : public ::testing::TestWithParam<outcome_case>
+{
+};
+
+TEST_P(outcome_fixture, answer_to_a_sent_statement_has_one_true_verdict)
+{
+    const outcome_case& row = GetParam();
+    EXPECT_EQ(judge(row.scope, row.code, row.is_transaction_open), row.expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, outcome_fixture,
+    ::testing::Values(
+        outcome_case{statement_scope::single_read, answer_code::done, false, verdict::pass_on},
+        outcome_case{statement_scope::single_read, answer_code::busy, false, verdict::try_elsewhere},
+        outcome_case{statement_scope::single_read, answer_code::lagging, false, verdict::try_elsewhere},
+        outcome_case{statement_scope::single_read, answer_code::failed, false, verdict::try_elsewhere},
+        outcome_case{statement_scope::single_read, std::nullopt, false, verdict::try_elsewhere},
+        outcome_case{statement_scope::single_write, answer_code::done, false, verdict::pass_on},
+        outcome_case{statement_scope::single_write, answer_code::busy, false, verdict::try_elsewhere},
+        outcome_case{statement_scope::single_write, answer_code::read_only, false, verdict::try_elsewhere},
+        outcome_case{statement_scope::single_write, answer_code::failed, false, verdict::pass_on},
+        outcome_case{statement_scope::single_write, answer_code::timed_out, false, verdict::pass_on},
+        outcome_case{statement_scope::single_write, std::nullopt, false, verdict::tell_unknown},
+        outcome_case{statement_scope::in_transaction, answer_code::done, true, verdict::pass_on},
+        outcome_case{statement_scope::in_transaction, answer_code::busy, true, verdict::try_again_here},
+        outcome_case{statement_scope::in_transaction, answer_code::busy, false, verdict::pass_on},
+        outcome_case{statement_scope::in_transaction, answer_code::failed, true, verdict::pass_on},
+        outcome_case{statement_scope::in_transaction, std::nullopt, false, verdict::tell_aborted},
+        outcome_case{statement_scope::commit_of_reads, std::nullopt, false, verdict::tell_aborted},
+        outcome_case{statement_scope::commit_of_writes, answer_code::busy, true, verdict::try_again_here},
+        outcome_case{statement_scope::commit_of_writes, answer_code::timed_out, false, verdict::pass_on},
+        outcome_case{statement_scope::commit_of_writes, std::nullopt, false, verdict::tell_unknown}));
+
+class freshness_fixture : public ::testing::Test
+{
+protected:
+    static time_point at(int ms) { return time_point{milliseconds{ms}}; }
+
+    std::deque<position_sample> m_samples;
+};
+
+TEST_F(freshness_fixture, position_is_the_lowest_whose_question_came_late_enough)
+{
+    add_sample(m_samples, {at(1000), {1, 10}}, at(1010));
+    add_sample(m_samples, {at(2000), {1, 20}}, at(2010));
+    EXPECT_EQ(position_covering(m_samples, at(900)), (group_position{1, 10}));
+    EXPECT_EQ(position_covering(m_samples, at(1001)), (group_position{1, 20}));
+}
+
+TEST_F(freshness_fixture, moment_after_the_last_question_is_not_covered)
+{
+    add_sample(m_samples, {at(1000), {1, 10}}, at(5000));
+    EXPECT_FALSE(position_covering(m_samples, at(1001)));
+}
+
+TEST_F(freshness_fixture, old_samples_are_dropped_and_close_ones_not_kept)
+{
+    add_sample(m_samples, {at(1000), {1, 10}}, at(1000));
+    add_sample(m_samples, {at(1001), {1, 11}}, at(1001));
+    EXPECT_EQ(m_samples.size(), 1U);
+    add_sample(m_samples, {at(60'000), {1, 90}}, at(60'000));
+    EXPECT_EQ(m_samples.size(), 1U);
+}
+
+class placement_fixture : public ::testing::Test
+{
+protected:
+    static read_server server(const char* name, bool is_primary, bool is_near, std::uint32_t in_use)
+    {
+        return {backend_server_name{name}, is_primary, is_near, in_use, 20, false};
+    }
+
+    static std::vector<std::string> names(const std::vector<read_server>& servers)
+    {
+        std::vector<std::string> found;
+        for (const read_server& each : servers) {
+            found.push_back(each.name.value);
+        }
+        return found;
+    }
+};
+
+TEST_F(placement_fixture, replica_of_the_own_zone_goes_first)
+{
+    EXPECT_EQ(names(in_order_of_preference({server("primary", true, false, 0), server("far", false, false, 0),
+                                            server("near", false, true, 0)})),
+              (std::vector<std::string>{"near", "far", "primary"}));
+}
+
+TEST_F(placement_fixture, crowded_server_goes_after_an_idle_one)
+{
+    EXPECT_EQ(names(in_order_of_preference({server("near", false, true, 3), server("far", false, false, 0)})),
+              (std::vector<std::string>{"far", "near"}));
+}
+
+TEST_F(placement_fixture, server_that_has_just_refused_goes_last)
+{
+    read_server refused = server("near", false, true, 0);
+    refused.is_avoided = true;
+    EXPECT_EQ(names(in_order_of_preference({refused, server("primary", true, false, 2)})),
+              (std::vector<std::string>{"primary", "near"}));
+}
+
+class waiting_line_fixture : public ::testing::Test
+{
+};
+
+TEST_F(waiting_line_fixture, burst_is_served_by_begun_transactions_then_priority_then_age)
+{
+    const auto at = [](int ms) { return time_point{milliseconds{ms}}; };
+    std::vector<waiting_statement> line{
+        {1, false, 2, at(1)}, {2, false, 1, at(5)}, {3, true, 2, at(9)}, {4, false, 1, at(3)}};
+    std::sort(line.begin(), line.end(), goes_before);
+    std::vector<session_number> order;
+    for (const waiting_statement& each : line) {
+        order.push_back(each.session);
+    }
+    EXPECT_EQ(order, (std::vector<session_number>{3, 4, 2, 1}));
+}
+
+TEST_F(waiting_line_fixture, statement_too_late_to_be_answered_is_refused)
+{
+    pending_statement waiting;
+    waiting.deadline = time_point{milliseconds{1000}};
+    EXPECT_FALSE(is_too_late(waiting, waiting.deadline - send_margin - milliseconds{1}));
+    EXPECT_TRUE(is_too_late(waiting, waiting.deadline - send_margin));
+}
+
+} // namespace hickorymount::sessions::detail
--- /dev/null
+++ b/src/sessions/tests/session_fixture.h
@@ -0,0 +1,218 @@
+#pragma once
+
+#include "sessions/reduce.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace hickorymount::sessions {
+
+/// Hands events to the reducer by hand: one group of a primary and two replicas, three databases over it.
+class session_fixture : public ::testing::Test
+{
+protected:
+    static constexpr milliseconds staleness{1500};
+    static constexpr milliseconds statement_timeout{800};
+
+    session_fixture()
+    {
+        m_view.lease_until = m_now + milliseconds{60'000};
+        m_view.groups[group_name{"orders"}] = {backend_server_name{"first"}, 3, true, false};
+        for (const char* name : {"first", "second", "third"}) {
+            m_view.servers[backend_server_name{name}] = {
+                group_name{"orders"}, {"10.0.0.1", 9000}, availability_zone{name}, unix_milliseconds{1}, false, 3};
+        }
+        configuration::versioned_configuration configuration;
+        configuration.version = 1;
+        configuration.content.groups[group_name{"orders"}] = {};
+        add_route(configuration.content, "ledger", configuration::read_consistency::primary);
+        add_route(configuration.content, "catalogue", configuration::read_consistency::bounded_staleness);
+        add_route(configuration.content, "inspections", configuration::read_consistency::read_your_writes);
+        m_view.configuration = shared_value(std::move(configuration));
+        m_state.zone = availability_zone{"second"};
+        publish();
+    }
+
+    static void add_route(configuration::configuration& content, const std::string& database,
+                          configuration::read_consistency consistency)
+    {
+        configuration::database_route route;
+        route.name = route.database = database;
+        route.group = group_name{"orders"};
+        route.consistency = consistency;
+        route.max_staleness = staleness;
+        route.statement_timeout = statement_timeout;
+        content.databases.push_back(std::move(route));
+    }
+
+    void feed(event_kind what)
+    {
+        transition next = reduce(std::move(m_state), {m_now, std::move(what)});
+        m_state = std::move(next.state);
+        m_wake = next.wake_at;
+        for (effect& each : next.effects) {
+            m_effects.push_back(std::move(each));
+        }
+    }
+
+    void publish() { feed(view_published{shared_value(m_view)}); }
+
+    void pass(milliseconds duration)
+    {
+        m_now += duration;
+        feed(time_passed{});
+    }
+
+    /// The effects of one kind since the last call for that kind.
+    template <class Effect>
+    std::vector<Effect> take()
+    {
+        std::vector<Effect> taken;
+        std::vector<effect> rest;
+        for (effect& each : m_effects) {
+            if (auto* wanted = std::get_if<Effect>(&each)) {
+                taken.push_back(std::move(*wanted));
+            } else {
+                rest.push_back(std::move(each));
+            }
+        }
+        m_effects = std::move(rest);
+        return taken;
+    }
+
+    session_number open(const std::string& database)
+    {
+        const session_number number = m_next_session++;
+        feed(session_opened{number, database});
+        return number;
+    }
+
+    static statement plain(statement_kind kind, std::string text = "")
+    {
+        statement what;
+        what.kind = kind;
+        what.text = std::move(text);
+        return what;
+    }
+
+    static statement set_value(const std::string& name, const std::string& value)
+    {
+        statement what = plain(statement_kind::set_value, "SET " + name + " " + value);
+        what.name = name;
+        what.argument = value;
+        return what;
+    }
+
+    static statement prepare(const std::string& name, bool only_reads, const std::string& shape)
+    {
+        statement what = plain(statement_kind::prepare);
+        what.name = name;
+        what.argument = shape;
+        what.only_reads = only_reads;
+        return what;
+    }
+
+    static statement execute(const std::string& name, const std::string& arguments)
+    {
+        statement what = plain(statement_kind::execute);
+        what.name = name;
+        what.argument = arguments;
+        return what;
+    }
+
+    void ask(session_number session, statement what)
+    {
+        feed(statement_asked{session, "id" + std::to_string(m_next_id++), std::move(what)});
+    }
+
+    /// Opens every connection that was asked for.
+    void open_links()
+    {
+        for (const open_link& asked : take<open_link>()) {
+            m_servers[asked.link] = asked.server.value;
+            feed(link_opened{asked.link});
+        }
+    }
+
+    /// The next thing that was sent to a server; fails when there is none.
+    run_on_link next_run()
+    {
+        open_links();
+        auto runs = take<run_on_link>();
+        EXPECT_EQ(runs.size(), 1U);
+        return runs.empty() ? run_on_link{} : runs.front();
+    }
+
+    void answer_done(link_number link, transaction_state state = transaction_state::none,
+                     group_position at = {3, 100})
+    {
+        feed(link_answered{link, {{"row"}, answer_code::done, "signature", state, at}});
+    }
+
+    void answer_error(link_number link, answer_code code, transaction_state state = transaction_state::none)
+    {
+        feed(link_answered{link, {{}, code, "refused", state, group_position{3, 100}}});
+    }
+
+    /// Answers the proxy's own statements until the caller's is sent.
+    run_on_link run_through(transaction_state state = transaction_state::none)
+    {
+        run_on_link run = next_run();
+        while (run.id.empty() && run.link != 0) {
+            const bool begins =
+                run.what.kind == statement_kind::begin || run.what.kind == statement_kind::begin_read;
+            answer_done(run.link, begins ? transaction_state::open : state);
+            run = next_run();
+        }
+        return run;
+    }
+
+    /// The one answer that the caller has got.
+    answer next_answer()
+    {
+        auto answers = take<answer_session>();
+        EXPECT_EQ(answers.size(), 1U);
+        return answers.empty() ? answer{} : answers.front().whole;
+    }
+
+    std::string server_of(link_number link) { return m_servers[link]; }
+
+    /// One read at the primary, whose answer is a sample of its position.
+    void take_sample(group_position at)
+    {
+        const session_number session = open("ledger");
+        ask(session, plain(statement_kind::read, "READ 1"));
+        answer_done(run_through().link, transaction_state::none, at);
+        take<answer_session>();
+        feed(session_closed{session});
+    }
+
+    /// Reads until a connection to each replica is open.
+    void connect_replicas()
+    {
+        const session_number session = open("catalogue");
+        for (int at = 0; at < 3; ++at) {
+            ask(session, plain(statement_kind::read, "READ 1"));
+            const auto runs = take<run_on_link>();
+            ASSERT_EQ(runs.size(), 1U);
+            open_links();
+            answer_done(runs[0].link);
+        }
+        feed(session_closed{session});
+        take<answer_session>();
+    }
+
+    time_point m_now{milliseconds{100'000}};
+    time_point m_wake{};
+    traffic_view m_view;
+    session_state m_state;
+    std::vector<effect> m_effects;
+    std::map<link_number, std::string> m_servers;
+    session_number m_next_session = 1;
+    int m_next_id = 1;
+};
+
+} // namespace hickorymount::sessions
--- /dev/null
+++ b/src/sessions/tests/session_tests.cpp
@@ -0,0 +1,393 @@
+#include "sessions/tests/session_fixture.h"
+
+namespace hickorymount::sessions {
+
+TEST_F(session_fixture, unknown_database_is_refused)
+{
+    open("nowhere");
+    const auto refused = take<refuse_session>();
+    ASSERT_EQ(refused.size(), 1U);
+    EXPECT_EQ(refused[0].code, answer_code::unknown_database);
+}
+
+TEST_F(session_fixture, read_on_primary_database_runs_at_the_primary_and_is_passed_on_whole)
+{
+    const session_number session = open("ledger");
+    ask(session, plain(statement_kind::read, "READ 1"));
+    const run_on_link run = run_through();
+    EXPECT_EQ(server_of(run.link), "first");
+    EXPECT_EQ(run.what.text, "READ 1");
+    EXPECT_FALSE(run.least_position);
+    answer_done(run.link);
+    const answer got = next_answer();
+    EXPECT_EQ(got.rows, std::vector<std::string>{"row"});
+    EXPECT_EQ(got.detail, "signature");
+    EXPECT_EQ(got.at, (group_position{3, 100}));
+}
+
+TEST_F(session_fixture, statement_waits_while_the_lease_is_over)
+{
+    m_view.lease_until = m_now;
+    publish();
+    const session_number session = open("ledger");
+    ask(session, plain(statement_kind::write, "WRITE 1 a"));
+    open_links();
+    EXPECT_TRUE(take<run_on_link>().empty());
+    m_view.lease_until = m_now + milliseconds{1000};
+    publish();
+    open_links();
+    EXPECT_EQ(take<run_on_link>().size(), 1U);
+}
+
+TEST_F(session_fixture, waiting_statement_is_refused_before_its_time_limit)
+{
+    m_view.lease_until = m_now;
+    publish();
+    const session_number session = open("ledger");
+    ask(session, plain(statement_kind::write, "WRITE 1 a"));
+    EXPECT_LE(m_wake, m_now + statement_timeout);
+    pass(statement_timeout);
+    EXPECT_EQ(next_answer().code, answer_code::busy);
+}
+
+TEST_F(session_fixture, read_without_a_connection_to_a_replica_runs_at_the_primary_and_asks_for_one)
+{
+    take_sample({3, 40});
+    pass(milliseconds{100});
+    const session_number session = open("catalogue");
+    ask(session, plain(statement_kind::read, "READ 1"));
+    const auto runs = take<run_on_link>();
+    ASSERT_EQ(runs.size(), 1U);
+    EXPECT_EQ(server_of(runs[0].link), "first");
+    const auto asked = take<open_link>();
+    ASSERT_FALSE(asked.empty());
+    EXPECT_EQ(asked[0].server.value, "second");
+}
+
+TEST_F(session_fixture, read_of_bounded_age_goes_to_a_replica_with_the_position_it_needs)
+{
+    take_sample({3, 40});
+    connect_replicas();
+    pass(milliseconds{100});
+    const session_number session = open("catalogue");
+    ask(session, plain(statement_kind::read, "READ 1"));
+    const run_on_link run = run_through();
+    EXPECT_NE(server_of(run.link), "first");
+    EXPECT_EQ(run.least_position, (group_position{3, 40}));
+}
+
+TEST_F(session_fixture, read_without_a_young_enough_sample_goes_to_the_primary)
+{
+    take_sample({3, 40});
+    pass(staleness + milliseconds{1});
+    const session_number session = open("catalogue");
+    ask(session, plain(statement_kind::read, "READ 1"));
+    EXPECT_EQ(server_of(run_through().link), "first");
+}
+
+TEST_F(session_fixture, read_after_own_write_asks_a_replica_for_that_write)
+{
+    const session_number session = open("inspections");
+    ask(session, plain(statement_kind::write, "WRITE 1 a"));
+    answer_done(run_through().link, transaction_state::none, {3, 77});
+    take<answer_session>();
+    take_sample({3, 50});
+    connect_replicas();
+    pass(milliseconds{30});
+    ask(session, plain(statement_kind::read, "READ 1"));
+    const run_on_link run = run_through();
+    EXPECT_NE(server_of(run.link), "first");
+    EXPECT_EQ(run.least_position, (group_position{3, 77}));
+}
+
+TEST_F(session_fixture, replica_that_lacks_the_position_is_followed_by_the_primary)
+{
+    take_sample({3, 40});
+    connect_replicas();
+    pass(milliseconds{30});
+    const session_number session = open("catalogue");
+    ask(session, plain(statement_kind::read, "READ 1"));
+    const run_on_link behind = run_through();
+    EXPECT_NE(server_of(behind.link), "first");
+    answer_error(behind.link, answer_code::lagging);
+    EXPECT_TRUE(take<answer_session>().empty());
+    pass(refusal_pause);
+    EXPECT_EQ(server_of(run_through().link), "first");
+}
+
+TEST_F(session_fixture, values_of_a_session_are_set_before_its_statement_runs)
+{
+    const session_number session = open("ledger");
+    ask(session, set_value("tz", "utc"));
+    EXPECT_EQ(next_answer().code, answer_code::done);
+    ask(session, plain(statement_kind::read, "READ 1"));
+    run_on_link run = next_run();
+    EXPECT_EQ(run.what.kind, statement_kind::set_value);
+    EXPECT_EQ(run.what.argument, "utc");
+    answer_done(run.link);
+    EXPECT_EQ(next_run().what.text, "READ 1");
+}
+
+TEST_F(session_fixture, connection_with_another_sessions_values_is_reset_first)
+{
+    const session_number first = open("ledger");
+    ask(first, set_value("tz", "utc"));
+    ask(first, plain(statement_kind::read, "READ 1"));
+    answer_done(run_through().link);
+    take<answer_session>();
+    m_view.servers[backend_server_name{"first"}].share = 1;
+    publish();
+    const session_number second = open("ledger");
+    ask(second, plain(statement_kind::read, "READ 2"));
+    EXPECT_EQ(next_run().what.kind, statement_kind::reset);
+}
+
+TEST_F(session_fixture, equal_prepared_statements_share_one_name_on_a_connection)
+{
+    const session_number first = open("ledger");
+    ask(first, prepare("a", true, "shape"));
+    ask(first, execute("a", "1"));
+    run_on_link run = next_run();
+    EXPECT_EQ(run.what.kind, statement_kind::prepare);
+    const std::string shared = run.what.name;
+    answer_done(run.link);
+    run = next_run();
+    EXPECT_EQ(run.what.name, shared);
+    answer_done(run.link);
+    m_view.servers[backend_server_name{"first"}].share = 1;
+    publish();
+    const session_number second = open("ledger");
+    ask(second, prepare("other", true, "shape"));
+    ask(second, execute("other", "2"));
+    run = next_run();
+    EXPECT_EQ(run.what.kind, statement_kind::execute);
+    EXPECT_EQ(run.what.name, shared);
+}
+
+TEST_F(session_fixture, unknown_prepared_name_is_refused_without_a_server)
+{
+    const session_number session = open("ledger");
+    ask(session, execute("missing", "1"));
+    EXPECT_EQ(next_answer().code, answer_code::unknown_statement);
+}
+
+TEST_F(session_fixture, transaction_stays_on_one_connection_to_its_end)
+{
+    const session_number session = open("ledger");
+    ask(session, plain(statement_kind::begin, "BEGIN"));
+    EXPECT_EQ(next_answer().state, transaction_state::open);
+    ask(session, plain(statement_kind::write, "WRITE 1 a"));
+    const run_on_link write = run_through();
+    answer_done(write.link, transaction_state::open);
+    ask(session, plain(statement_kind::read, "READ 1"));
+    const run_on_link read = next_run();
+    EXPECT_EQ(read.link, write.link);
+    answer_done(read.link, transaction_state::open);
+    ask(session, plain(statement_kind::commit, "COMMIT"));
+    const run_on_link commit = next_run();
+    EXPECT_EQ(commit.link, write.link);
+    answer_done(commit.link, transaction_state::none, {3, 101});
+    EXPECT_EQ(take<answer_session>().back().whole.state, transaction_state::none);
+    EXPECT_EQ(m_state.commits[group_name{"orders"}], (group_position{3, 101}));
+    EXPECT_TRUE(take<close_link>().empty());
+    EXPECT_EQ(m_state.links.at(commit.link).stage, link_stage::idle);
+}
+
+TEST_F(session_fixture, read_transaction_whose_connection_is_lost_midway_is_aborted_and_not_moved)
+{
+    take_sample({3, 40});
+    pass(milliseconds{30});
+    const session_number session = open("catalogue");
+    ask(session, plain(statement_kind::begin_read, "BEGIN READ"));
+    ask(session, plain(statement_kind::read, "READ 1"));
+    const run_on_link first = run_through();
+    answer_done(first.link, transaction_state::open);
+    take<answer_session>();
+    ask(session, prepare("s", true, "shape"));
+    take<answer_session>();
+    ask(session, execute("s", "1"));
+    EXPECT_EQ(next_run().what.kind, statement_kind::prepare);
+    feed(link_lost{first.link, "reset"});
+    const answer got = next_answer();
+    EXPECT_EQ(got.code, answer_code::aborted);
+    EXPECT_EQ(got.state, transaction_state::failed);
+    open_links();
+    EXPECT_TRUE(take<run_on_link>().empty());
+}
+
+TEST_F(session_fixture, failed_transaction_takes_nothing_but_its_end)
+{
+    const session_number session = open("ledger");
+    ask(session, plain(statement_kind::begin, "BEGIN"));
+    ask(session, plain(statement_kind::write, "WRITE 1 a"));
+    feed(link_lost{run_through().link, "reset"});
+    take<answer_session>();
+    ask(session, plain(statement_kind::read, "READ 1"));
+    EXPECT_EQ(next_answer().code, answer_code::malformed);
+    ask(session, plain(statement_kind::commit, "COMMIT"));
+    const answer got = next_answer();
+    EXPECT_EQ(got.code, answer_code::aborted);
+    EXPECT_EQ(got.state, transaction_state::none);
+}
+
+TEST_F(session_fixture, lost_commit_of_writes_has_an_unknown_outcome)
+{
+    const session_number session = open("ledger");
+    ask(session, plain(statement_kind::begin, "BEGIN"));
+    ask(session, plain(statement_kind::write, "WRITE 1 a"));
+    answer_done(run_through().link, transaction_state::open);
+    ask(session, plain(statement_kind::commit, "COMMIT"));
+    const run_on_link commit = next_run();
+    take<answer_session>();
+    feed(link_lost{commit.link, "reset"});
+    EXPECT_EQ(next_answer().code, answer_code::outcome_unknown);
+}
+
+TEST_F(session_fixture, lost_single_write_is_never_sent_again)
+{
+    const session_number session = open("ledger");
+    ask(session, plain(statement_kind::write, "WRITE 1 a"));
+    feed(link_lost{run_through().link, "reset"});
+    EXPECT_EQ(next_answer().code, answer_code::outcome_unknown);
+    pass(milliseconds{500});
+    open_links();
+    EXPECT_TRUE(take<run_on_link>().empty());
+}
+
+TEST_F(session_fixture, lost_read_is_tried_on_another_server)
+{
+    take_sample({3, 40});
+    pass(milliseconds{30});
+    const session_number session = open("catalogue");
+    ask(session, plain(statement_kind::read, "READ 1"));
+    const run_on_link first = run_through();
+    feed(link_lost{first.link, "reset"});
+    EXPECT_TRUE(take<answer_session>().empty());
+    const run_on_link second = run_through();
+    EXPECT_NE(server_of(second.link), server_of(first.link));
+}
+
+TEST_F(session_fixture, commit_answered_after_its_term_was_closed_is_not_acknowledged)
+{
+    const session_number session = open("ledger");
+    ask(session, plain(statement_kind::write, "WRITE 1 a"));
+    const run_on_link write = run_through();
+    m_view.groups[group_name{"orders"}].is_open = false;
+    publish();
+    answer_done(write.link);
+    EXPECT_EQ(next_answer().code, answer_code::outcome_unknown);
+}
+
+TEST_F(session_fixture, hold_keeps_new_work_from_the_primary_and_tells_when_it_is_clear)
+{
+    const session_number session = open("ledger");
+    ask(session, plain(statement_kind::write, "WRITE 1 a"));
+    const run_on_link write = run_through();
+    take<tell_control>();
+    m_view.groups[group_name{"orders"}].is_held = true;
+    publish();
+    auto told = take<tell_control>();
+    ASSERT_FALSE(told.empty());
+    EXPECT_EQ(told.back().holds[group_name{"orders"}], (hold_progress{3, 1}));
+    answer_done(write.link);
+    take<answer_session>();
+    told = take<tell_control>();
+    ASSERT_FALSE(told.empty());
+    EXPECT_EQ(told.back().holds[group_name{"orders"}], (hold_progress{3, 0}));
+    ask(session, plain(statement_kind::write, "WRITE 2 b"));
+    EXPECT_TRUE(take<run_on_link>().empty());
+}
+
+TEST_F(session_fixture, leaving_replica_gets_no_new_work)
+{
+    take_sample({3, 40});
+    pass(milliseconds{30});
+    m_view.servers[backend_server_name{"second"}].is_leaving = true;
+    publish();
+    for (int at = 0; at < 4; ++at) {
+        const session_number session = open("catalogue");
+        ask(session, plain(statement_kind::read, "READ 1"));
+        open_links();
+        for (const run_on_link& run : take<run_on_link>()) {
+            EXPECT_NE(server_of(run.link), "second");
+        }
+    }
+}
+
+TEST_F(session_fixture, caller_that_leaves_in_a_transaction_has_it_rolled_back_before_the_connection_is_used_again)
+{
+    const session_number session = open("ledger");
+    ask(session, plain(statement_kind::begin, "BEGIN"));
+    ask(session, plain(statement_kind::write, "WRITE 1 a"));
+    const run_on_link write = run_through();
+    answer_done(write.link, transaction_state::open);
+    feed(session_closed{session});
+    const run_on_link rollback = next_run();
+    EXPECT_EQ(rollback.link, write.link);
+    EXPECT_EQ(rollback.what.kind, statement_kind::rollback);
+    m_view.servers[backend_server_name{"first"}].share = 1;
+    publish();
+    const session_number next = open("ledger");
+    ask(next, plain(statement_kind::read, "READ 1"));
+    open_links();
+    EXPECT_TRUE(take<run_on_link>().empty());
+    answer_done(rollback.link);
+    EXPECT_EQ(next_run().what.text, "READ 1");
+}
+
+TEST_F(session_fixture, unanswered_primary_is_suspected)
+{
+    const session_number session = open("ledger");
+    ask(session, plain(statement_kind::write, "WRITE 1 a"));
+    run_through();
+    pass(suspicious_silence);
+    const auto suspected = take<suspect_primary>();
+    ASSERT_EQ(suspected.size(), 1U);
+    EXPECT_EQ(suspected[0].server.value, "first");
+    EXPECT_EQ(suspected[0].term, 3U);
+}
+
+TEST_F(session_fixture, stop_ends_idle_sessions_after_the_balancer_has_learned_of_it)
+{
+    const session_number session = open("ledger");
+    feed(stop_asked{milliseconds{6000}});
+    EXPECT_TRUE(take<close_session>().empty());
+    ask(session, plain(statement_kind::read, "READ 1"));
+    answer_done(run_through().link);
+    EXPECT_EQ(next_answer().code, answer_code::done);
+    pass(balancer_delay);
+    EXPECT_EQ(take<close_session>().size(), 1U);
+    EXPECT_EQ(take<all_stopped>().size(), 1U);
+}
+
+TEST_F(session_fixture, stop_gives_open_transactions_half_of_the_time)
+{
+    const session_number session = open("ledger");
+    ask(session, plain(statement_kind::begin, "BEGIN"));
+    ask(session, plain(statement_kind::write, "WRITE 1 a"));
+    answer_done(run_through().link, transaction_state::open);
+    take<answer_session>();
+    feed(stop_asked{milliseconds{6000}});
+    pass(balancer_delay);
+    EXPECT_TRUE(take<close_session>().empty());
+    pass(milliseconds{3000} - balancer_delay);
+    ask(session, plain(statement_kind::commit, "COMMIT"));
+    EXPECT_EQ(next_answer().code, answer_code::aborted);
+    EXPECT_EQ(take<close_session>().size(), 1U);
+}
+
+TEST_F(session_fixture, statements_sent_ahead_are_answered_in_order)
+{
+    const session_number session = open("ledger");
+    ask(session, plain(statement_kind::read, "READ 1"));
+    ask(session, set_value("a", "b"));
+    const run_on_link read = run_through();
+    EXPECT_TRUE(take<answer_session>().empty());
+    answer_done(read.link);
+    const auto answers = take<answer_session>();
+    ASSERT_EQ(answers.size(), 2U);
+    EXPECT_EQ(answers[0].whole.detail, "signature");
+    EXPECT_EQ(answers[1].whole.code, answer_code::done);
+}
+
+} // namespace hickorymount::sessions
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -73,6 +73,8 @@
     configuration::database_route route;
     /// Zero until its first statement runs.
     link_number link = 0;
+    /// A statement of it has run, so that it can't move to another connection.
+    bool has_run = false;
     bool has_written = false;
     bool is_failed = false;
     time_point begun_at{};
--- a/src/supervision/internal/lease_keeper.cpp
+++ b/src/supervision/internal/lease_keeper.cpp
@@ -229,20 +229,29 @@
     std::uint32_t held_by_others = 0;
     std::uint32_t wanted_by_all = 0;
     std::uint32_t live = 0;
+    std::uint32_t unknown = 0;
     for (const auto& [entry, status] : m_step.state.entries) {
         const bool is_self = entry == request.entry;
         if (!is_self && status.lease_end <= m_step.now()) {
             continue;
         }
+        // Another process of the same host has ended, and its connections with it.
+        if (!is_self && entry.name == request.entry.name) {
+            continue;
+        }
+        ++live;
         const bool is_unknown = !is_self && status.last_heard <= m_step.state.leading_since;
         if (is_unknown) {
-            return held;
+            ++unknown;
+            ++wanted_by_all;
+            continue;
         }
-        ++live;
         wanted_by_all += std::max(1U, is_self ? value_or_zero(request.wanted_connections, server)
                                               : value_or_zero(status.wanted, server));
         held_by_others += is_self ? 0 : value_or_zero(status.held, server);
     }
+    // A host that this leader has not heard yet is taken to hold its fair part.
+    held_by_others += unknown * (limit / std::max(1U, live));
     const std::uint32_t wanted = std::max(1U, value_or_zero(request.wanted_connections, server));
     const std::uint32_t spare = wanted_by_all < limit ? (limit - wanted_by_all) / std::max(1U, live) : 0;
     const std::uint32_t target =
--- a/src/supervision/internal/operator_desk.cpp
+++ b/src/supervision/internal/operator_desk.cpp
@@ -33,7 +33,16 @@
         refuse(asked.request, not_leader);
         return;
     }
-    m_step.propose(asked.change, operator_caller{asked.request});
+    auto& proposed = m_step.state.proposed_version;
+    proposed = std::max(proposed, m_step.directory().configuration->version);
+    directory::replace_configuration change = asked.change;
+    if (change.version <= proposed) {
+        // Its acknowledgement still waits for the log, which holds the version already.
+        change.is_repeated = true;
+        change.content = {};
+    }
+    proposed = std::max(proposed, change.version);
+    m_step.propose(std::move(change), operator_caller{asked.request});
 }
 
 void operator_desk::handle(const switch_asked& asked)
--- a/src/supervision/internal/primary_changer.cpp
+++ b/src/supervision/internal/primary_changer.cpp
@@ -234,6 +234,49 @@
     }
 }
 
+void primary_changer::start_leading()
+{
+    for (const auto& [name, record] : m_step.directory().servers) {
+        const auto address = protocol::parse_endpoint(record.address);
+        const directory::group_record* group = m_step.directory().groups.find(record.group);
+        if (!address) {
+            continue;
+        }
+        server_status status;
+        status.report.name = name;
+        status.report.group = record.group;
+        status.report.zone = record.zone;
+        status.report.address = *address;
+        status.report.started_at = record.started_at;
+        status.report.speaks = protocol::server_interface::sessions;
+        status.report.report_interval = record.report_interval;
+        const bool is_primary = group != nullptr && group->primary == name;
+        status.report.role = is_primary ? server_role::primary : server_role::replica;
+        status.heard_at = m_step.now();
+        m_step.state.servers = std::move(m_step.state.servers).set(name, std::move(status));
+    }
+}
+
+void primary_changer::keep_on_record(const server_report& report)
+{
+    if (report.speaks != protocol::server_interface::sessions) {
+        return;
+    }
+    const directory::server_record record{report.group, report.zone, to_string(report.address),
+                                          report.started_at, report.report_interval};
+    const directory::server_record* known = m_step.directory().servers.find(report.name);
+    if (known == nullptr || *known != record) {
+        m_step.propose(directory::register_server{report.name, record});
+    }
+}
+
+void primary_changer::drop_from_record(const backend_server_name& name)
+{
+    if (m_step.directory().servers.contains(name)) {
+        m_step.propose(directory::unregister_server{name});
+    }
+}
+
 /// Marks a server whose farewell names nothing but it.
 void primary_changer::take_farewell(const backend_server_name& name)
 {
@@ -245,6 +288,7 @@
     next.report.leaving = next.report.is_gone = true;
     m_step.state.servers = std::move(m_step.state.servers).set(name, std::move(next));
     m_step.state.unsent_reports.insert(name);
+    drop_from_record(name);
 }
 
 void primary_changer::take_report(const host_name& from, const server_report& report)
@@ -272,6 +316,9 @@
     if (report.speaks == protocol::server_interface::requests || is_new_to_others) {
         m_step.state.unsent_reports.insert(report.name);
     }
+    if (is_new_to_others) {
+        keep_on_record(report);
+    }
     retire_others_at(report);
     adopt_first_primary(report);
     correct_follower(from, report);
@@ -294,6 +341,7 @@
             next.report.leaving = next.report.is_gone = true;
             m_step.state.servers = std::move(m_step.state.servers).set(name, std::move(next));
             m_step.state.unsent_reports.insert(name);
+            drop_from_record(name);
         }
     }
 }
@@ -304,6 +352,7 @@
     for (const auto& [name, known] : servers) {
         if (m_step.now() - known.heard_at >= server_forgotten) {
             m_step.state.servers = std::move(m_step.state.servers).erase(name);
+            drop_from_record(name);
         }
     }
 }
@@ -478,7 +527,7 @@
         return;
     }
     if (change.stage == change_stage::holding) {
-        start_catching_up(group, std::move(change));
+        finish_holding(group, std::move(change));
         return;
     }
     change.times.revoked = m_step.now();
@@ -491,6 +540,19 @@
     start_collecting(group, std::move(change));
 }
 
+void primary_changer::finish_holding(const group_name& group, group_change change)
+{
+    if (!change.target || !speaks_in_sessions(*change.target)) {
+        start_catching_up(group, std::move(change));
+        return;
+    }
+    // Replicas that speak in sessions can be stopped from receiving, which tells the furthest one for sure.
+    change.target.reset();
+    change.is_primary_candidate = false;
+    change.times.confirmed = m_step.now();
+    start_closing(group, std::move(change));
+}
+
 void primary_changer::start_collecting(const group_name& group, group_change change)
 {
     change.positions.clear();
@@ -671,6 +733,10 @@
         }
         return;
     case change_stage::holding:
+        if (in_stage >= hold_timeout_sessions && change.target && speaks_in_sessions(*change.target)) {
+            finish_holding(group, change);
+            return;
+        }
         if (in_stage >= hold_timeout) {
             give_up(group, change, "writes in flight did not end in time");
             return;
--- a/src/supervision/internal/primary_changer.h
+++ b/src/supervision/internal/primary_changer.h
@@ -28,12 +28,16 @@
     /// Starts a planned change. False when the group or the target can't take part now.
     bool start_planned(const group_name& group, const backend_server_name& target, const std::string& reason);
 
+    /// Takes the servers that earlier leaders knew.
+    void start_leading();
     void pass_time();
     void forget_silent_servers();
 
 private:
     void take_report(const host_name& from, const protocol::server_report& report);
     void retire_others_at(const protocol::server_report& newcomer);
+    void keep_on_record(const protocol::server_report& report);
+    void drop_from_record(const backend_server_name& name);
     void take_farewell(const backend_server_name& name);
     void adopt_first_primary(const protocol::server_report& report);
     void correct_follower(const host_name& through, const protocol::server_report& report);
@@ -48,6 +52,7 @@
     void start_closing(const group_name& group, group_change change);
     void start_revoking(const group_name& group, group_change change);
     void finish_revoking_if_done(const group_name& group, group_change change);
+    void finish_holding(const group_name& group, group_change change);
     void start_collecting(const group_name& group, group_change change);
     void finish_collecting_if_done(const group_name& group, group_change change);
     void start_naming(const group_name& group, group_change change, const backend_server_name& candidate);
--- a/src/supervision/internal/reduce.cpp
+++ b/src/supervision/internal/reduce.cpp
@@ -50,6 +50,7 @@
             m_step.state.leading_since = m_step.around.consensus.leading_since;
             m_step.state.expire_claims_at = m_step.now() + claim_expiry_interval;
             m_leases.start_leading();
+            m_changer.start_leading();
             m_step.log(logging::log_level::information, "lead", "",
                        "term=" + std::to_string(m_step.around.consensus.hard.term));
         }
@@ -179,8 +180,9 @@
 
     void follow(const command_applied& applied, const directory::replace_configuration& command)
     {
-        if (command.version == m_step.directory().configuration->version) {
-            publish(applied.index, m_step.directory().configuration, {});
+        if (command.version == m_step.directory().configuration->version && !command.is_repeated) {
+            m_step.state.has_unsent_configuration = true;
+            send_configuration_if_due(applied.index);
             m_step.log(logging::log_level::information, "configuration_committed", "",
                        fmt::format("version={} index={}", command.version, applied.index));
         }
@@ -230,6 +232,19 @@
         }
     }
 
+    /// A large configuration costs each host time; a storm of them must not cost it for each.
+    void send_configuration_if_due(protocol::view_revision revision)
+    {
+        const bool is_due =
+            m_step.now() - m_step.state.configuration_sent_at >= configuration_send_interval;
+        if (!m_step.state.has_unsent_configuration || (m_step.state.is_leading && !is_due)) {
+            return;
+        }
+        m_step.state.has_unsent_configuration = false;
+        m_step.state.configuration_sent_at = m_step.now();
+        publish(std::max(revision, m_step.state.revision), m_step.directory().configuration, {});
+    }
+
     void publish(protocol::view_revision revision,
                  std::optional<shared_value<configuration::versioned_configuration>> configuration,
                  std::vector<protocol::group_view> groups)
@@ -270,6 +285,7 @@
             return;
         }
         m_changer.pass_time();
+        send_configuration_if_due(m_step.around.consensus.commit);
         m_changer.forget_silent_servers();
         m_leases.dismiss_expired();
         m_desk.answer_in_force();
--- a/src/supervision/types.h
+++ b/src/supervision/types.h
@@ -38,6 +38,8 @@
 inline constexpr milliseconds probe_resend_interval{250};
 inline constexpr milliseconds takeover_timeout{400};
 inline constexpr milliseconds follow_interval{200};
+/// Configurations that follow one another faster than this reach entry hosts as the newest of them.
+inline constexpr milliseconds configuration_send_interval{250};
 /// Missed reports, in a row, that start a check of a primary that speaks in sessions.
 inline constexpr int missed_reports = 3;
 /// A probe over a session opens a connection, which waits for a slot of its own.
@@ -55,6 +57,8 @@
 inline constexpr milliseconds server_forgotten{60'000};
 /// Longest time for which a planned change holds new writes back.
 inline constexpr milliseconds hold_timeout{2500};
+/// The same for servers that speak in sessions; transactions that are still open then are ended.
+inline constexpr milliseconds hold_timeout_sessions{1000};
 inline constexpr milliseconds planned_retry_pause{5000};
 /// A dead entry host is forgotten this long after its lease ran out.
 inline constexpr milliseconds dismiss_after{3000};
@@ -218,6 +222,11 @@
     shared_map<group_name, time_point> paused;
     /// Reports that entry hosts have not been sent yet.
     std::set<backend_server_name> unsent_reports;
+    /// A whole configuration that entry hosts have not been sent yet.
+    bool has_unsent_configuration = false;
+    /// The highest version that this leader has proposed.
+    configuration::configuration_version proposed_version = 0;
+    time_point configuration_sent_at{};
     std::vector<pending_in_force> in_force;
     std::vector<pending_reading> readings;
     std::uint64_t next_number = 1;
