--- a/src/consensus/internal/consensus_reducer.cpp
+++ b/src/consensus/internal/consensus_reducer.cpp
@@ -64,6 +64,8 @@
     m_state.durable = last_index();
     reload_members();
     arm_election();
+    // A leader that lives is heard long before, and a pre-vote disturbs nobody.
+    m_state.election_at -= first_election_lead;
     m_state.join_at = m_now + join_interval;
     if (m_state.latest->last_index > 0) {
         m_effects.emplace_back(replace_directory{m_state.latest});
--- a/src/gateway/internal/session_front.cpp
+++ b/src/gateway/internal/session_front.cpp
@@ -1,6 +1,6 @@
 #include "gateway/internal/session_front.h"
 
-#include "gateway/internal/server_call.h"
+#include "gateway/internal/probe_outcome.h"
 
 #include <algorithm>
 #include <utility>
@@ -18,6 +18,8 @@
 /// A question for the status waits for a connection and for a slot.
 constexpr milliseconds probe_timeout{500};
 constexpr milliseconds order_timeout{800};
+/// Before a server that was busy is asked for its position again.
+constexpr milliseconds probe_repeat_pause{30};
 /// Longest wait that a timer is set to.
 constexpr milliseconds longest_wait{60'000};
 
@@ -119,51 +121,73 @@
 void session_front::probe(routing::probe_server order)
 {
     asio::post(m_context, [this, order = std::move(order)] {
-        const protocol::probe_order& asked = order.order;
-        sessions::statement what;
-        what.kind = asked.pause_below == 0 ? sessions::statement_kind::status : sessions::statement_kind::pause;
-        what.term = asked.pause_below;
-        const auto call = std::make_shared<server_call>(
-            m_context, *m_wire, [this, order](const server_call_result& got) {
-                if (got.is_refused) {
-                    // It answers, so it runs; nothing else is known of it.
-                    report_probe(order, {});
-                } else if (got.whole) {
-                    report_probe(order, *got.whole);
-                } else {
-                    m_handlers.on_news(routing::probe_finished{
-                        order.asked_by, {order.order.probe, order.order.server, std::nullopt}});
-                }
-            });
-        call->start(asked.address, asked.group.value, asked.server.value, what, probe_timeout);
+        ask_server(order, order.order.pause_below == 0 ? sessions::statement_kind::status
+                                                       : sessions::statement_kind::pause, 1);
     });
 }
 
-void session_front::report_probe(const routing::probe_server& order, const sessions::answer& whole)
+void session_front::ask_server(const routing::probe_server& order, sessions::statement_kind kind, int attempt)
 {
-    const protocol::probe_order& asked = order.order;
-    protocol::server_report report;
-    report.name = asked.server;
-    report.group = asked.group;
-    report.address = asked.address;
-    report.speaks = protocol::server_interface::sessions;
-    const auto status = whole.rows.empty() ? std::nullopt : m_wire->decode_status(whole.rows.front());
-    const bool is_asked_for_position = asked.pause_below != 0;
-    if (!status && is_asked_for_position) {
-        m_log.write({logging::log_level::warning, "probe", asked.server.value,
-                     fmt::format("code={} reason=\"no status in the answer\"", name_of(whole.code))});
-        if (whole.code == sessions::answer_code::done) {
-            return;
-        }
-        // A primary takes no pause; it is asked for its status instead.
-        routing::probe_server again = order;
-        again.order.pause_below = 0;
-        probe(std::move(again));
+    sessions::statement what;
+    what.kind = kind;
+    what.term = order.order.pause_below;
+    const auto call = std::make_shared<server_call>(
+        m_context, *m_wire, [this, order, kind, attempt](const server_call_result& got) {
+            take_probe(order, kind, attempt, got);
+        });
+    call->start(order.order.address, order.order.group.value, order.order.server.value, what, probe_timeout);
+}
+
+void session_front::take_probe(const routing::probe_server& order, sessions::statement_kind kind, int attempt,
+                               const server_call_result& got)
+{
+    if (!got.whole && !got.is_refused) {
+        report_probe(order, std::nullopt);
+        return;
+    }
+    std::optional<sessions::server_status> status;
+    if (got.whole && !got.whole->rows.empty()) {
+        status = m_wire->decode_status(got.whole->rows.front());
+    }
+    const auto code = got.whole ? std::optional(got.whole->code) : std::nullopt;
+    switch (judge_probe(order.order.pause_below != 0, kind, code, status.has_value(), attempt)) {
+    case probe_step::report: {
+        protocol::server_report report;
+        report.name = order.order.server;
+        report.group = order.order.group;
+        report.address = order.order.address;
+        report.speaks = protocol::server_interface::sessions;
+        report.role = !status || status->is_primary ? protocol::server_role::primary
+                                                    : protocol::server_role::replica;
+        report.at = status ? status->received : session::group_position{};
+        report_probe(order, std::move(report));
+        return;
+    }
+    case probe_step::ask_again: {
+        auto timer = std::make_shared<asio::steady_timer>(m_context, probe_repeat_pause);
+        timer->async_wait([this, timer, order, kind, attempt](const boost::system::error_code& problem) {
+            if (!problem) {
+                ask_server(order, kind, attempt + 1);
+            }
+        });
+        return;
+    }
+    case probe_step::ask_status:
+        ask_server(order, sessions::statement_kind::status, attempt);
+        return;
+    case probe_step::give_up:
+        m_log.write({logging::log_level::warning, "probe", order.order.server.value,
+                     fmt::format("group={} attempts={} reason=\"no position in the answers\"",
+                                 order.order.group.value, attempt)});
+        report_probe(order, std::nullopt);
         return;
     }
-    report.role = !status || status->is_primary ? protocol::server_role::primary : protocol::server_role::replica;
-    report.at = status ? status->received : session::group_position{};
-    m_handlers.on_news(routing::probe_finished{order.asked_by, {asked.probe, asked.server, report}});
+}
+
+void session_front::report_probe(const routing::probe_server& order, std::optional<protocol::server_report> status)
+{
+    m_handlers.on_news(
+        routing::probe_finished{order.asked_by, {order.order.probe, order.order.server, std::move(status)}});
 }
 
 void session_front::tell(routing::tell_server order)
@@ -393,7 +417,8 @@
 void session_front::carry_out(sessions::suspect_primary&& effect)
 {
     m_handlers.on_news(
-        routing::primary_suspected{effect.group, effect.term, effect.server, std::move(effect.reason)});
+        routing::primary_suspected{effect.group, effect.term, effect.server, std::move(effect.reason),
+                                   effect.is_stalled});
 }
 
 void session_front::carry_out(sessions::tell_control&& effect)
@@ -403,6 +428,7 @@
         told.uses[name] = {use.open, use.wanted};
     }
     told.commits = std::move(effect.commits);
+    told.closed = std::move(effect.closed);
     for (const auto& [name, hold] : effect.holds) {
         told.holds[name] = {hold.term, hold.in_flight};
     }
--- a/src/gateway/internal/session_front.h
+++ b/src/gateway/internal/session_front.h
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "gateway/internal/line_connection.h"
+#include "gateway/internal/server_call.h"
 #include "logging/log_writer.h"
 #include "metrics/metric_registry.h"
 #include "protocol/types.h"
@@ -85,7 +86,10 @@
     void carry_out(sessions::all_stopped&& effect);
     void carry_out(logging::log_record&& effect);
 
-    void report_probe(const routing::probe_server& order, const sessions::answer& whole);
+    void ask_server(const routing::probe_server& order, sessions::statement_kind kind, int attempt);
+    void take_probe(const routing::probe_server& order, sessions::statement_kind kind, int attempt,
+                    const server_call_result& got);
+    void report_probe(const routing::probe_server& order, std::optional<protocol::server_report> status);
 
     std::unique_ptr<sessions::wire> m_wire;
     handlers m_handlers;
--- a/src/gateway/internal/traffic_view.cpp
+++ b/src/gateway/internal/traffic_view.cpp
@@ -11,7 +11,7 @@
         const bool is_open =
             group.record.phase == directory::group_phase::open && group.record.term > group.closed_term;
         view.groups[name] = {group.record.primary, group.record.term, is_open,
-                             group.held_term == group.record.term && is_open};
+                             group.held_term == group.record.term && is_open, group.closed_term};
     }
     for (const auto& [name, server] : state.servers) {
         const protocol::server_report& report = server.report;
--- /dev/null
+++ b/src/gateway/tests/probe_outcome_tests.cpp
@@ -0,0 +1,48 @@
+#include "gateway/internal/probe_outcome.h"
+
+#include <gtest/gtest.h>
+
+namespace hickorymount::gateway::detail {
+
+namespace {
+
+using sessions::answer_code;
+using sessions::statement_kind;
+
+struct probe_case
+{
+    bool asks_for_position;
+    statement_kind asked;
+    std::optional<answer_code> code;
+    bool has_status;
+    int attempts;
+    probe_step expected;
+};
+
+} // namespace
+
+class probe_outcome_fixture : public ::testing::TestWithParam<probe_case>
+{
+};
+
+TEST_P(probe_outcome_fixture, answer_without_a_position_is_never_reported_as_one)
+{
+    const probe_case& row = GetParam();
+    EXPECT_EQ(judge_probe(row.asks_for_position, row.asked, row.code, row.has_status, row.attempts), row.expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, probe_outcome_fixture,
+    ::testing::Values(
+        probe_case{false, statement_kind::status, answer_code::done, true, 1, probe_step::report},
+        probe_case{false, statement_kind::status, answer_code::busy, false, 1, probe_step::report},
+        probe_case{false, statement_kind::status, std::nullopt, false, 1, probe_step::report},
+        probe_case{true, statement_kind::pause, answer_code::done, true, 1, probe_step::report},
+        probe_case{true, statement_kind::pause, answer_code::busy, false, 1, probe_step::ask_again},
+        probe_case{true, statement_kind::pause, std::nullopt, false, 1, probe_step::ask_again},
+        probe_case{true, statement_kind::pause, answer_code::busy, false, 12, probe_step::give_up},
+        probe_case{true, statement_kind::pause, answer_code::read_only, false, 1, probe_step::ask_status},
+        probe_case{true, statement_kind::status, answer_code::busy, false, 1, probe_step::ask_again},
+        probe_case{true, statement_kind::status, answer_code::malformed, false, 1, probe_step::give_up}));
+
+} // namespace hickorymount::gateway::detail
--- a/src/protocol/descriptions.h
+++ b/src/protocol/descriptions.h
@@ -135,7 +135,8 @@
     static constexpr std::string_view name = "suspicion";
     static constexpr auto members =
         std::tuple{member{"group", &type::group}, member{"term", &type::term},
-                   member{"server", &type::server}, member{"reason", &type::reason}};
+                   member{"server", &type::server}, member{"reason", &type::reason},
+                   member{"is_stalled", &type::is_stalled}};
 };
 
 template <>
--- a/src/protocol/tests/message_codec_tests.cpp
+++ b/src/protocol/tests/message_codec_tests.cpp
@@ -59,7 +59,7 @@
         view_update{
             1, 2, shared_value(configuration::versioned_configuration{}), {{group_name{"orders"}, {}}}},
         server_reports{{report}, true},
-        suspicion{group_name{"orders"}, 2, backend_server_name{"orders-1"}, "lost"},
+        suspicion{group_name{"orders"}, 2, backend_server_name{"orders-1"}, "lost", true},
         probe_order{9, backend_server_name{"orders-1"}, {"127.0.0.1", 80}, {"orders"}, server_interface::sessions, 3},
         probe_report{9, backend_server_name{"orders-1"}, report},
         close_order{group_name{"orders"}, 2, false},
--- a/src/protocol/types.h
+++ b/src/protocol/types.h
@@ -171,6 +171,8 @@
     group_term term = 0;
     backend_server_name server;
     std::string reason;
+    /// The primary answers, but its commits wait.
+    bool is_stalled = false;
 
     friend bool operator==(const suspicion&, const suspicion&) = default;
 };
--- a/src/routing/internal/lease_holder.cpp
+++ b/src/routing/internal/lease_holder.cpp
@@ -119,7 +119,7 @@
     if (lease.sent.size() > max_remembered_renewals) {
         lease.sent.erase(lease.sent.begin());
     }
-    lease.renew_at = m_step.now + lease_renewal_interval;
+    lease.renew_at = m_step.now + (m_step.has_lease() ? lease_renewal_interval : lease_retry_interval);
     m_step.send_to_leader(request);
 }
 
--- a/src/routing/internal/reduce.cpp
+++ b/src/routing/internal/reduce.cpp
@@ -147,6 +147,8 @@
             auto& known = m_step.state.session_commits[group];
             known = std::max(known, position);
         }
+        m_step.state.session_closed = told.closed;
+        m_view.confirm_closed();
     }
 
     void apply(const control_hosts_named& named) { m_lease.add_control_hosts(named.hosts); }
@@ -154,18 +156,21 @@
     void apply(const primary_suspected& suspected)
     {
         const group_state* known = m_step.state.groups.find(suspected.group);
-        const bool is_due = known != nullptr && known->record.term == suspected.term &&
-                            m_step.now - known->suspicion_sent >= suspicion_interval;
-        if (!is_due) {
+        if (known == nullptr || known->record.term != suspected.term) {
             return;
         }
         group_state group = *known;
-        group.suspicion_sent = m_step.now;
+        time_point& sent = suspected.is_stalled ? m_step.state.stalls_sent[suspected.group] : group.suspicion_sent;
+        if (m_step.now - sent < suspicion_interval) {
+            return;
+        }
+        sent = m_step.now;
         m_step.set_group(suspected.group, std::move(group));
         m_step.log(logging::log_level::warning, "suspect_primary", suspected.server.value,
                    "group=" + suspected.group.value + " reason=\"" + suspected.reason + "\"");
         m_step.send_to_leader(
-            protocol::suspicion{suspected.group, suspected.term, suspected.server, suspected.reason});
+            protocol::suspicion{suspected.group, suspected.term, suspected.server, suspected.reason,
+                                suspected.is_stalled});
     }
 
     void apply(const drain_asked& /*asked*/) { m_step.state.is_draining = true; }
--- a/src/routing/internal/request_desk.cpp
+++ b/src/routing/internal/request_desk.cpp
@@ -10,6 +10,10 @@
 
 namespace hickorymount::routing::detail {
 
+/// A server that does not hold the term in which it was asked: a change of primary is on its way, and what is in
+/// flight when it comes has an unknown outcome.
+static constexpr milliseconds other_term_pause{250};
+
 namespace {
 
 using configuration::acknowledgement;
@@ -522,7 +526,10 @@
         next.report.leaving = next.report.leaving || what.reason == server_refusal::leaving;
         next.report.at = std::max(next.report.at, what.at);
         const bool is_only_behind = what.reason == server_refusal::behind;
-        next.avoid_until = is_only_behind ? next.avoid_until : m_step.now + refusal_pause;
+        const bool is_other_term =
+            what.reason == server_refusal::wrong_term || what.reason == server_refusal::not_primary;
+        const milliseconds pause = is_other_term ? other_term_pause : refusal_pause;
+        next.avoid_until = is_only_behind ? next.avoid_until : m_step.now + pause;
         m_step.set_server(request.server, std::move(next));
     }
     request.behind.insert(request.server);
--- a/src/routing/internal/view_keeper.cpp
+++ b/src/routing/internal/view_keeper.cpp
@@ -68,11 +68,37 @@
         return;
     }
     close(order.group, order.term);
-    const auto commit = m_step.state.session_commits.find(order.group);
-    m_step.send(from,
-                protocol::close_confirmation{
-                    m_step.state.self, order.group, order.term, false,
-                    commit == m_step.state.session_commits.end() ? session::group_position{} : commit->second});
+    m_step.state.closing[order.group] = {from, order.term};
+    confirm_closed();
+}
+
+void view_keeper::confirm_closed()
+{
+    const auto closing = m_step.state.closing;
+    for (const auto& [name, pending] : closing) {
+        const auto seen = m_step.state.session_closed.find(name);
+        const bool is_final = seen != m_step.state.session_closed.end() && seen->second >= pending.term;
+        if (has_sessions(name) && !is_final) {
+            continue;
+        }
+        const auto commit = m_step.state.session_commits.find(name);
+        const session::group_position acknowledged =
+            commit == m_step.state.session_commits.end() ? session::group_position{} : commit->second;
+        m_step.send(pending.asked_by,
+                    protocol::close_confirmation{m_step.state.self, name, pending.term, false, acknowledged});
+        m_step.state.closing.erase(name);
+    }
+}
+
+/// True when the group is served by sessions, whose commits the traffic thread acknowledges.
+bool view_keeper::has_sessions(const group_name& name) const
+{
+    const group_state* group = m_step.state.groups.find(name);
+    return group != nullptr &&
+           std::any_of(group->members.begin(), group->members.end(), [this](const auto& member) {
+               const server_state* server = m_step.state.servers.find(member);
+               return server != nullptr && server->report.speaks == protocol::server_interface::sessions;
+           });
 }
 
 void view_keeper::handle(const host_name& /*from*/, const protocol::resume_order& order)
--- a/src/routing/internal/view_keeper.h
+++ b/src/routing/internal/view_keeper.h
@@ -19,6 +19,8 @@
     void handle(const host_name& from, const protocol::resume_order& order);
     void handle(const host_name& from, const protocol::server_reports& passed_on);
     void take_report(const protocol::server_report& report);
+    /// Confirms the ends of terms after which nothing more is acknowledged here.
+    void confirm_closed();
 
     /// Confirms holds whose writes have all ended, and ends holds that last too long.
     void check_holds();
@@ -28,6 +30,7 @@
     void take_group(const protocol::group_view& view);
     void close(const group_name& name, group_term term);
     void forget(const backend_server_name& name, const server_state& server);
+    [[nodiscard]] bool has_sessions(const group_name& name) const;
     [[nodiscard]] bool have_sessions_stopped(const group_name& name, group_term held_term) const;
 
     entry_step& m_step;
--- /dev/null
+++ b/src/routing/tests/session_groups_tests.cpp
@@ -0,0 +1,113 @@
+#include "routing/read_policy.h"
+#include "routing/reduce.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace hickorymount::routing {
+
+/// One entry host before a group of servers that speak in sessions, at term 3.
+class session_groups_fixture : public ::testing::Test
+{
+protected:
+    session_groups_fixture()
+    {
+        feed(entry_started{{host_name{"entry-1"}, incarnation_id{"i"}}, availability_zone{"casa-a"},
+                           {host_name{"control-1"}}});
+        protocol::server_report report;
+        report.name = backend_server_name{"first"};
+        report.group = group_name{"orders"};
+        report.speaks = protocol::server_interface::sessions;
+        report.role = protocol::server_role::primary;
+        directory::group_record record;
+        record.phase = directory::group_phase::open;
+        record.term = 3;
+        record.primary = report.name;
+        from_control(protocol::view_update{0, 5, {}, {{group_name{"orders"}, record}}});
+        from_control(protocol::server_reports{{report}, false});
+        m_sent.clear();
+    }
+
+    void feed(entry_event_kind what)
+    {
+        entry_transition next = reduce(std::move(m_state), {m_now, unix_milliseconds{0}, std::move(what)}, m_policy);
+        m_state = std::move(next.state);
+        for (entry_effect& effect : next.effects) {
+            if (auto* sent = std::get_if<send_to_control>(&effect)) {
+                m_sent.push_back(std::move(sent->content));
+            }
+        }
+    }
+
+    void from_control(protocol::message content)
+    {
+        feed(control_message{host_name{"control-1"}, std::move(content)});
+    }
+
+    template <class Message>
+    std::vector<Message> sent()
+    {
+        std::vector<Message> found;
+        for (const protocol::message& each : m_sent) {
+            if (const auto* wanted = std::get_if<Message>(&each)) {
+                found.push_back(*wanted);
+            }
+        }
+        return found;
+    }
+
+    time_point m_now{milliseconds{10'000}};
+    position_policy m_policy;
+    entry_state m_state;
+    std::vector<protocol::message> m_sent;
+};
+
+TEST_F(session_groups_fixture, end_of_a_term_is_confirmed_only_after_the_traffic_thread_has_seen_it)
+{
+    sessions_told told;
+    told.commits[group_name{"orders"}] = {3, 40};
+    feed(told);
+    from_control(protocol::close_order{group_name{"orders"}, 3, false});
+    EXPECT_TRUE(sent<protocol::close_confirmation>().empty());
+    told.commits[group_name{"orders"}] = {3, 44};
+    told.closed[group_name{"orders"}] = 3;
+    feed(told);
+    const auto confirmed = sent<protocol::close_confirmation>();
+    ASSERT_EQ(confirmed.size(), 1U);
+    EXPECT_EQ(confirmed[0].term, 3U);
+    EXPECT_EQ(confirmed[0].acknowledged, (session::group_position{3, 44}));
+}
+
+TEST_F(session_groups_fixture, hold_is_confirmed_only_after_the_traffic_thread_has_nothing_left)
+{
+    from_control(protocol::close_order{group_name{"orders"}, 3, true});
+    feed(time_passed{});
+    EXPECT_TRUE(sent<protocol::close_confirmation>().empty());
+    sessions_told told;
+    told.holds[group_name{"orders"}] = {3, 1};
+    feed(told);
+    EXPECT_TRUE(sent<protocol::close_confirmation>().empty());
+    told.holds[group_name{"orders"}] = {3, 0};
+    feed(told);
+    ASSERT_EQ(sent<protocol::close_confirmation>().size(), 1U);
+}
+
+TEST_F(session_groups_fixture, server_whose_farewell_came_is_not_part_of_the_digest)
+{
+    const auto digest = [this] {
+        m_sent.clear();
+        m_now += lease_renewal_interval;
+        feed(time_passed{});
+        return sent<protocol::lease_request>().at(0).servers_digest;
+    };
+    EXPECT_NE(digest(), 0U);
+    protocol::server_report farewell = m_state.servers.find(backend_server_name{"first"})->report;
+    farewell.is_gone = true;
+    from_control(protocol::server_reports{{farewell}, false});
+    EXPECT_EQ(digest(), 0U);
+}
+
+} // namespace hickorymount::routing
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -31,6 +31,8 @@
 using connection_number = std::uint64_t;
 
 inline constexpr milliseconds lease_renewal_interval{400};
+/// The same without a lease.
+inline constexpr milliseconds lease_retry_interval{150};
 /// A renewal unanswered for this long goes to all control hosts.
 inline constexpr milliseconds leader_silence{600};
 /// Subtracted from a lease: the clocks of two hosts may differ in rate by 1% each.
@@ -275,6 +277,14 @@
     friend bool operator==(const session_use&, const session_use&) = default;
 };
 
+struct pending_close
+{
+    host_name asked_by;
+    group_term term = 0;
+
+    friend bool operator==(const pending_close&, const pending_close&) = default;
+};
+
 /// What the traffic thread still has at the primary of a term that is held back.
 struct session_hold
 {
@@ -322,6 +332,11 @@
     /// The newest commit of each group that was acknowledged to a session.
     std::map<group_name, session::group_position> session_commits;
     std::map<group_name, session_hold> session_holds;
+    std::map<group_name, group_term> session_closed;
+    /// Close orders that wait until the traffic thread has seen the term's end.
+    std::map<group_name, pending_close> closing;
+    /// When it was last said of each group that its primary's commits wait.
+    std::map<group_name, time_point> stalls_sent;
     lease_state lease;
     shared_map<request_number, request_state> requests;
     shared_map<std::pair<group_name, class_name>, std::uint32_t> waiting;
@@ -482,6 +497,8 @@
     std::map<backend_server_name, session_use> uses;
     std::map<group_name, session::group_position> commits;
     std::map<group_name, session_hold> holds;
+    /// The closed terms that it has seen; `commits` is final up to them.
+    std::map<group_name, group_term> closed;
 
     friend bool operator==(const sessions_told&, const sessions_told&) = default;
 };
@@ -501,6 +518,8 @@
     group_term term = 0;
     backend_server_name server;
     std::string reason;
+    /// It answers, but its commits wait.
+    bool is_stalled = false;
 
     friend bool operator==(const primary_suspected&, const primary_suspected&) = default;
 };
--- a/src/sessions/internal/link_keeper.cpp
+++ b/src/sessions/internal/link_keeper.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+/// Connections to one server that are opened at once; each takes a slot there for a moment.
+constexpr std::uint32_t max_opening = 2;
 /// Weight of the newest observation in the smoothed latency.
 constexpr double latency_weight = 0.1;
 
@@ -57,7 +59,7 @@
 {
     const server_in_view* known = m_step.server(server);
     server_load& load = m_step.state.loads[server];
-    if (known == nullptr || load.opening > 0 || load.open >= known->share || m_step.now < load.connect_after) {
+    if (known == nullptr || load.opening >= max_opening || load.open >= known->share || m_step.now < load.connect_after) {
         return;
     }
     const link_number number = m_step.state.next_link++;
--- a/src/sessions/internal/reduce.cpp
+++ b/src/sessions/internal/reduce.cpp
@@ -46,7 +46,9 @@
         if (link == nullptr || link->stage != link_stage::opening) {
             return;
         }
-        --m_step.state.loads[link->server].opening;
+        server_load& load = m_step.state.loads[link->server];
+        --load.opening;
+        load.unreachable_since.reset();
         link->stage = link_stage::idle;
         m_desk.dispatch(group_name{link->group});
     }
@@ -54,8 +56,7 @@
     void apply(const link_refused& refused)
     {
         if (m_step.link(refused.link) != nullptr) {
-            m_step.emit(close_link{refused.link});
-            m_desk.lose(refused.link, "refused code=" + std::to_string(static_cast<int>(refused.code)));
+            m_desk.refuse_link(refused.link, refused.code);
         }
     }
 
@@ -90,16 +91,21 @@
         m_step.state.view = published.view;
         if (is_new_version) {
             take_routes();
+            m_desk.open_waiting();
         }
         follow_servers(*before);
         m_links.trim();
         m_desk.dispatch_all();
+        if (closed_terms(*before) != closed_terms(*m_step.state.view)) {
+            tell();
+        }
         tell_holds();
     }
 
     void apply(const time_passed& /*passed*/)
     {
         m_desk.check_times();
+        m_desk.open_waiting();
         m_desk.dispatch_all();
     }
 
@@ -171,6 +177,15 @@
         }
     }
 
+    static std::map<group_name, group_term> closed_terms(const traffic_view& view)
+    {
+        std::map<group_name, group_term> closed;
+        for (const auto& [name, group] : view.groups) {
+            closed[name] = group.closed_term;
+        }
+        return closed;
+    }
+
     /// Tells at once what is left at primaries that are held back, when it has changed.
     void tell_holds()
     {
@@ -186,6 +201,7 @@
         tell_control told;
         told.holds = m_step.state.told_holds;
         told.commits = m_step.state.commits;
+        told.closed = closed_terms(*m_step.state.view);
         for (auto& [name, load] : m_step.state.loads) {
             const server_in_view* server = m_step.server(name);
             const auto waiting = server == nullptr ? m_step.state.queues.end() : m_step.state.queues.find(server->group);
--- a/src/sessions/internal/statement_desk.cpp
+++ b/src/sessions/internal/statement_desk.cpp
@@ -41,7 +41,11 @@
     const bool is_closing =
         m_step.state.stopping_since && m_step.now - *m_step.state.stopping_since >= balancer_delay;
     const bool is_known = m_step.state.routes.contains(database);
-    if (is_closing || m_step.state.view->configuration->version == 0) {
+    if (!is_closing && m_step.state.view->configuration->version == 0) {
+        m_step.state.opening.emplace(number, opening_session{database, m_step.now});
+        return;
+    }
+    if (is_closing) {
         m_step.emit(refuse_session{number, answer_code::busy, "the proxy takes no sessions now"});
         return;
     }
@@ -55,6 +59,20 @@
     m_step.emit(accept_session{number});
 }
 
+void statement_desk::open_waiting()
+{
+    const auto waiting = m_step.state.opening;
+    for (const auto& [number, opening] : waiting) {
+        if (m_step.state.view->configuration->version != 0) {
+            m_step.state.opening.erase(number);
+            open(number, opening.database);
+        } else if (m_step.now - opening.since >= opening_limit) {
+            m_step.state.opening.erase(number);
+            m_step.emit(refuse_session{number, answer_code::busy, "no configuration yet"});
+        }
+    }
+}
+
 void statement_desk::ask(session_number number, asked_statement asked)
 {
     caller_session* session = m_step.session(number);
@@ -415,8 +433,10 @@
     const group_name group = link.group;
     const session_number holder = link.holder;
     const bool was_opening = link.stage == link_stage::opening;
+    server_load& load = m_step.state.loads[link.server];
     if (was_opening) {
-        m_step.state.loads[link.server].connect_after = m_step.now + reconnect_pause;
+        load.connect_after = m_step.now + reconnect_pause;
+        load.unreachable_since = load.unreachable_since.value_or(link.opened_at);
     }
     m_step.log(logging::log_level::warning, "link_lost", link.server.value,
                fmt::format("group={} link={} opening={} session={} reason=\"{}\"", group.value, number,
@@ -442,6 +462,15 @@
     dispatch(group);
 }
 
+void statement_desk::refuse_link(link_number number, answer_code code)
+{
+    const server_link& link = *m_step.link(number);
+    m_step.state.loads[link.server].connect_after = m_step.now + reconnect_pause;
+    m_step.log(logging::log_level::information, "link_refused", link.server.value,
+               fmt::format("group={} link={} code={}", link.group.value, number, static_cast<int>(code)));
+    m_links.close(number);
+}
+
 /// Puts a statement that has not run, or may run again, back in line for another server.
 void statement_desk::requeue(session_number number, caller_session& session, const std::string& reason)
 {
@@ -635,6 +664,7 @@
 
 void statement_desk::close(session_number number)
 {
+    m_step.state.opening.erase(number);
     caller_session* session = m_step.session(number);
     if (session == nullptr) {
         return;
@@ -698,6 +728,10 @@
         reply_code(number, session, answer_code::busy, "no server was free in time");
         return;
     }
+    if (pending.stage == statement_stage::queued && is_cut_off(pending)) {
+        reply_code(number, session, answer_code::busy, "this host is cut off from the primary or from control");
+        return;
+    }
     if (pending.stage != statement_stage::running) {
         return;
     }
@@ -705,7 +739,13 @@
     if (m_step.now - pending.sent_at >= suspicious_silence) {
         suspect(link, "a statement is unanswered");
     }
-    const bool is_read = scope_of(session) == statement_scope::single_read;
+    const statement_scope scope = scope_of(session);
+    const bool is_commit =
+        scope == statement_scope::single_write || scope == statement_scope::commit_of_writes;
+    if (is_commit && m_step.now - pending.sent_at >= stalled_commit_after) {
+        suspect(link, "a commit is unanswered", true);
+    }
+    const bool is_read = scope == statement_scope::single_read;
     const bool tries_elsewhere = is_read && m_step.now - pending.sent_at >= read_retry_after &&
                                  m_step.now + read_retry_after / 2 < pending.deadline;
     if (tries_elsewhere || m_step.now >= pending.deadline) {
@@ -729,11 +769,26 @@
     settle(number, session, std::nullopt, "no answer in time");
 }
 
-void statement_desk::suspect(const server_link& link, const std::string& reason)
+/// Other hosts can run it: its caller is sent there at once.
+bool statement_desk::is_cut_off(const pending_statement& pending) const
+{
+    const group_in_view* group = m_step.group(pending.route.group);
+    if (!pending.needs_primary || pending.link != 0 || group == nullptr) {
+        return false;
+    }
+    const bool has_lost_lease = m_step.now - m_step.state.view->lease_until >= isolation_delay;
+    const auto load = m_step.state.loads.find(group->primary);
+    const bool is_unreachable = group->is_open && load != m_step.state.loads.end() &&
+                                load->second.unreachable_since && load->second.open <= load->second.opening &&
+                                m_step.now - *load->second.unreachable_since >= isolation_delay;
+    return has_lost_lease || is_unreachable;
+}
+
+void statement_desk::suspect(const server_link& link, const std::string& reason, bool is_stalled)
 {
     const group_in_view* group = m_step.group(link.group);
     if (group != nullptr && group->is_open && group->primary == link.server) {
-        m_step.emit(suspect_primary{link.group, group->term, link.server, reason});
+        m_step.emit(suspect_primary{link.group, group->term, link.server, reason, is_stalled});
     }
 }
 
@@ -749,11 +804,14 @@
         }
         if (pending.stage == statement_stage::running) {
             const milliseconds silent = m_step.now - pending.sent_at;
-            for (const milliseconds limit : {read_retry_after, suspicious_silence}) {
+            for (const milliseconds limit : {read_retry_after, suspicious_silence, stalled_commit_after}) {
                 next = silent < limit ? std::min(next, pending.sent_at + limit) : next;
             }
         }
     }
+    for (const auto& [number, opening] : m_step.state.opening) {
+        next = std::min(next, opening.since + opening_limit);
+    }
     for (const auto& [number, link] : m_step.state.links) {
         if (link.stage == link_stage::opening) {
             next = std::min(next, link.opened_at + connect_timeout);
--- a/src/sessions/internal/statement_desk.h
+++ b/src/sessions/internal/statement_desk.h
@@ -16,6 +16,8 @@
     statement_desk(session_step& step, link_keeper& links);
 
     void open(session_number number, const std::string& database);
+    /// Opens, or refuses, the sessions that waited for a configuration.
+    void open_waiting();
     void ask(session_number number, asked_statement asked);
     void refuse_malformed(session_number number);
     void close(session_number number);
@@ -26,6 +28,8 @@
     void finish_own(link_number link, const answer& whole);
     /// The connection ended, or was refused.
     void lose(link_number link, const std::string& reason);
+    /// The server refused the connection, and so it runs.
+    void refuse_link(link_number link, answer_code code);
 
     /// Serves as many waiting statements of the group as there are connections for.
     void dispatch(const group_name& group);
@@ -67,7 +71,8 @@
     void leave_queue(session_number number, const group_name& group);
     void check_session(session_number number, caller_session& session);
     void give_up_unanswered(session_number number, caller_session& session);
-    void suspect(const server_link& link, const std::string& reason);
+    void suspect(const server_link& link, const std::string& reason, bool is_stalled = false);
+    [[nodiscard]] bool is_cut_off(const pending_statement& pending) const;
 
     [[nodiscard]] statement_scope scope_of(const caller_session& session) const;
     [[nodiscard]] bool is_new_work_refused(const backend_server_name& server) const;
--- a/src/sessions/tests/session_tests.cpp
+++ b/src/sessions/tests/session_tests.cpp
@@ -390,4 +390,78 @@
     EXPECT_EQ(answers[1].whole.code, answer_code::done);
 }
 
+TEST_F(session_fixture, session_asked_for_before_the_first_configuration_opens_with_it)
+{
+    m_state = session_state{};
+    const session_number session = open("ledger");
+    EXPECT_TRUE(take<refuse_session>().empty());
+    pass(milliseconds{700});
+    publish();
+    const auto accepted = take<accept_session>();
+    ASSERT_EQ(accepted.size(), 1U);
+    EXPECT_EQ(accepted[0].session, session);
+}
+
+TEST_F(session_fixture, session_asked_for_without_any_configuration_is_refused_in_time)
+{
+    m_state = session_state{};
+    open("ledger");
+    pass(opening_limit);
+    ASSERT_EQ(take<refuse_session>().size(), 1U);
+}
+
+TEST_F(session_fixture, server_that_refuses_a_connection_is_not_suspected)
+{
+    const session_number session = open("ledger");
+    ask(session, plain(statement_kind::write, "WRITE 1 a"));
+    const auto asked = take<open_link>();
+    ASSERT_EQ(asked.size(), 1U);
+    feed(link_refused{asked[0].link, answer_code::too_many});
+    EXPECT_TRUE(take<suspect_primary>().empty());
+    pass(reconnect_pause);
+    EXPECT_EQ(take<open_link>().size(), 1U);
+}
+
+TEST_F(session_fixture, work_for_a_primary_that_only_this_host_can_not_reach_is_refused_at_once)
+{
+    const session_number session = open("ledger");
+    ask(session, plain(statement_kind::write, "WRITE 1 a"));
+    for (milliseconds passed{0}; passed < isolation_delay; passed += milliseconds{100}) {
+        for (const open_link& asked : take<open_link>()) {
+            feed(link_lost{asked.link, "unreachable"});
+        }
+        pass(milliseconds{100});
+    }
+    take<answer_session>();
+    ask(session, plain(statement_kind::write, "WRITE 2 b"));
+    pass(milliseconds{1});
+    EXPECT_EQ(next_answer().code, answer_code::busy);
+}
+
+TEST_F(session_fixture, work_for_the_primary_is_refused_at_once_long_after_the_lease_was_lost)
+{
+    m_view.lease_until = m_now;
+    publish();
+    pass(isolation_delay);
+    const session_number session = open("ledger");
+    ask(session, plain(statement_kind::write, "WRITE 1 a"));
+    pass(milliseconds{1});
+    EXPECT_EQ(next_answer().code, answer_code::busy);
+}
+
+TEST_F(session_fixture, commit_that_waits_longer_than_a_queue_can_take_is_reported_as_stalled)
+{
+    const session_number writer = open("ledger");
+    ask(writer, plain(statement_kind::write, "WRITE 1 a"));
+    run_through();
+    pass(stalled_commit_after - milliseconds{1});
+    for (const suspect_primary& early : take<suspect_primary>()) {
+        EXPECT_FALSE(early.is_stalled);
+    }
+    pass(milliseconds{1});
+    const auto suspected = take<suspect_primary>();
+    ASSERT_FALSE(suspected.empty());
+    EXPECT_TRUE(suspected.back().is_stalled);
+}
+
 } // namespace hickorymount::sessions
--- a/src/sessions/traffic_view.h
+++ b/src/sessions/traffic_view.h
@@ -21,6 +21,8 @@
     bool is_open = false;
     /// New work waits for a planned change of the primary.
     bool is_held = false;
+    /// No commit of this term, or of one before it, is acknowledged any more.
+    session::group_term closed_term = 0;
 
     friend bool operator==(const group_in_view&, const group_in_view&) = default;
 };
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -45,6 +45,13 @@
 inline constexpr milliseconds report_interval{400};
 /// A primary that is leaving gets no new work after this; its successor has taken over by then.
 inline constexpr milliseconds leaving_primary_limit{5500};
+/// Callers wait this long for their session to open.
+inline constexpr milliseconds opening_limit{1800};
+/// A primary that only this host can't reach, or a lease that only it has lost, is known as such after this;
+/// until then a change of primary, or of the control leader, may be under way.
+inline constexpr milliseconds isolation_delay{1500};
+/// A commit unanswered for this long waits for the replicas; the longest queue at a primary takes a third of it.
+inline constexpr milliseconds stalled_commit_after{600};
 inline constexpr std::size_t max_pipelined_statements = 64;
 inline constexpr std::size_t max_prepared_statements = 256;
 inline constexpr std::size_t max_values = 256;
@@ -172,6 +179,14 @@
     friend bool operator==(const position_sample&, const position_sample&) = default;
 };
 
+struct opening_session
+{
+    std::string database;
+    time_point since{};
+
+    friend bool operator==(const opening_session&, const opening_session&) = default;
+};
+
 /// What the traffic thread knows of one backend server beyond the view.
 struct server_load
 {
@@ -184,6 +199,8 @@
     time_point avoid_until{};
     time_point connect_after{};
     std::optional<time_point> leaving_since;
+    /// No connection could be opened since then.
+    std::optional<time_point> unreachable_since;
 
     friend bool operator==(const server_load&, const server_load&) = default;
 };
@@ -211,6 +228,8 @@
     shared_value<traffic_view> view;
     std::map<std::string, configuration::database_route> routes;
     std::map<session_number, caller_session> sessions;
+    /// Sessions that wait for the first configuration, and since when.
+    std::map<session_number, opening_session> opening;
     /// Those that wait for an answer.
     std::set<session_number> active;
     std::map<link_number, server_link> links;
@@ -394,6 +413,8 @@
     group_term term = 0;
     backend_server_name server;
     std::string reason;
+    /// It answers, but its commits wait.
+    bool is_stalled = false;
 
     friend bool operator==(const suspect_primary&, const suspect_primary&) = default;
 };
@@ -404,6 +425,8 @@
     std::map<backend_server_name, link_use> uses;
     std::map<group_name, group_position> commits;
     std::map<group_name, hold_progress> holds;
+    /// The closed terms that this thread has seen; `commits` is final up to them.
+    std::map<group_name, group_term> closed;
 
     friend bool operator==(const tell_control&, const tell_control&) = default;
 };
--- a/src/supervision/internal/lease_keeper.cpp
+++ b/src/supervision/internal/lease_keeper.cpp
@@ -225,7 +225,6 @@
 std::uint32_t lease_keeper::share_for(const protocol::lease_request& request,
                                       const backend_server_name& server, std::uint32_t limit) const
 {
-    const std::uint32_t held = value_or_zero(request.held_connections, server);
     std::uint32_t held_by_others = 0;
     std::uint32_t wanted_by_all = 0;
     std::uint32_t live = 0;
--- a/src/supervision/internal/primary_changer.cpp
+++ b/src/supervision/internal/primary_changer.cpp
@@ -38,16 +38,37 @@
     }
 }
 
-void primary_changer::handle(const host_name& /*from*/, const protocol::suspicion& suspected)
+void primary_changer::handle(const host_name& from, const protocol::suspicion& suspected)
 {
     const group_record* record = m_step.directory().groups.find(suspected.group);
     const bool fits = record != nullptr && record->phase == group_phase::open &&
                       record->term == suspected.term && record->primary == suspected.server;
-    if (fits) {
+    if (fits && suspected.is_stalled) {
+        note_stall(from, suspected.group, *record);
+    } else if (fits) {
         start_confirming(suspected.group, *record, suspected.reason);
     }
 }
 
+/// A primary that is cut off from its replicas answers everything but commits: probes do not show it.
+void primary_changer::note_stall(const host_name& from, const group_name& group, const group_record& record)
+{
+    auto& stalls = m_step.state.stalls[group];
+    stalls[from] = m_step.now();
+    std::erase_if(stalls, [&](const auto& each) { return m_step.now() - each.second > stall_memory; });
+    const std::size_t live = m_leases.live_hosts().size();
+    if (stalls.size() * 2 <= live || m_step.state.changes.contains(group) || is_paused(group)) {
+        return;
+    }
+    pause(group, stall_pause);
+    group_change change;
+    change.term = record.term;
+    change.reason = "commits wait for the replicas";
+    change.times.suspected = change.times.confirmed = m_step.now();
+    stalls.clear();
+    start_closing(group, std::move(change));
+}
+
 void primary_changer::handle(const host_name& from, const protocol::probe_report& probed)
 {
     if (probed.status && probed.status->name == probed.server) {
@@ -573,7 +594,10 @@
     std::vector<server_report> answered;
     for (const server_report& candidate : asked) {
         const auto found = change.positions.find(candidate.name);
-        if (found != change.positions.end() && !found->second.leaving) {
+        const bool has_position =
+            found != change.positions.end() &&
+            (found->second.speaks == protocol::server_interface::requests || found->second.at.term > 0);
+        if (has_position && !found->second.leaving) {
             answered.push_back(found->second);
         }
     }
--- a/src/supervision/internal/primary_changer.h
+++ b/src/supervision/internal/primary_changer.h
@@ -45,6 +45,7 @@
                      const directory::group_record& record);
 
     void check_group(const group_name& group, const directory::group_record& record);
+    void note_stall(const host_name& from, const group_name& group, const directory::group_record& record);
     void start_confirming(const group_name& group, const directory::group_record& record,
                           const std::string& reason);
     void count_confirmation(const host_name& from, const group_name& group, group_change change,
--- a/src/supervision/types.h
+++ b/src/supervision/types.h
@@ -60,6 +60,10 @@
 /// The same for servers that speak in sessions; transactions that are still open then are ended.
 inline constexpr milliseconds hold_timeout_sessions{1000};
 inline constexpr milliseconds planned_retry_pause{5000};
+/// Reports of waiting commits count for this long.
+inline constexpr milliseconds stall_memory{1500};
+/// After a change for waiting commits; a new primary whose replicas do not receive either is left alone.
+inline constexpr milliseconds stall_pause{10'000};
 /// A dead entry host is forgotten this long after its lease ran out.
 inline constexpr milliseconds dismiss_after{3000};
 inline constexpr milliseconds in_force_timeout{5000};
@@ -218,6 +222,8 @@
     std::set<entry_key> dismissing;
     std::vector<pending_grant> grants;
     shared_map<group_name, group_change> changes;
+    /// When each entry host last said that commits of the group's primary wait.
+    std::map<group_name, std::map<host_name, time_point>> stalls;
     /// No change of the group starts before then.
     shared_map<group_name, time_point> paused;
     /// Reports that entry hosts have not been sent yet.
