--- a/src/app/controld/main.cpp
+++ b/src/app/controld/main.cpp
@@ -31,8 +31,9 @@
     }
     const runtime::stop_signal signal;
     // After a failed write nothing this process believes to be on disk can be trusted.
-    BOOST_LEAF_AUTO(service, gateway::start_control(own, [] { _exit(EXIT_FAILURE); }, platform::make_control_pages(),
-                                                         platform::make_promotion_caller(own)));
+    BOOST_LEAF_AUTO(service, gateway::start_control(
+                                 own, [] { _exit(EXIT_FAILURE); }, platform::make_control_pages(),
+                                 platform::make_promotion_caller(own)));
     app::wait_for_stop(signal, file, text, settings::parse_control_settings,
                        [&](const settings::control_settings& changed) { service->reload(changed); });
     service->stop();
--- a/src/configuration/descriptions.h
+++ b/src/configuration/descriptions.h
@@ -83,10 +83,14 @@
     using type = configuration::configuration;
     static constexpr std::string_view name = "configuration";
     static constexpr auto members = std::tuple{
-        member{"deployment", &type::deployment}, member{"tenant", &type::tenant},
-        member{"zones", &type::zones},           member{"entry_hosts", &type::entry_hosts},
-        member{"groups", &type::groups},         member{"classes", &type::classes},
-        member{"databases", &type::databases},   member{"transaction_idle_timeout", &type::transaction_idle_timeout},
+        member{"deployment", &type::deployment},
+        member{"tenant", &type::tenant},
+        member{"zones", &type::zones},
+        member{"entry_hosts", &type::entry_hosts},
+        member{"groups", &type::groups},
+        member{"classes", &type::classes},
+        member{"databases", &type::databases},
+        member{"transaction_idle_timeout", &type::transaction_idle_timeout},
         member{"source", &type::source},
     };
 };
--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -328,8 +328,8 @@
     friend bool operator==(const contacts_named&, const contacts_named&) = default;
 };
 
-using event_kind = std::variant<started, formed, received, proposed, synced, timer_passed, compaction_due,
-                                contacts_named>;
+using event_kind =
+    std::variant<started, formed, received, proposed, synced, timer_passed, compaction_due, contacts_named>;
 
 struct event
 {
--- a/src/directory/descriptions.h
+++ b/src/directory/descriptions.h
@@ -134,9 +134,9 @@
 {
     using type = directory::server_record;
     static constexpr std::string_view name = "server_record";
-    static constexpr auto members =
-        std::tuple{member{"group", &type::group}, member{"zone", &type::zone}, member{"address", &type::address},
-                   member{"started_at", &type::started_at}, member{"report_interval", &type::report_interval}};
+    static constexpr auto members = std::tuple{
+        member{"group", &type::group}, member{"zone", &type::zone}, member{"address", &type::address},
+        member{"started_at", &type::started_at}, member{"report_interval", &type::report_interval}};
 };
 
 template <>
--- a/src/directory/internal/reduce.cpp
+++ b/src/directory/internal/reduce.cpp
@@ -41,8 +41,8 @@
 directory_transition apply(directory_state state, const replace_configuration& replacement)
 {
     if (replacement.version > state.configuration->version && !replacement.is_repeated) {
-        state.configuration = shared_value(
-            configuration::versioned_configuration{replacement.version, replacement.content});
+        state.configuration =
+            shared_value(configuration::versioned_configuration{replacement.version, replacement.content});
     }
     const change_answer answer{change_outcome::accepted, state.configuration->version};
     return {std::move(state), answer};
--- a/src/directory/types.h
+++ b/src/directory/types.h
@@ -258,10 +258,9 @@
 };
 
 /// Everything that can be agreed on.
-using command =
-    std::variant<change_configuration, admit_entry_host, dismiss_entry_host, open_term, close_term,
-                 name_candidate, claim_request, record_outcome, withdraw_claim, expire_claims,
-                 replace_configuration, register_server, unregister_server>;
+using command = std::variant<change_configuration, admit_entry_host, dismiss_entry_host, open_term,
+                             close_term, name_candidate, claim_request, record_outcome, withdraw_claim,
+                             expire_claims, replace_configuration, register_server, unregister_server>;
 
 /// The agreed state. Every control host that has applied the same commands holds an equal value.
 struct directory_state
--- a/src/framework/link/internal/websocket_transport.cpp
+++ b/src/framework/link/internal/websocket_transport.cpp
@@ -6,11 +6,10 @@
 #include <thread>
 #include <utility>
 
-#include <netinet/tcp.h>
-
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <netinet/tcp.h>
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
 #include <websocketpp/config/asio_no_tls_client.hpp>
--- a/src/framework/logging/internal/log_writer.cpp
+++ b/src/framework/logging/internal/log_writer.cpp
@@ -5,11 +5,10 @@
 #include <cstdio>
 #include <utility>
 
-#include <poll.h>
-#include <unistd.h>
-
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <poll.h>
+#include <unistd.h>
 
 namespace hickorymount::logging {
 
@@ -53,7 +52,8 @@
 } // namespace
 
 log_writer::log_writer(std::string host, log_level least)
-    : m_host(std::move(host)), m_least(least), m_allowance(lines_at_once), m_refilled_at(millisecond_clock::now())
+    : m_host(std::move(host)), m_least(least), m_allowance(lines_at_once),
+      m_refilled_at(millisecond_clock::now())
 {
 }
 
--- a/src/framework/logging/log_writer.h
+++ b/src/framework/logging/log_writer.h
@@ -9,8 +9,8 @@
 
 namespace hickorymount::logging {
 
-/// Writes one key=value line a record to standard output. Safe to call from any thread. Never blocks: beyond a
-/// budget, or when the reader does not keep up, lines are left out, and the next one tells how many.
+/// Writes one key=value line a record to standard output. Safe to call from any thread. Never blocks: beyond
+/// a budget, or when the reader does not keep up, lines are left out, and the next one tells how many.
 class log_writer
 {
 public:
--- a/src/gateway/control_service.h
+++ b/src/gateway/control_service.h
@@ -28,9 +28,9 @@
 
 /// `on_disk_failure` is called once when a write or a sync fails; the process has to stop then.
 /// `pages` and `promotions` may be null.
-result<std::unique_ptr<control_service>> start_control(const settings::control_settings& own,
-                                                       std::function<void()> on_disk_failure,
-                                                       std::unique_ptr<control_pages> pages = nullptr,
-                                                       std::unique_ptr<promotion_caller> promotions = nullptr);
+result<std::unique_ptr<control_service>>
+start_control(const settings::control_settings& own, std::function<void()> on_disk_failure,
+              std::unique_ptr<control_pages> pages = nullptr,
+              std::unique_ptr<promotion_caller> promotions = nullptr);
 
 } // namespace hickorymount::gateway
--- a/src/gateway/internal/entry_service.cpp
+++ b/src/gateway/internal/entry_service.cpp
@@ -86,8 +86,9 @@
         if (wire != nullptr && m_own.sessions) {
             m_sessions = std::make_unique<detail::session_front>(
                 std::move(wire), m_own.zone,
-                detail::session_front::handlers{[this](routing::entry_event_kind what) { post(std::move(what)); },
-                                                [this] { note_sessions_stopped(); }},
+                detail::session_front::handlers{
+                    [this](routing::entry_event_kind what) { post(std::move(what)); },
+                    [this] { note_sessions_stopped(); }},
                 m_log, m_metrics);
         }
     }
@@ -185,7 +186,8 @@
         post(routing::drain_asked{});
         std::unique_lock lock(m_drained_mutex);
         m_drained_changed.wait_for(lock, lease_return_time, [this] { return m_is_drained; });
-        m_log.write({logging::log_level::information, "drained", "", fmt::format("complete={}", m_is_drained)});
+        m_log.write(
+            {logging::log_level::information, "drained", "", fmt::format("complete={}", m_is_drained)});
     }
 
     void note_sessions_stopped()
--- a/src/gateway/internal/line_connection.cpp
+++ b/src/gateway/internal/line_connection.cpp
@@ -3,9 +3,8 @@
 #include <array>
 #include <utility>
 
-#include <netinet/tcp.h>
-
 #include <boost/asio/buffer.hpp>
+#include <netinet/tcp.h>
 
 namespace hickorymount::gateway::detail {
 
@@ -27,18 +26,19 @@
 void line_connection::connect(const tcp::endpoint& to, std::function<void()> on_connected)
 {
     auto self = shared_from_this();
-    m_socket.async_connect(to, [self, on_connected = std::move(on_connected)](const boost::system::error_code& problem) {
-        if (self->m_is_closed) {
-            return;
-        }
-        if (problem) {
-            self->end("connect: " + problem.message());
-            return;
-        }
-        self->prepare();
-        on_connected();
-        self->wait_for_bytes();
-    });
+    m_socket.async_connect(
+        to, [self, on_connected = std::move(on_connected)](const boost::system::error_code& problem) {
+            if (self->m_is_closed) {
+                return;
+            }
+            if (problem) {
+                self->end("connect: " + problem.message());
+                return;
+            }
+            self->prepare();
+            on_connected();
+            self->wait_for_bytes();
+        });
 }
 
 void line_connection::start()
@@ -153,9 +153,8 @@
         }
         if (problem) {
             // The caller may be in the middle of a decision; it learns of the end afterwards.
-            asio::post(m_socket.get_executor(), [self = shared_from_this(), problem] {
-                self->end("write: " + problem.message());
-            });
+            asio::post(m_socket.get_executor(),
+                       [self = shared_from_this(), problem] { self->end("write: " + problem.message()); });
             return;
         }
     }
--- a/src/gateway/internal/session_front.cpp
+++ b/src/gateway/internal/session_front.cpp
@@ -110,7 +110,8 @@
 
 void session_front::publish(sessions::traffic_view view)
 {
-    asio::post(m_context, [this, view = shared_value(std::move(view))] { step(sessions::view_published{view}); });
+    asio::post(m_context,
+               [this, view = shared_value(std::move(view))] { step(sessions::view_published{view}); });
 }
 
 void session_front::drain(milliseconds time)
@@ -121,8 +122,10 @@
 void session_front::probe(routing::probe_server order)
 {
     asio::post(m_context, [this, order = std::move(order)] {
-        ask_server(order, order.order.pause_below == 0 ? sessions::statement_kind::status
-                                                       : sessions::statement_kind::pause, 1);
+        ask_server(order,
+                   order.order.pause_below == 0 ? sessions::statement_kind::status
+                                                : sessions::statement_kind::pause,
+                   1);
     });
 }
 
@@ -157,8 +160,8 @@
         report.group = order.order.group;
         report.address = order.order.address;
         report.speaks = protocol::server_interface::sessions;
-        report.role = !status || status->is_primary ? protocol::server_role::primary
-                                                    : protocol::server_role::replica;
+        report.role =
+            !status || status->is_primary ? protocol::server_role::primary : protocol::server_role::replica;
         report.at = status ? status->received : session::group_position{};
         report_probe(order, std::move(report));
         return;
@@ -184,7 +187,8 @@
     }
 }
 
-void session_front::report_probe(const routing::probe_server& order, std::optional<protocol::server_report> status)
+void session_front::report_probe(const routing::probe_server& order,
+                                 std::optional<protocol::server_report> status)
 {
     m_handlers.on_news(
         routing::probe_finished{order.asked_by, {order.order.probe, order.order.server, std::move(status)}});
@@ -197,16 +201,16 @@
         sessions::statement what;
         what.kind = asked.demotes ? sessions::statement_kind::demote : sessions::statement_kind::resume;
         what.term = asked.term;
-        const auto call = std::make_shared<server_call>(
-            m_context, *m_wire, [this, order](const server_call_result& got) {
+        const auto call =
+            std::make_shared<server_call>(m_context, *m_wire, [this, order](const server_call_result& got) {
                 const bool is_done = got.whole && got.whole->code == sessions::answer_code::done;
                 m_log.write({logging::log_level::information, "tell_server", order.order.server.value,
                              fmt::format("group={} term={} demotes={} done={}", order.order.group.value,
                                          order.order.term, order.order.demotes, is_done)});
-                m_handlers.on_news(routing::takeover_finished{
-                    order.asked_by,
-                    {order.order.order, order.order.group, order.order.server, order.order.kind,
-                     order.order.term, is_done, 0}});
+                m_handlers.on_news(
+                    routing::takeover_finished{order.asked_by,
+                                               {order.order.order, order.order.group, order.order.server,
+                                                order.order.kind, order.order.term, is_done, 0}});
             });
         call->start(asked.address, asked.group.value, asked.server.value, what, order_timeout);
     });
@@ -244,11 +248,13 @@
 {
     caller& known = m_callers.at(number);
     const sessions::caller_line decoded = m_wire->decode_caller(line);
-    if (const auto* opening = std::get_if<sessions::open_request>(&decoded); opening != nullptr && !known.is_open) {
+    if (const auto* opening = std::get_if<sessions::open_request>(&decoded);
+        opening != nullptr && !known.is_open) {
         step(sessions::session_opened{number, opening->database});
         return;
     }
-    if (const auto* asked = std::get_if<sessions::statement_request>(&decoded); asked != nullptr && known.is_open) {
+    if (const auto* asked = std::get_if<sessions::statement_request>(&decoded);
+        asked != nullptr && known.is_open) {
         step(sessions::statement_asked{number, asked->id, asked->what});
         return;
     }
@@ -258,7 +264,8 @@
     }
     // It leaves, or does not speak as it should before its session is open.
     if (!known.is_open && !std::holds_alternative<sessions::leave_request>(decoded)) {
-        known.connection->send(m_wire->encode_refusal({sessions::answer_code::malformed, "a session is opened first"}));
+        known.connection->send(
+            m_wire->encode_refusal({sessions::answer_code::malformed, "a session is opened first"}));
     }
     known.connection->close_after_sending();
     m_callers.erase(number);
@@ -401,7 +408,8 @@
 {
     const auto found = m_links.find(effect.link);
     if (found != m_links.end()) {
-        found->second.connection->send(m_wire->encode_statement(effect.id, effect.what, effect.least_position));
+        found->second.connection->send(
+            m_wire->encode_statement(effect.id, effect.what, effect.least_position));
     }
 }
 
@@ -416,9 +424,8 @@
 
 void session_front::carry_out(sessions::suspect_primary&& effect)
 {
-    m_handlers.on_news(
-        routing::primary_suspected{effect.group, effect.term, effect.server, std::move(effect.reason),
-                                   effect.is_stalled});
+    m_handlers.on_news(routing::primary_suspected{effect.group, effect.term, effect.server,
+                                                  std::move(effect.reason), effect.is_stalled});
 }
 
 void session_front::carry_out(sessions::tell_control&& effect)
@@ -438,7 +445,8 @@
 void session_front::carry_out(sessions::statement_finished&& effect)
 {
     const std::string labels = fmt::format("database=\"{}\"", effect.database);
-    m_metrics.observe_ms("hickorymount_statement_duration_ms", labels, static_cast<double>(effect.took.count()));
+    m_metrics.observe_ms("hickorymount_statement_duration_ms", labels,
+                         static_cast<double>(effect.took.count()));
     m_metrics.count("hickorymount_statements_total",
                     fmt::format("{},code=\"{}\",reads=\"{}\",replica=\"{}\"", labels, name_of(effect.code),
                                 effect.only_reads, effect.ran_on_replica));
--- a/src/gateway/tests/probe_outcome_tests.cpp
+++ b/src/gateway/tests/probe_outcome_tests.cpp
@@ -28,7 +28,8 @@
 TEST_P(probe_outcome_fixture, answer_without_a_position_is_never_reported_as_one)
 {
     const probe_case& row = GetParam();
-    EXPECT_EQ(judge_probe(row.asks_for_position, row.asked, row.code, row.has_status, row.attempts), row.expected);
+    EXPECT_EQ(judge_probe(row.asks_for_position, row.asked, row.code, row.has_status, row.attempts),
+              row.expected);
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/src/node/internal/control_reducer.cpp
+++ b/src/node/internal/control_reducer.cpp
@@ -268,8 +268,8 @@
     const bool is_heavy = m_state.applied_bytes >= consensus::snapshot_bytes;
     if (is_due || is_heavy) {
         m_state.applied_bytes = 0;
-        run_consensus(consensus::compaction_due{m_state.directory,
-                                                is_heavy ? 0 : consensus::kept_behind_snapshot});
+        run_consensus(
+            consensus::compaction_due{m_state.directory, is_heavy ? 0 : consensus::kept_behind_snapshot});
     }
 }
 
--- a/src/node/types.h
+++ b/src/node/types.h
@@ -65,9 +65,9 @@
 
 using control_event_kind =
     std::variant<control_started, peer_message, consensus::formed, consensus::contacts_named,
-                 consensus::synced, control_time_passed,
-                 supervision::configuration_asked, supervision::replacement_asked, supervision::switch_asked,
-                 supervision::status_asked, supervision::configuration_shown, supervision::server_announced,
+                 consensus::synced, control_time_passed, supervision::configuration_asked,
+                 supervision::replacement_asked, supervision::switch_asked, supervision::status_asked,
+                 supervision::configuration_shown, supervision::server_announced,
                  supervision::promotion_answered>;
 
 using node_event_kind = std::variant<control_event_kind, routing::entry_event_kind>;
--- a/src/protocol/descriptions.h
+++ b/src/protocol/descriptions.h
@@ -125,7 +125,8 @@
 {
     using type = protocol::server_reports;
     static constexpr std::string_view name = "server_reports";
-    static constexpr auto members = std::tuple{member{"reports", &type::reports}, member{"is_whole_list", &type::is_whole_list}};
+    static constexpr auto members =
+        std::tuple{member{"reports", &type::reports}, member{"is_whole_list", &type::is_whole_list}};
 };
 
 template <>
@@ -133,10 +134,9 @@
 {
     using type = protocol::suspicion;
     static constexpr std::string_view name = "suspicion";
-    static constexpr auto members =
-        std::tuple{member{"group", &type::group}, member{"term", &type::term},
-                   member{"server", &type::server}, member{"reason", &type::reason},
-                   member{"is_stalled", &type::is_stalled}};
+    static constexpr auto members = std::tuple{
+        member{"group", &type::group}, member{"term", &type::term}, member{"server", &type::server},
+        member{"reason", &type::reason}, member{"is_stalled", &type::is_stalled}};
 };
 
 template <>
@@ -145,9 +145,9 @@
     using type = protocol::probe_order;
     static constexpr std::string_view name = "probe_order";
     static constexpr auto members =
-        std::tuple{member{"probe", &type::probe},   member{"server", &type::server},
+        std::tuple{member{"probe", &type::probe},     member{"server", &type::server},
                    member{"address", &type::address}, member{"group", &type::group},
-                   member{"speaks", &type::speaks}, member{"pause_below", &type::pause_below}};
+                   member{"speaks", &type::speaks},   member{"pause_below", &type::pause_below}};
 };
 
 template <>
@@ -173,9 +173,9 @@
 {
     using type = protocol::close_confirmation;
     static constexpr std::string_view name = "close_confirmation";
-    static constexpr auto members = std::tuple{member{"entry", &type::entry}, member{"group", &type::group},
-                                               member{"term", &type::term}, member{"drain", &type::drain},
-                                               member{"acknowledged", &type::acknowledged}};
+    static constexpr auto members =
+        std::tuple{member{"entry", &type::entry}, member{"group", &type::group}, member{"term", &type::term},
+                   member{"drain", &type::drain}, member{"acknowledged", &type::acknowledged}};
 };
 
 template <>
--- a/src/protocol/types.h
+++ b/src/protocol/types.h
@@ -293,9 +293,8 @@
 using message =
     std::variant<consensus::vote_request, consensus::vote_answer, consensus::append_request,
                  consensus::append_answer, consensus::install_request, consensus::join_request,
-                 consensus::member_hint, lease_request,
-                 lease_return, lease_grant, not_leader, view_update, server_reports, suspicion, probe_order,
-                 probe_report, close_order, close_confirmation, resume_order, takeover_order, takeover_report,
-                 claim_call, claim_reply>;
+                 consensus::member_hint, lease_request, lease_return, lease_grant, not_leader, view_update,
+                 server_reports, suspicion, probe_order, probe_report, close_order, close_confirmation,
+                 resume_order, takeover_order, takeover_report, claim_call, claim_reply>;
 
 } // namespace hickorymount::protocol
--- a/src/routing/descriptions.h
+++ b/src/routing/descriptions.h
@@ -272,8 +272,9 @@
 {
     using type = routing::sessions_told;
     static constexpr std::string_view name = "sessions_told";
-    static constexpr auto members = std::tuple{member{"uses", &type::uses}, member{"commits", &type::commits},
-                                               member{"holds", &type::holds}, member{"closed", &type::closed}};
+    static constexpr auto members =
+        std::tuple{member{"uses", &type::uses}, member{"commits", &type::commits},
+                   member{"holds", &type::holds}, member{"closed", &type::closed}};
 };
 
 template <>
@@ -289,10 +290,9 @@
 {
     using type = routing::primary_suspected;
     static constexpr std::string_view name = "primary_suspected";
-    static constexpr auto members =
-        std::tuple{member{"group", &type::group}, member{"term", &type::term},
-                   member{"server", &type::server}, member{"reason", &type::reason},
-                   member{"is_stalled", &type::is_stalled}};
+    static constexpr auto members = std::tuple{
+        member{"group", &type::group}, member{"term", &type::term}, member{"server", &type::server},
+        member{"reason", &type::reason}, member{"is_stalled", &type::is_stalled}};
 };
 
 template <>
--- a/src/routing/internal/reduce.cpp
+++ b/src/routing/internal/reduce.cpp
@@ -160,7 +160,8 @@
             return;
         }
         group_state group = *known;
-        time_point& sent = suspected.is_stalled ? m_step.state.stalls_sent[suspected.group] : group.suspicion_sent;
+        time_point& sent =
+            suspected.is_stalled ? m_step.state.stalls_sent[suspected.group] : group.suspicion_sent;
         if (m_step.now - sent < suspicion_interval) {
             return;
         }
@@ -168,9 +169,8 @@
         m_step.set_group(suspected.group, std::move(group));
         m_step.log(logging::log_level::warning, "suspect_primary", suspected.server.value,
                    "group=" + suspected.group.value + " reason=\"" + suspected.reason + "\"");
-        m_step.send_to_leader(
-            protocol::suspicion{suspected.group, suspected.term, suspected.server, suspected.reason,
-                                suspected.is_stalled});
+        m_step.send_to_leader(protocol::suspicion{suspected.group, suspected.term, suspected.server,
+                                                  suspected.reason, suspected.is_stalled});
     }
 
     void apply(const drain_asked& /*asked*/) { m_step.state.is_draining = true; }
--- a/src/routing/internal/request_desk.cpp
+++ b/src/routing/internal/request_desk.cpp
@@ -10,8 +10,8 @@
 
 namespace hickorymount::routing::detail {
 
-/// A server that does not hold the term in which it was asked: a change of primary is on its way, and what is in
-/// flight when it comes has an unknown outcome.
+/// A server that does not hold the term in which it was asked: a change of primary is on its way, and what is
+/// in flight when it comes has an unknown outcome.
 static constexpr milliseconds other_term_pause{250};
 
 namespace {
--- a/src/routing/tests/session_groups_tests.cpp
+++ b/src/routing/tests/session_groups_tests.cpp
@@ -15,7 +15,8 @@
 protected:
     session_groups_fixture()
     {
-        feed(entry_started{{host_name{"entry-1"}, incarnation_id{"i"}}, availability_zone{"casa-a"},
+        feed(entry_started{{host_name{"entry-1"}, incarnation_id{"i"}},
+                           availability_zone{"casa-a"},
                            {host_name{"control-1"}}});
         protocol::server_report report;
         report.name = backend_server_name{"first"};
@@ -33,7 +34,8 @@
 
     void feed(entry_event_kind what)
     {
-        entry_transition next = reduce(std::move(m_state), {m_now, unix_milliseconds{0}, std::move(what)}, m_policy);
+        entry_transition next =
+            reduce(std::move(m_state), {m_now, unix_milliseconds{0}, std::move(what)}, m_policy);
         m_state = std::move(next.state);
         for (entry_effect& effect : next.effects) {
             if (auto* sent = std::get_if<send_to_control>(&effect)) {
--- a/src/sessions/internal/freshness.cpp
+++ b/src/sessions/internal/freshness.cpp
@@ -25,9 +25,8 @@
 
 std::optional<group_position> position_covering(const std::deque<position_sample>& samples, time_point moment)
 {
-    const auto covering =
-        std::find_if(samples.begin(), samples.end(),
-                     [&](const position_sample& each) { return each.sent_at >= moment; });
+    const auto covering = std::find_if(samples.begin(), samples.end(),
+                                       [&](const position_sample& each) { return each.sent_at >= moment; });
     if (covering == samples.end()) {
         return std::nullopt;
     }
--- a/src/sessions/internal/freshness.h
+++ b/src/sessions/internal/freshness.h
@@ -9,6 +9,7 @@
 
 /// The lowest known position that covers every commit acknowledged before `moment`; nothing when no sample
 /// is late enough. A sample covers what was acknowledged before its question was sent.
-std::optional<group_position> position_covering(const std::deque<position_sample>& samples, time_point moment);
+std::optional<group_position> position_covering(const std::deque<position_sample>& samples,
+                                                time_point moment);
 
 } // namespace hickorymount::sessions::detail
--- a/src/sessions/internal/link_keeper.cpp
+++ b/src/sessions/internal/link_keeper.cpp
@@ -59,7 +59,8 @@
 {
     const server_in_view* known = m_step.server(server);
     server_load& load = m_step.state.loads[server];
-    if (known == nullptr || load.opening >= max_opening || load.open >= known->share || m_step.now < load.connect_after) {
+    if (known == nullptr || load.opening >= max_opening || load.open >= known->share ||
+        m_step.now < load.connect_after) {
         return;
     }
     const link_number number = m_step.state.next_link++;
--- a/src/sessions/internal/placement.h
+++ b/src/sessions/internal/placement.h
@@ -24,8 +24,8 @@
     friend bool operator==(const read_server&, const read_server&) = default;
 };
 
-/// The servers, best first. Answers to: reads that crowd one server while its equals idle, and reads that queue
-/// behind the writes that only the primary can run.
+/// The servers, best first. Answers to: reads that crowd one server while its equals idle, and reads that
+/// queue behind the writes that only the primary can run.
 std::vector<read_server> in_order_of_preference(std::vector<read_server> servers);
 
 } // namespace hickorymount::sessions::detail
--- a/src/sessions/internal/reduce.cpp
+++ b/src/sessions/internal/reduce.cpp
@@ -118,7 +118,8 @@
     void take_routes()
     {
         m_step.state.routes.clear();
-        for (const configuration::database_route& route : m_step.state.view->configuration->content.databases) {
+        for (const configuration::database_route& route :
+             m_step.state.view->configuration->content.databases) {
             auto& known = m_step.state.routes[route.database];
             const bool is_better =
                 known.database.empty() || route.path_prefix.size() < known.path_prefix.size();
@@ -204,7 +205,8 @@
         told.closed = closed_terms(*m_step.state.view);
         for (auto& [name, load] : m_step.state.loads) {
             const server_in_view* server = m_step.server(name);
-            const auto waiting = server == nullptr ? m_step.state.queues.end() : m_step.state.queues.find(server->group);
+            const auto waiting =
+                server == nullptr ? m_step.state.queues.end() : m_step.state.queues.find(server->group);
             const std::size_t queued = waiting == m_step.state.queues.end() ? 0 : waiting->second.size();
             told.uses[name] = {load.open, load.peak_in_use + static_cast<std::uint32_t>(queued)};
             load.peak_in_use = load.in_use;
@@ -229,7 +231,8 @@
         time_point wake = std::min(m_desk.next_time(), m_step.state.report_at);
         if (m_step.state.stopping_since && !m_step.state.is_stopped) {
             const time_point since = *m_step.state.stopping_since;
-            for (const milliseconds step : {balancer_delay, m_step.state.stop_time / 2, m_step.state.stop_time - stop_margin}) {
+            for (const milliseconds step :
+                 {balancer_delay, m_step.state.stop_time / 2, m_step.state.stop_time - stop_margin}) {
                 if (m_step.now < since + step) {
                     wake = std::min(wake, since + step);
                 }
--- a/src/sessions/internal/statement_desk.cpp
+++ b/src/sessions/internal/statement_desk.cpp
@@ -84,7 +84,8 @@
         return;
     }
     if (session->waiting.size() >= max_pipelined_statements) {
-        m_step.log(logging::log_level::warning, "close_session", "", "reason=\"too many statements sent ahead\"");
+        m_step.log(logging::log_level::warning, "close_session", "",
+                   "reason=\"too many statements sent ahead\"");
         close(number);
         m_step.emit(close_session{number});
         return;
@@ -119,14 +120,16 @@
             return true;
         }
         end_transaction(session);
-        reply_code(number, session, ends && what.kind == statement_kind::commit ? answer_code::aborted : answer_code::done,
+        reply_code(number, session,
+                   ends && what.kind == statement_kind::commit ? answer_code::aborted : answer_code::done,
                    what.kind == statement_kind::commit ? "the transaction has failed" : "");
         return true;
     }
     if (is_local_kind(what.kind)) {
         if (what.kind == statement_kind::set_value && session.values.size() < max_values) {
             session.values[what.name] = what.argument;
-        } else if (what.kind == statement_kind::prepare && session.prepared.size() < max_prepared_statements) {
+        } else if (what.kind == statement_kind::prepare &&
+                   session.prepared.size() < max_prepared_statements) {
             session.prepared[what.name] = {what.only_reads, what.argument};
         } else if (what.kind != statement_kind::deallocate || session.prepared.erase(what.name) == 0) {
             reply_code(number, session, answer_code::unknown_statement, what.name);
@@ -195,9 +198,8 @@
         }
         pending.route = route->second;
         const statement& what = asked.what;
-        pending.only_reads =
-            what.kind == statement_kind::read ||
-            (what.kind == statement_kind::execute && session.prepared.at(what.name).only_reads);
+        pending.only_reads = what.kind == statement_kind::read || (what.kind == statement_kind::execute &&
+                                                                   session.prepared.at(what.name).only_reads);
     }
     pending.needs_primary =
         !pending.only_reads || pending.route.consistency == configuration::read_consistency::primary;
@@ -249,9 +251,8 @@
         go_on(pending.link, number, session);
         return true;
     }
-    const std::optional<link_number> link = pending.needs_primary
-                                                ? link_at_primary(session, pending.route.group)
-                                                : link_for_read(session);
+    const std::optional<link_number> link =
+        pending.needs_primary ? link_at_primary(session, pending.route.group) : link_for_read(session);
     if (!link) {
         return false;
     }
@@ -259,7 +260,8 @@
     return true;
 }
 
-std::optional<link_number> statement_desk::link_at_primary(const caller_session& session, const group_name& group)
+std::optional<link_number> statement_desk::link_at_primary(const caller_session& session,
+                                                           const group_name& group)
 {
     const group_in_view* known = m_step.group(group);
     if (known == nullptr || !m_step.is_primary_usable(*known) || known->is_held ||
@@ -481,7 +483,8 @@
     pending.link = 0;
     pending.stage = statement_stage::queued;
     pending.least_position.reset();
-    pending.retry_at = pending.needs_primary && pending.attempts > 0 ? m_step.now + refusal_pause : m_step.now;
+    pending.retry_at =
+        pending.needs_primary && pending.attempts > 0 ? m_step.now + refusal_pause : m_step.now;
     m_step.log(logging::log_level::information, "retry_statement", "",
                fmt::format("id={} database={} attempts={} waited_ms={} reason=\"{}\"", pending.asked.id,
                            session.database, pending.attempts,
@@ -549,7 +552,8 @@
     if (is_commit && whole.code == answer_code::done) {
         const group_term term = m_step.state.links.at(link).sent_in_term;
         if (!m_step.is_term_usable(group, term)) {
-            m_step.log(logging::log_level::warning, "withhold_commit", m_step.state.links.at(link).server.value,
+            m_step.log(logging::log_level::warning, "withhold_commit",
+                       m_step.state.links.at(link).server.value,
                        fmt::format("id={} group={} term={} reason=\"the term ended before the answer came\"",
                                    pending.asked.id, group.value, term));
             whole = {{}, answer_code::outcome_unknown, "the primary was replaced", whole.state, whole.at};
@@ -563,7 +567,8 @@
         end_transaction(session);
     } else {
         session.transaction->has_run = true;
-        session.transaction->has_written = session.transaction->has_written || !session.transaction->only_reads;
+        session.transaction->has_written =
+            session.transaction->has_written || !session.transaction->only_reads;
         m_step.state.links.at(link).stage = link_stage::reserved;
         if (whole.state != transaction_state::open) {
             fail_transaction(session);
@@ -729,7 +734,8 @@
         return;
     }
     if (pending.stage == statement_stage::queued && is_cut_off(pending)) {
-        reply_code(number, session, answer_code::busy, "this host is cut off from the primary or from control");
+        reply_code(number, session, answer_code::busy,
+                   "this host is cut off from the primary or from control");
         return;
     }
     if (pending.stage != statement_stage::running) {
--- a/src/sessions/internal/statement_desk.h
+++ b/src/sessions/internal/statement_desk.h
@@ -59,14 +59,16 @@
     void refuse_own(link_number number, session_number holder, caller_session& session, const answer& whole);
     void move_or_abort(session_number number, caller_session& session, const std::string& reason);
     void requeue(session_number number, caller_session& session, const std::string& reason);
-    void settle(session_number number, caller_session& session, std::optional<answer> whole, const std::string& reason);
+    void settle(session_number number, caller_session& session, std::optional<answer> whole,
+                const std::string& reason);
     void pass_on(session_number number, caller_session& session, answer whole);
     void end_transaction(caller_session& session);
     void fail_transaction(caller_session& session);
     void note_commit(caller_session& session, const group_name& group, const answer& whole);
 
     void reply(session_number number, caller_session& session, answer whole);
-    void reply_code(session_number number, caller_session& session, answer_code code, const std::string& detail);
+    void reply_code(session_number number, caller_session& session, answer_code code,
+                    const std::string& detail);
     void take_next(session_number number);
     void leave_queue(session_number number, const group_name& group);
     void check_session(session_number number, caller_session& session);
--- a/src/sessions/internal/waiting_line.h
+++ b/src/sessions/internal/waiting_line.h
@@ -16,12 +16,12 @@
     friend bool operator==(const waiting_statement&, const waiting_statement&) = default;
 };
 
-/// Who is served first. Answers to a burst: a transaction that is dropped halfway has wasted the slots it used,
-/// so it goes first; then the class that operators rank highest; then the oldest.
+/// Who is served first. Answers to a burst: a transaction that is dropped halfway has wasted the slots it
+/// used, so it goes first; then the class that operators rank highest; then the oldest.
 bool goes_before(const waiting_statement& left, const waiting_statement& right);
 
-/// True when a statement that still waits can't be answered within its time limit any more; its caller is told
-/// at once.
+/// True when a statement that still waits can't be answered within its time limit any more; its caller is
+/// told at once.
 bool is_too_late(const pending_statement& waiting, time_point now);
 
 } // namespace hickorymount::sessions::detail
--- a/src/sessions/tests/session_fixture.h
+++ b/src/sessions/tests/session_fixture.h
@@ -22,8 +22,12 @@
         m_view.lease_until = m_now + milliseconds{60'000};
         m_view.groups[group_name{"orders"}] = {backend_server_name{"first"}, 3, true, false};
         for (const char* name : {"first", "second", "third"}) {
-            m_view.servers[backend_server_name{name}] = {
-                group_name{"orders"}, {"10.0.0.1", 9000}, availability_zone{name}, unix_milliseconds{1}, false, 3};
+            m_view.servers[backend_server_name{name}] = {group_name{"orders"},
+                                                         {"10.0.0.1", 9000},
+                                                         availability_zone{name},
+                                                         unix_milliseconds{1},
+                                                         false,
+                                                         3};
         }
         configuration::versioned_configuration configuration;
         configuration.version = 1;
--- a/src/sessions/tests/session_tests.cpp
+++ b/src/sessions/tests/session_tests.cpp
@@ -314,7 +314,8 @@
     }
 }
 
-TEST_F(session_fixture, caller_that_leaves_in_a_transaction_has_it_rolled_back_before_the_connection_is_used_again)
+TEST_F(session_fixture,
+       caller_that_leaves_in_a_transaction_has_it_rolled_back_before_the_connection_is_used_again)
 {
     const session_number session = open("ledger");
     ask(session, plain(statement_kind::begin, "BEGIN"));
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -50,7 +50,8 @@
 /// A primary that only this host can't reach, or a lease that only it has lost, is known as such after this;
 /// until then a change of primary, or of the control leader, may be under way.
 inline constexpr milliseconds isolation_delay{1500};
-/// A commit unanswered for this long waits for the replicas; the longest queue at a primary takes a third of it.
+/// A commit unanswered for this long waits for the replicas; the longest queue at a primary takes a third of
+/// it.
 inline constexpr milliseconds stalled_commit_after{600};
 inline constexpr std::size_t max_pipelined_statements = 64;
 inline constexpr std::size_t max_prepared_statements = 256;
@@ -333,8 +334,9 @@
     friend bool operator==(const stop_asked&, const stop_asked&) = default;
 };
 
-using event_kind = std::variant<session_opened, statement_asked, malformed_asked, session_closed, link_opened,
-                                link_refused, link_answered, link_lost, view_published, time_passed, stop_asked>;
+using event_kind =
+    std::variant<session_opened, statement_asked, malformed_asked, session_closed, link_opened, link_refused,
+                 link_answered, link_lost, view_published, time_passed, stop_asked>;
 
 struct event
 {
@@ -449,9 +451,9 @@
     friend bool operator==(const all_stopped&, const all_stopped&) = default;
 };
 
-using effect = std::variant<accept_session, refuse_session, answer_session, close_session, open_link, run_on_link,
-                            close_link, suspect_primary, tell_control, statement_finished, all_stopped,
-                            logging::log_record>;
+using effect = std::variant<accept_session, refuse_session, answer_session, close_session, open_link,
+                            run_on_link, close_link, suspect_primary, tell_control, statement_finished,
+                            all_stopped, logging::log_record>;
 
 struct transition
 {
--- a/src/sessions/wire.h
+++ b/src/sessions/wire.h
@@ -90,7 +90,8 @@
     [[nodiscard]] virtual std::optional<server_status> decode_status(std::string_view row) const = 0;
 
     /// These return whole messages, their ends included.
-    [[nodiscard]] virtual std::string encode_open(const std::string& service, const std::string& server) const = 0;
+    [[nodiscard]] virtual std::string encode_open(const std::string& service,
+                                                  const std::string& server) const = 0;
     [[nodiscard]] virtual std::string encode_statement(const std::string& id, const statement& what,
                                                        const std::optional<group_position>& least) const = 0;
     [[nodiscard]] virtual std::string encode_ready(const ready_line& ready) const = 0;
--- a/src/settings/internal/types.cpp
+++ b/src/settings/internal/types.cpp
@@ -229,9 +229,9 @@
 {
     BOOST_LEAF_AUTO(table, parse(toml_text, file));
     const settings_reader reader(table, file);
-    BOOST_LEAF_CHECK(reader.refuse_unknown(
-        {"name", "availability_zone", "callers", "sessions", "control_hosts", "seeds", "link_port",
-         "stop_time_ms", "metrics", "caller_connections", "log_level"}));
+    BOOST_LEAF_CHECK(
+        reader.refuse_unknown({"name", "availability_zone", "callers", "sessions", "control_hosts", "seeds",
+                               "link_port", "stop_time_ms", "metrics", "caller_connections", "log_level"}));
     entry_settings made;
     BOOST_LEAF_ASSIGN(made.name.value, reader.name("name"));
     BOOST_LEAF_ASSIGN(made.zone.value, reader.name("availability_zone"));
@@ -244,9 +244,9 @@
     }
     BOOST_LEAF_ASSIGN(made.sessions, reader.optional_address("sessions"));
     BOOST_LEAF_ASSIGN(made.metrics, reader.optional_address("metrics"));
-    BOOST_LEAF_AUTO(stop_time, reader.count("stop_time_ms",
-                                            static_cast<std::uint32_t>(made.stop_time.count()),
-                                            max_milliseconds));
+    BOOST_LEAF_AUTO(
+        stop_time,
+        reader.count("stop_time_ms", static_cast<std::uint32_t>(made.stop_time.count()), max_milliseconds));
     made.stop_time = milliseconds{stop_time};
     BOOST_LEAF_ASSIGN(made.caller_connections,
                       reader.count("caller_connections", made.caller_connections, max_caller_connections));
--- a/src/supervision/descriptions.h
+++ b/src/supervision/descriptions.h
@@ -106,10 +106,12 @@
 {
     using type = supervision::order_promotion;
     static constexpr std::string_view name = "order_promotion";
-    static constexpr auto members =
-        std::tuple{member{"order", &type::order},   member{"group", &type::group},
-                   member{"server", &type::server}, member{"holder", &type::holder},
-                   member{"fencing_token", &type::fencing_token}, member{"valid_until", &type::valid_until}};
+    static constexpr auto members = std::tuple{member{"order", &type::order},
+                                               member{"group", &type::group},
+                                               member{"server", &type::server},
+                                               member{"holder", &type::holder},
+                                               member{"fencing_token", &type::fencing_token},
+                                               member{"valid_until", &type::valid_until}};
 };
 
 template <>
--- a/src/supervision/internal/operator_desk.cpp
+++ b/src/supervision/internal/operator_desk.cpp
@@ -106,8 +106,8 @@
 
 void operator_desk::answer_replacement(const operator_caller& caller, const directory::change_answer& answer)
 {
-    m_step.effects.emplace_back(answer_operator{
-        caller.request, configuration_answer{answer.outcome, answer.version, false, {}}});
+    m_step.effects.emplace_back(
+        answer_operator{caller.request, configuration_answer{answer.outcome, answer.version, false, {}}});
 }
 
 void operator_desk::answer_in_force()
--- a/src/supervision/internal/primary_changer.cpp
+++ b/src/supervision/internal/primary_changer.cpp
@@ -325,11 +325,10 @@
     if (known != nullptr && !protocol::is_newer(report, known->report)) {
         return;
     }
-    const bool is_new_to_others = known == nullptr || known->report.leaving != report.leaving ||
-                                  known->report.is_gone != report.is_gone ||
-                                  known->report.role != report.role ||
-                                  known->report.address != report.address ||
-                                  known->report.started_at != report.started_at;
+    const bool is_new_to_others =
+        known == nullptr || known->report.leaving != report.leaving ||
+        known->report.is_gone != report.is_gone || known->report.role != report.role ||
+        known->report.address != report.address || known->report.started_at != report.started_at;
     server_status status = known == nullptr ? server_status{} : *known;
     status.report = report;
     status.heard_at = m_step.now();
@@ -694,7 +693,8 @@
         return;
     }
     const bool was_sent = m_step.now() - m_step.state.leading_since >= promotion_call_bound + since_sent;
-    if (!change.is_promotion_accepted && since_sent >= (was_sent ? promotion_call_bound : supervision_interval)) {
+    if (!change.is_promotion_accepted &&
+        since_sent >= (was_sent ? promotion_call_bound : supervision_interval)) {
         order_platform_promotion(group, change);
     }
 }
@@ -884,10 +884,10 @@
         return each.speaks == protocol::server_interface::sessions;
     };
     if (std::any_of(answered.begin(), answered.end(), speaks)) {
-        const bool is_covered =
-            change.have_all_confirmed &&
-            std::any_of(answered.begin(), answered.end(),
-                        [&](const server_report& each) { return each.at >= change.acknowledged; });
+        const bool is_covered = change.have_all_confirmed &&
+                                std::any_of(answered.begin(), answered.end(), [&](const server_report& each) {
+                                    return each.at >= change.acknowledged;
+                                });
         return is_covered ? collect_timeout_default : collect_limit;
     }
     const auto& classes = m_step.directory().configuration->content.classes;
--- a/src/supervision/internal/primary_changer.h
+++ b/src/supervision/internal/primary_changer.h
@@ -68,8 +68,8 @@
     void advance(const group_name& group, const group_change& change);
     void give_up(const group_name& group, const group_change& change, const std::string& reason);
 
-    void probe(const backend_server_name& server, std::uint64_t number,
-               const std::vector<host_name>& through, protocol::group_term pause_below = 0);
+    void probe(const backend_server_name& server, std::uint64_t number, const std::vector<host_name>& through,
+               protocol::group_term pause_below = 0);
     [[nodiscard]] bool speaks_in_sessions(const backend_server_name& server) const;
     void set_stage(const group_name& group, group_change change, change_stage stage);
     void set_change(const group_name& group, group_change change);
--- a/src/supervision/internal/reduce.cpp
+++ b/src/supervision/internal/reduce.cpp
@@ -96,8 +96,8 @@
     {
         if (m_step.state.is_leading) {
             const auto& members = m_step.around.consensus.members.voters;
-            const bool is_control_host = std::any_of(
-                members.begin(), members.end(), [&](const auto& each) { return each.name == from; });
+            const bool is_control_host = std::any_of(members.begin(), members.end(),
+                                                     [&](const auto& each) { return each.name == from; });
             m_changer.handle(is_control_host ? host_name{} : from, passed_on);
         }
     }
@@ -235,8 +235,7 @@
     /// A large configuration costs each host time; a storm of them must not cost it for each.
     void send_configuration_if_due(protocol::view_revision revision)
     {
-        const bool is_due =
-            m_step.now() - m_step.state.configuration_sent_at >= configuration_send_interval;
+        const bool is_due = m_step.now() - m_step.state.configuration_sent_at >= configuration_send_interval;
         if (!m_step.state.has_unsent_configuration || (m_step.state.is_leading && !is_due)) {
             return;
         }
