Don't open a term on the word of a candidate that was too busy to tell its role

A probe that a busy server refuses counts as a sign of life with the role 'primary'; while a promotion was awaited, that opened the term at a replica. Ruled out: samples (the read had no required position).

--- a/src/gateway/internal/entry_service.cpp
+++ b/src/gateway/internal/entry_service.cpp
@@ -169,6 +169,7 @@
     static std::vector<host_name> names_of(const std::vector<settings::control_host>& hosts)
     {
         std::vector<host_name> names;
+        names.reserve(hosts.size());
         for (const settings::control_host& host : hosts) {
             names.push_back(host.name);
         }
--- a/src/gateway/internal/server_call.cpp
+++ b/src/gateway/internal/server_call.cpp
@@ -75,7 +75,7 @@
     finish({m_answer, false});
 }
 
-void server_call::finish(server_call_result what)
+void server_call::finish(const server_call_result& what)
 {
     if (std::exchange(m_is_finished, true)) {
         return;
--- a/src/gateway/internal/server_call.h
+++ b/src/gateway/internal/server_call.h
@@ -36,7 +36,7 @@
 
 private:
     void take(std::string_view line);
-    void finish(server_call_result what);
+    void finish(const server_call_result& what);
 
     boost::asio::io_context& m_context;
     const sessions::wire& m_wire;
--- a/src/supervision/internal/primary_changer.cpp
+++ b/src/supervision/internal/primary_changer.cpp
@@ -24,6 +24,13 @@
     return report.role == server_role::primary && (numbers_its_own_terms || report.at.term == term);
 }
 
+/// A server that speaks in sessions and was too busy to tell its status is alive, and nothing else is known
+/// of it; its role in such a report is a guess.
+bool has_position(const server_report& report)
+{
+    return report.speaks == protocol::server_interface::requests || report.at.term > 0;
+}
+
 } // namespace
 
 primary_changer::primary_changer(supervision_step& step, const lease_keeper& leases)
@@ -95,7 +102,7 @@
             return;
         case change_stage::promoting:
             if (probed.status && probed.server == next.candidate &&
-                probed.status->role == server_role::primary) {
+                probed.status->role == server_role::primary && has_position(*probed.status)) {
                 propose_opening(name, std::move(next), probed.status->at.position);
             }
             return;
@@ -593,10 +600,8 @@
     std::vector<server_report> answered;
     for (const server_report& candidate : asked) {
         const auto found = change.positions.find(candidate.name);
-        const bool has_position =
-            found != change.positions.end() &&
-            (found->second.speaks == protocol::server_interface::requests || found->second.at.term > 0);
-        if (has_position && !found->second.leaving) {
+        const bool is_known = found != change.positions.end() && has_position(found->second);
+        if (is_known && !found->second.leaving) {
             answered.push_back(found->second);
         }
     }
