Note a refusal in one place and drop what the statement desk no longer needs

Both ways a server refuses wrote the same two lines; what counts as a commit of writes was spelled out twice; a stage was set that is set before, a parameter and a variable were unused.

--- a/src/sessions/internal/statement_desk.cpp
+++ b/src/sessions/internal/statement_desk.cpp
@@ -24,6 +24,18 @@
            kind == statement_kind::deallocate;
 }
 
+bool commits_writes(statement_scope scope)
+{
+    return scope == statement_scope::single_write || scope == statement_scope::commit_of_writes;
+}
+
+/// The server is not tried again; one that lacks a position is followed by the primary, which has it.
+void note_refusal(pending_statement& pending, const backend_server_name& server, answer_code code)
+{
+    pending.tried.insert(server);
+    pending.needs_primary = pending.needs_primary || code == answer_code::lagging;
+}
+
 transaction_state state_of(const caller_session& session)
 {
     if (!session.transaction) {
@@ -121,7 +133,7 @@
         }
         end_transaction(session);
         reply_code(number, session,
-                   ends && what.kind == statement_kind::commit ? answer_code::aborted : answer_code::done,
+                   what.kind == statement_kind::commit ? answer_code::aborted : answer_code::done,
                    what.kind == statement_kind::commit ? "the transaction has failed" : "");
         return true;
     }
@@ -248,7 +260,7 @@
 {
     pending_statement& pending = *session.pending;
     if (pending.link != 0) {
-        go_on(pending.link, number, session);
+        go_on(pending.link, session);
         return true;
     }
     const std::optional<link_number> link =
@@ -322,10 +334,10 @@
     if (session.transaction) {
         session.transaction->link = link;
     }
-    go_on(link, number, session);
+    go_on(link, session);
 }
 
-void statement_desk::go_on(link_number link, session_number /*number*/, caller_session& session)
+void statement_desk::go_on(link_number link, caller_session& session)
 {
     pending_statement& pending = *session.pending;
     if (m_links.prepare(link, session, pending)) {
@@ -358,7 +370,7 @@
         return;
     }
     if (whole.code == answer_code::done) {
-        go_on(number, holder, *session);
+        go_on(number, *session);
         return;
     }
     refuse_own(number, holder, *session, whole);
@@ -376,8 +388,7 @@
     const std::string reason = "refused before it ran: code=" + std::to_string(static_cast<int>(whole.code));
     link.own.reset();
     m_links.avoid(server);
-    session.pending->tried.insert(server);
-    session.pending->needs_primary = session.pending->needs_primary || whole.code == answer_code::lagging;
+    note_refusal(*session.pending, server, whole.code);
     // A connection that did not begin a transaction is as it was; after any other refusal its values are in
     // doubt.
     if (is_begin && whole.state == transaction_state::none) {
@@ -418,9 +429,7 @@
     }
     if (whole.code != answer_code::done) {
         m_links.avoid(link.server);
-        session->pending->needs_primary =
-            session->pending->needs_primary || whole.code == answer_code::lagging;
-        session->pending->tried.insert(link.server);
+        note_refusal(*session->pending, link.server, whole.code);
         if (whole.code == answer_code::unknown_statement) {
             link.prepared.clear();
         }
@@ -547,8 +556,7 @@
     const link_number link = pending.link;
     const group_name group = pending.route.group;
     const statement_scope scope = scope_of(session);
-    const bool is_commit =
-        scope == statement_scope::single_write || scope == statement_scope::commit_of_writes;
+    const bool is_commit = commits_writes(scope);
     if (is_commit && whole.code == answer_code::done) {
         const group_term term = m_step.state.links.at(link).sent_in_term;
         if (!m_step.is_term_usable(group, term)) {
@@ -569,7 +577,6 @@
         session.transaction->has_run = true;
         session.transaction->has_written =
             session.transaction->has_written || !session.transaction->only_reads;
-        m_step.state.links.at(link).stage = link_stage::reserved;
         if (whole.state != transaction_state::open) {
             fail_transaction(session);
         }
@@ -591,7 +598,6 @@
 void statement_desk::end_transaction(caller_session& session)
 {
     const link_number link = session.transaction->link;
-    const group_name group = session.transaction->route.group;
     session.transaction.reset();
     const server_link* held = m_step.link(link);
     if (held == nullptr) {
@@ -746,8 +752,7 @@
         suspect(link, "a statement is unanswered");
     }
     const statement_scope scope = scope_of(session);
-    const bool is_commit =
-        scope == statement_scope::single_write || scope == statement_scope::commit_of_writes;
+    const bool is_commit = commits_writes(scope);
     if (is_commit && m_step.now - pending.sent_at >= stalled_commit_after) {
         suspect(link, "a commit is unanswered", true);
     }
--- a/src/sessions/internal/statement_desk.h
+++ b/src/sessions/internal/statement_desk.h
@@ -54,7 +54,7 @@
     std::optional<link_number> link_at_primary(const caller_session& session, const group_name& group);
     std::optional<link_number> link_for_read(caller_session& session);
     void start_on(link_number link, session_number number, caller_session& session);
-    void go_on(link_number link, session_number number, caller_session& session);
+    void go_on(link_number link, caller_session& session);
 
     void refuse_own(link_number number, session_number holder, caller_session& session, const answer& whole);
     void move_or_abort(session_number number, caller_session& session, const std::string& reason);
