--- a/src/directory/descriptions.h
+++ b/src/directory/descriptions.h
@@ -107,7 +107,7 @@
 {
     using type = directory::entry_record;
     static constexpr std::string_view name = "entry_record";
-    static constexpr auto members = std::tuple{member{"zone", &type::zone}};
+    static constexpr auto members = std::tuple{member{"zone", &type::zone}, member{"relay", &type::relay}};
 };
 
 template <>
@@ -160,7 +160,8 @@
 {
     using type = directory::admit_entry_host;
     static constexpr std::string_view name = "admit_entry_host";
-    static constexpr auto members = std::tuple{member{"entry", &type::entry}, member{"zone", &type::zone}};
+    static constexpr auto members =
+        std::tuple{member{"entry", &type::entry}, member{"zone", &type::zone}, member{"relay", &type::relay}};
 };
 
 template <>
--- a/src/directory/internal/reduce.cpp
+++ b/src/directory/internal/reduce.cpp
@@ -62,7 +62,8 @@
 
 directory_transition apply(directory_state state, const admit_entry_host& admitted)
 {
-    state.entry_hosts = std::move(state.entry_hosts).set(admitted.entry, entry_record{admitted.zone});
+    state.entry_hosts =
+        std::move(state.entry_hosts).set(admitted.entry, entry_record{admitted.zone, admitted.relay});
     return unchanged(std::move(state));
 }
 
--- a/src/directory/types.h
+++ b/src/directory/types.h
@@ -120,6 +120,8 @@
 struct entry_record
 {
     availability_zone zone;
+    /// Where it runs statements for other entry hosts, as `address:port`; empty when it does not.
+    std::optional<std::string> relay;
 
     friend bool operator==(const entry_record&, const entry_record&) = default;
 };
@@ -179,6 +181,7 @@
 {
     entry_key entry;
     availability_zone zone;
+    std::optional<std::string> relay{};
 
     friend bool operator==(const admit_entry_host&, const admit_entry_host&) = default;
 };
--- a/src/gateway/internal/entry_service.cpp
+++ b/src/gateway/internal/entry_service.cpp
@@ -109,9 +109,10 @@
             m_server,
             http::start_server(options, [this](const http::request& asked) { return serve(asked); }, {}));
         m_control.start();
-        post(routing::entry_started{m_self, m_own.zone, names_of(m_own.control_hosts)});
+        post(routing::entry_started{m_self, m_own.zone, names_of(m_own.control_hosts),
+                                    m_sessions != nullptr ? m_own.relay : std::nullopt});
         if (m_sessions != nullptr) {
-            BOOST_LEAF_CHECK(m_sessions->start(*m_own.sessions));
+            BOOST_LEAF_CHECK(m_sessions->start(*m_own.sessions, m_own.relay));
         }
         for (const settings::control_host& host : m_own.control_hosts) {
             m_dialled.insert(host.name);
@@ -179,6 +180,7 @@
     /// Sessions end on their thread; the lease is given back after them.
     void drain_sessions()
     {
+        post(routing::stop_announced{});
         m_sessions->drain(m_own.stop_time);
         {
             std::unique_lock lock(m_drained_mutex);
--- a/src/gateway/internal/session_front.cpp
+++ b/src/gateway/internal/session_front.cpp
@@ -61,7 +61,7 @@
 session_front::session_front(std::unique_ptr<sessions::wire> wire, availability_zone zone, handlers called,
                              logging::log_writer& log, metrics::metric_registry& metrics)
     : m_wire(std::move(wire)), m_handlers(std::move(called)), m_log(log), m_metrics(metrics),
-      m_acceptor(m_context), m_timer(m_context)
+      m_acceptor(m_context), m_relay_acceptor(m_context), m_timer(m_context)
 {
     m_state.zone = std::move(zone);
 }
@@ -71,32 +71,43 @@
     stop();
 }
 
-result<void> session_front::start(const protocol::endpoint& at)
+result<void> session_front::start(const protocol::endpoint& at,
+                                  const std::optional<protocol::endpoint>& relay)
+{
+    BOOST_LEAF_CHECK(listen(m_acceptor, at));
+    m_port = m_acceptor.local_endpoint().port();
+    accept(m_acceptor, false);
+    if (relay) {
+        BOOST_LEAF_CHECK(listen(m_relay_acceptor, *relay));
+        accept(m_relay_acceptor, true);
+    }
+    m_thread = std::thread([this] {
+        step(sessions::time_passed{});
+        m_context.run();
+    });
+    return {};
+}
+
+result<void> session_front::listen(tcp::acceptor& acceptor, const protocol::endpoint& at)
 {
     const auto address = socket_address(at);
     if (!address) {
         return fail("listen", to_string(at), "not an IP number");
     }
     boost::system::error_code problem;
-    m_acceptor.open(address->protocol(), problem);
+    acceptor.open(address->protocol(), problem);
     if (!problem) {
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), problem);
+        acceptor.set_option(tcp::acceptor::reuse_address(true), problem);
     }
     if (!problem) {
-        m_acceptor.bind(*address, problem);
+        acceptor.bind(*address, problem);
     }
     if (!problem) {
-        m_acceptor.listen(asio::socket_base::max_listen_connections, problem);
+        acceptor.listen(asio::socket_base::max_listen_connections, problem);
     }
     if (problem) {
         return fail("listen", to_string(at), problem.message());
     }
-    m_port = m_acceptor.local_endpoint().port();
-    accept();
-    m_thread = std::thread([this] {
-        step(sessions::time_passed{});
-        m_context.run();
-    });
     return {};
 }
 
@@ -216,22 +227,23 @@
     });
 }
 
-void session_front::accept()
+void session_front::accept(tcp::acceptor& acceptor, bool is_relayed)
 {
-    m_acceptor.async_accept([this](const boost::system::error_code& problem, tcp::socket socket) {
-        if (problem == asio::error::operation_aborted) {
-            return;
-        }
-        if (problem) {
-            m_log.write({logging::log_level::warning, "accept", "", problem.message()});
-        } else {
-            take_caller(std::move(socket));
-        }
-        accept();
-    });
+    acceptor.async_accept(
+        [this, &acceptor, is_relayed](const boost::system::error_code& problem, tcp::socket socket) {
+            if (problem == asio::error::operation_aborted) {
+                return;
+            }
+            if (problem) {
+                m_log.write({logging::log_level::warning, "accept", "", problem.message()});
+            } else {
+                take_caller(std::move(socket), is_relayed);
+            }
+            accept(acceptor, is_relayed);
+        });
 }
 
-void session_front::take_caller(tcp::socket socket)
+void session_front::take_caller(tcp::socket socket, bool is_relayed)
 {
     const sessions::session_number number = m_next_session++;
     auto connection = std::make_shared<line_connection>(std::move(socket), line_connection::limits{});
@@ -240,7 +252,7 @@
                                   m_callers.erase(number);
                                   step(sessions::session_closed{number});
                               }});
-    m_callers.emplace(number, caller{connection, false});
+    m_callers.emplace(number, caller{connection, false, is_relayed});
     connection->start();
 }
 
@@ -250,15 +262,16 @@
     const sessions::caller_line decoded = m_wire->decode_caller(line);
     if (const auto* opening = std::get_if<sessions::open_request>(&decoded);
         opening != nullptr && !known.is_open) {
-        step(sessions::session_opened{number, opening->database});
+        step(sessions::session_opened{number, opening->database, known.is_relayed});
         return;
     }
     if (const auto* asked = std::get_if<sessions::statement_request>(&decoded);
-        asked != nullptr && known.is_open) {
-        step(sessions::statement_asked{number, asked->id, asked->what});
+        asked != nullptr && known.is_open && (known.is_relayed || !asked->least)) {
+        step(sessions::statement_asked{number, asked->id, asked->what, asked->least});
         return;
     }
-    if (known.is_open && std::holds_alternative<sessions::malformed_request>(decoded)) {
+    if (known.is_open && !std::holds_alternative<sessions::open_request>(decoded) &&
+        !std::holds_alternative<sessions::leave_request>(decoded)) {
         step(sessions::malformed_asked{number});
         return;
     }
@@ -385,7 +398,9 @@
 void session_front::carry_out(sessions::open_link&& effect)
 {
     const sessions::link_number number = effect.link;
-    m_metrics.count("hickorymount_links_opened_total", "");
+    m_metrics.count(effect.database.empty() ? "hickorymount_links_opened_total"
+                                            : "hickorymount_relay_links_opened_total",
+                    "");
     auto connection = std::make_shared<line_connection>(tcp::socket(m_context), line_connection::limits{});
     connection->set_handlers({[this, number](std::string_view line) { take_link_line(number, line); },
                               [this, number](const std::string& reason) { end_link(number, reason); }});
@@ -399,9 +414,10 @@
         });
         return;
     }
-    connection->connect(*address, [this, connection, group = effect.group, server = effect.server] {
-        connection->send(m_wire->encode_open(group.value, server.value));
-    });
+    std::string opening = effect.database.empty()
+                              ? m_wire->encode_open(effect.group.value, effect.server.value)
+                              : m_wire->encode_open(effect.database);
+    connection->connect(*address, [connection, opening = std::move(opening)] { connection->send(opening); });
 }
 
 void session_front::carry_out(sessions::run_on_link&& effect)
@@ -448,8 +464,9 @@
     m_metrics.observe_ms("hickorymount_statement_duration_ms", labels,
                          static_cast<double>(effect.took.count()));
     m_metrics.count("hickorymount_statements_total",
-                    fmt::format("{},code=\"{}\",reads=\"{}\",replica=\"{}\"", labels, name_of(effect.code),
-                                effect.only_reads, effect.ran_on_replica));
+                    fmt::format("{},code=\"{}\",reads=\"{}\",replica=\"{}\",elsewhere=\"{}\"", labels,
+                                name_of(effect.code), effect.only_reads, effect.ran_on_replica,
+                                effect.ran_elsewhere));
 }
 
 void session_front::carry_out(sessions::all_stopped&& /*effect*/)
--- a/src/gateway/internal/session_front.h
+++ b/src/gateway/internal/session_front.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -39,7 +40,8 @@
     session_front& operator=(const session_front&) = delete;
     ~session_front();
 
-    result<void> start(const protocol::endpoint& at);
+    /// With `relay`, other entry hosts pass statements on there.
+    result<void> start(const protocol::endpoint& at, const std::optional<protocol::endpoint>& relay);
     [[nodiscard]] std::uint16_t port() const { return m_port; }
     void stop();
 
@@ -54,6 +56,8 @@
     {
         std::shared_ptr<line_connection> connection;
         bool is_open = false;
+        /// It is another entry host.
+        bool is_relayed = false;
     };
 
     struct link
@@ -64,8 +68,9 @@
         bool has_outcome = false;
     };
 
-    void accept();
-    void take_caller(boost::asio::ip::tcp::socket socket);
+    static result<void> listen(boost::asio::ip::tcp::acceptor& acceptor, const protocol::endpoint& at);
+    void accept(boost::asio::ip::tcp::acceptor& acceptor, bool is_relayed);
+    void take_caller(boost::asio::ip::tcp::socket socket, bool is_relayed);
     void take_caller_line(sessions::session_number number, std::string_view line);
     void take_link_line(sessions::link_number number, std::string_view line);
     void end_link(sessions::link_number number, const std::string& reason);
@@ -97,6 +102,7 @@
     metrics::metric_registry& m_metrics;
     boost::asio::io_context m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::ip::tcp::acceptor m_relay_acceptor;
     boost::asio::steady_timer m_timer;
     time_point m_armed_for = time_point::max();
     std::uint16_t m_port = 0;
--- a/src/gateway/internal/traffic_view.cpp
+++ b/src/gateway/internal/traffic_view.cpp
@@ -20,6 +20,7 @@
                                   report.started_at, report.leaving, server.connections.share};
         }
     }
+    view.relays = state.relays;
     return view;
 }
 
--- a/src/protocol/descriptions.h
+++ b/src/protocol/descriptions.h
@@ -60,6 +60,33 @@
                                                member{"is_gone", &type::is_gone}};
 };
 
+template <>
+struct description<protocol::relay_host>
+{
+    using type = protocol::relay_host;
+    static constexpr std::string_view name = "relay_host";
+    static constexpr auto members = std::tuple{member{"name", &type::name}, member{"address", &type::address},
+                                               member{"zone", &type::zone}};
+};
+
+template <>
+struct description<protocol::group_access>
+{
+    using type = protocol::group_access;
+    static constexpr std::string_view name = "group_access";
+    static constexpr auto members =
+        std::tuple{member{"is_direct", &type::is_direct}, member{"relays", &type::relays}};
+};
+
+template <>
+struct description<protocol::relay_plan>
+{
+    using type = protocol::relay_plan;
+    static constexpr std::string_view name = "relay_plan";
+    static constexpr auto members = std::tuple{member{"digest", &type::digest}, member{"hosts", &type::hosts},
+                                               member{"groups", &type::groups}};
+};
+
 template <>
 struct description<protocol::lease_request>
 {
@@ -72,7 +99,10 @@
                                                member{"version", &type::version},
                                                member{"held_connections", &type::held_connections},
                                                member{"wanted_connections", &type::wanted_connections},
-                                               member{"servers_digest", &type::servers_digest}};
+                                               member{"servers_digest", &type::servers_digest},
+                                               member{"relay", &type::relay},
+                                               member{"relays_digest", &type::relays_digest},
+                                               member{"is_stopping", &type::is_stopping}};
 };
 
 template <>
@@ -88,10 +118,12 @@
 {
     using type = protocol::lease_grant;
     static constexpr std::string_view name = "lease_grant";
-    static constexpr auto members =
-        std::tuple{member{"entry", &type::entry}, member{"sequence", &type::sequence},
-                   member{"duration", &type::duration}, member{"connections", &type::connections},
-                   member{"control_hosts", &type::control_hosts}};
+    static constexpr auto members = std::tuple{member{"entry", &type::entry},
+                                               member{"sequence", &type::sequence},
+                                               member{"duration", &type::duration},
+                                               member{"connections", &type::connections},
+                                               member{"control_hosts", &type::control_hosts},
+                                               member{"relays", &type::relays}};
 };
 
 template <>
--- a/src/protocol/types.h
+++ b/src/protocol/types.h
@@ -90,6 +90,39 @@
 /// True when `report` was made after `known`.
 bool is_newer(const server_report& report, const server_report& known);
 
+/// An entry host that runs statements for others.
+struct relay_host
+{
+    host_name name;
+    endpoint address;
+    availability_zone zone;
+
+    friend auto operator<=>(const relay_host&, const relay_host&) = default;
+    friend bool operator==(const relay_host&, const relay_host&) = default;
+};
+
+/// How one entry host reaches a group's backend servers.
+struct group_access
+{
+    /// Over connections of its own. Otherwise, and where its own fail, through relays.
+    bool is_direct = true;
+    /// Best first, as places in `relay_plan::hosts`.
+    std::vector<std::uint32_t> relays;
+
+    friend bool operator==(const group_access&, const group_access&) = default;
+};
+
+/// What one entry host has to know of the others.
+struct relay_plan
+{
+    /// Tells whether a plan is still the present one.
+    std::uint64_t digest = 0;
+    std::vector<relay_host> hosts;
+    std::map<group_name, group_access> groups;
+
+    friend bool operator==(const relay_plan&, const relay_plan&) = default;
+};
+
 /// Entry host to control: asks for its lease, and says how far it has followed.
 struct lease_request
 {
@@ -104,6 +137,12 @@
     std::map<backend_server_name, std::uint32_t> wanted_connections;
     /// `servers_digest` of the servers it knows that speak in sessions.
     std::uint64_t servers_digest = 0;
+    /// Where it runs statements for others, if it does.
+    std::optional<endpoint> relay;
+    /// Of the plan that it follows.
+    std::uint64_t relays_digest = 0;
+    /// It is about to end, and gets no new work from others.
+    bool is_stopping = false;
 
     friend bool operator==(const lease_request&, const lease_request&) = default;
 };
@@ -124,6 +163,8 @@
     std::map<backend_server_name, std::uint32_t> connections;
     /// The control hosts that vote, for entry hosts that know others from their settings.
     std::vector<host_name> control_hosts;
+    /// Set when the entry host follows another plan than the present one.
+    std::optional<relay_plan> relays{};
 
     friend bool operator==(const lease_grant&, const lease_grant&) = default;
 };
--- a/src/routing/descriptions.h
+++ b/src/routing/descriptions.h
@@ -128,8 +128,9 @@
 {
     using type = routing::entry_started;
     static constexpr std::string_view name = "entry_started";
-    static constexpr auto members = std::tuple{member{"self", &type::self}, member{"zone", &type::zone},
-                                               member{"control_hosts", &type::control_hosts}};
+    static constexpr auto members =
+        std::tuple{member{"self", &type::self}, member{"zone", &type::zone},
+                   member{"control_hosts", &type::control_hosts}, member{"relay", &type::relay}};
 };
 
 template <>
@@ -295,6 +296,13 @@
         member{"reason", &type::reason}, member{"is_stalled", &type::is_stalled}};
 };
 
+template <>
+struct description<routing::stop_announced>
+{
+    static constexpr std::string_view name = "stop_announced";
+    static constexpr auto members = std::tuple{};
+};
+
 template <>
 struct description<routing::drain_asked>
 {
--- a/src/routing/internal/lease_holder.cpp
+++ b/src/routing/internal/lease_holder.cpp
@@ -39,6 +39,14 @@
     for (const auto& [server, share] : grant.connections) {
         m_connections.set_share(server, share);
     }
+    if (grant.relays) {
+        const auto direct = std::count_if(grant.relays->groups.begin(), grant.relays->groups.end(),
+                                          [](const auto& each) { return each.second.is_direct; });
+        m_step.log(logging::log_level::information, "follow_relays", from.value,
+                   "groups=" + std::to_string(grant.relays->groups.size()) + " direct=" +
+                       std::to_string(direct) + " hosts=" + std::to_string(grant.relays->hosts.size()));
+        m_step.state.relays = shared_value(*grant.relays);
+    }
 }
 
 void lease_holder::handle(const host_name& from, const protocol::not_leader& answer)
@@ -114,6 +122,9 @@
     for (const auto& [name, server] : m_step.state.servers) {
         request.servers_digest += protocol::server_hash(server.report);
     }
+    request.relay = m_step.state.relay;
+    request.relays_digest = m_step.state.relays->digest;
+    request.is_stopping = m_step.state.is_stopping;
     m_connections.reset_peaks();
     lease.sent[request.sequence] = m_step.now;
     if (lease.sent.size() > max_remembered_renewals) {
--- a/src/routing/internal/reduce.cpp
+++ b/src/routing/internal/reduce.cpp
@@ -42,6 +42,7 @@
         m_step.state.self = started.self;
         m_step.state.zone = started.zone;
         m_step.state.control_hosts = started.control_hosts;
+        m_step.state.relay = started.relay;
         m_lease.renew();
     }
 
@@ -173,6 +174,12 @@
                                                   suspected.reason, suspected.is_stalled});
     }
 
+    void apply(const stop_announced& /*announced*/)
+    {
+        m_step.state.is_stopping = true;
+        m_lease.renew();
+    }
+
     void apply(const drain_asked& /*asked*/) { m_step.state.is_draining = true; }
 
     void ring_alarms()
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -338,6 +338,10 @@
     /// When it was last said of each group that its primary's commits wait.
     std::map<group_name, time_point> stalls_sent;
     lease_state lease;
+    std::optional<protocol::endpoint> relay;
+    shared_value<protocol::relay_plan> relays;
+    /// Sessions are being ended; other hosts' work is no longer wanted.
+    bool is_stopping = false;
     shared_map<request_number, request_state> requests;
     shared_map<std::pair<group_name, class_name>, std::uint32_t> waiting;
     shared_map<transaction_id, transaction_state> transactions;
@@ -362,6 +366,8 @@
     entry_key self;
     availability_zone zone;
     std::vector<host_name> control_hosts;
+    /// Where this host runs statements for others, if it does.
+    std::optional<protocol::endpoint> relay{};
 
     friend bool operator==(const entry_started&, const entry_started&) = default;
 };
@@ -524,6 +530,12 @@
     friend bool operator==(const primary_suspected&, const primary_suspected&) = default;
 };
 
+/// Sessions are being ended; the lease is kept until they have.
+struct stop_announced
+{
+    friend bool operator==(const stop_announced&, const stop_announced&) = default;
+};
+
 /// Finish what is in flight and take nothing new.
 struct drain_asked
 {
@@ -534,7 +546,7 @@
     std::variant<entry_started, control_message, control_connected, announced, caller_request,
                  statement_answered, statement_refused, statement_not_sent, statement_lost, position_told,
                  connection_opened, connection_ended, probe_finished, takeover_finished, sessions_told,
-                 primary_suspected, control_hosts_named, time_passed, drain_asked>;
+                 primary_suspected, control_hosts_named, time_passed, stop_announced, drain_asked>;
 
 struct entry_event
 {
--- a/src/sessions/internal/link_keeper.cpp
+++ b/src/sessions/internal/link_keeper.cpp
@@ -11,6 +11,8 @@
 
 /// Connections to one server that are opened at once; each takes a slot there for a moment.
 constexpr std::uint32_t max_opening = 2;
+/// The same to another entry host, where they take next to nothing.
+constexpr std::uint32_t max_opening_relays = 4;
 /// Weight of the newest observation in the smoothed latency.
 constexpr double latency_weight = 0.1;
 
@@ -43,7 +45,8 @@
     std::optional<link_number> best;
     int best_mismatch = 0;
     for (const auto& [number, link] : m_step.state.links) {
-        if (link.server != server || link.stage != link_stage::idle) {
+        if (link.server != server || link.stage != link_stage::idle ||
+            (link.is_relay && link.database != session.database)) {
             continue;
         }
         const int found = mismatch(link, session);
@@ -74,6 +77,29 @@
     m_step.emit(open_link{number, known->group, server, known->address});
 }
 
+void link_keeper::open_relay(const protocol::relay_host& host, const group_name& group,
+                             const std::string& database)
+{
+    const backend_server_name name{host.name.value};
+    server_load& load = m_step.state.loads[name];
+    load.is_relay = true;
+    if (load.opening >= max_opening_relays || load.open >= max_relay_links ||
+        m_step.now < load.connect_after) {
+        return;
+    }
+    const link_number number = m_step.state.next_link++;
+    server_link link;
+    link.server = name;
+    link.group = group;
+    link.is_relay = true;
+    link.database = database;
+    link.opened_at = m_step.now;
+    m_step.state.links.emplace(number, std::move(link));
+    ++load.open;
+    ++load.opening;
+    m_step.emit(open_link{number, group, name, host.address, database});
+}
+
 void link_keeper::lend(link_number number, session_number holder)
 {
     server_link& link = m_step.state.links.at(number);
@@ -211,7 +237,7 @@
     std::map<backend_server_name, std::uint32_t> counted;
     for (const auto& [number, link] : m_step.state.links) {
         const server_in_view* known = m_step.server(link.server);
-        const bool is_over = known == nullptr || ++counted[link.server] > known->share;
+        const bool is_over = !link.is_relay && (known == nullptr || ++counted[link.server] > known->share);
         if (link.stage == link_stage::idle && (is_over || is_surplus(link))) {
             surplus.push_back(number);
         }
@@ -245,6 +271,9 @@
 
 bool link_keeper::is_surplus(const server_link& link) const
 {
+    if (link.is_relay) {
+        return !m_step.is_relay_planned(link.group, link.server);
+    }
     const server_in_view* known = m_step.server(link.server);
     const group_in_view* group = m_step.group(link.group);
     const bool is_primary = group != nullptr && group->primary == link.server;
--- a/src/sessions/internal/link_keeper.h
+++ b/src/sessions/internal/link_keeper.h
@@ -19,6 +19,9 @@
     /// Opens one more connection to the server if its share allows and none is being opened.
     void open_if_allowed(const backend_server_name& server);
 
+    /// Opens one more connection to another entry host, for a session on `database`.
+    void open_relay(const protocol::relay_host& host, const group_name& group, const std::string& database);
+
     void lend(link_number number, session_number holder);
 
     /// Sends the next thing that brings the connection to the session's values, transaction and prepared
--- a/src/sessions/internal/reduce.cpp
+++ b/src/sessions/internal/reduce.cpp
@@ -30,11 +30,14 @@
     }
 
 private:
-    void apply(const session_opened& opened) { m_desk.open(opened.session, opened.database); }
+    void apply(const session_opened& opened)
+    {
+        m_desk.open(opened.session, opened.database, opened.is_relayed);
+    }
 
     void apply(const statement_asked& asked)
     {
-        m_desk.ask(asked.session, {asked.id, asked.what, m_step.now});
+        m_desk.ask(asked.session, {asked.id, asked.what, m_step.now, asked.least});
     }
 
     void apply(const malformed_asked& asked) { m_desk.refuse_malformed(asked.session); }
@@ -204,6 +207,9 @@
         told.commits = m_step.state.commits;
         told.closed = closed_terms(*m_step.state.view);
         for (auto& [name, load] : m_step.state.loads) {
+            if (load.is_relay) {
+                continue;
+            }
             const server_in_view* server = m_step.server(name);
             const auto waiting =
                 server == nullptr ? m_step.state.queues.end() : m_step.state.queues.find(server->group);
--- a/src/sessions/internal/session_step.h
+++ b/src/sessions/internal/session_step.h
@@ -2,6 +2,7 @@
 
 #include "sessions/types.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -36,6 +37,22 @@
         return found == state.view->servers.end() ? nullptr : &found->second;
     }
 
+    [[nodiscard]] const protocol::group_access* access(const group_name& name) const
+    {
+        const auto found = state.view->relays->groups.find(name);
+        return found == state.view->relays->groups.end() ? nullptr : &found->second;
+    }
+
+    /// True while the plan names the entry host for the group.
+    [[nodiscard]] bool is_relay_planned(const group_name& name, const backend_server_name& host) const
+    {
+        const protocol::group_access* known = access(name);
+        return known != nullptr &&
+               std::any_of(known->relays.begin(), known->relays.end(), [&](std::uint32_t place) {
+                   return state.view->relays->hosts.at(place).name.value == host.value;
+               });
+    }
+
     /// True while the primary's term is open here under a valid lease.
     [[nodiscard]] bool is_primary_usable(const group_in_view& known) const
     {
--- a/src/sessions/internal/statement_desk.cpp
+++ b/src/sessions/internal/statement_desk.cpp
@@ -2,6 +2,7 @@
 
 #include "sessions/internal/freshness.h"
 #include "sessions/internal/placement.h"
+#include "sessions/internal/relay_choice.h"
 #include "sessions/internal/waiting_line.h"
 
 #include <algorithm>
@@ -24,6 +25,11 @@
            kind == statement_kind::deallocate;
 }
 
+milliseconds connect_limit(const server_link& link)
+{
+    return link.is_relay ? relay_connect_timeout : connect_timeout;
+}
+
 bool commits_writes(statement_scope scope)
 {
     return scope == statement_scope::single_write || scope == statement_scope::commit_of_writes;
@@ -48,13 +54,13 @@
 
 statement_desk::statement_desk(session_step& step, link_keeper& links) : m_step(step), m_links(links) {}
 
-void statement_desk::open(session_number number, const std::string& database)
+void statement_desk::open(session_number number, const std::string& database, bool is_relayed)
 {
     const bool is_closing =
         m_step.state.stopping_since && m_step.now - *m_step.state.stopping_since >= balancer_delay;
     const bool is_known = m_step.state.routes.contains(database);
     if (!is_closing && m_step.state.view->configuration->version == 0) {
-        m_step.state.opening.emplace(number, opening_session{database, m_step.now});
+        m_step.state.opening.emplace(number, opening_session{database, m_step.now, is_relayed});
         return;
     }
     if (is_closing) {
@@ -67,6 +73,7 @@
     }
     caller_session session;
     session.database = database;
+    session.is_relayed = is_relayed;
     m_step.state.sessions.emplace(number, std::move(session));
     m_step.emit(accept_session{number});
 }
@@ -77,7 +84,7 @@
     for (const auto& [number, opening] : waiting) {
         if (m_step.state.view->configuration->version != 0) {
             m_step.state.opening.erase(number);
-            open(number, opening.database);
+            open(number, opening.database, opening.is_relayed);
         } else if (m_step.now - opening.since >= opening_limit) {
             m_step.state.opening.erase(number);
             m_step.emit(refuse_session{number, answer_code::busy, "no configuration yet"});
@@ -183,6 +190,7 @@
     open_transaction begun;
     begun.only_reads = asked.what.kind == statement_kind::begin_read;
     begun.route = route->second;
+    begun.least = asked.least;
     begun.begun_at = begun.last_used = asked.received_at;
     session.transaction = std::move(begun);
     reply_code(number, session, answer_code::done, "");
@@ -202,6 +210,7 @@
         pending.route = session.transaction->route;
         pending.link = session.transaction->link;
         pending.only_reads = session.transaction->only_reads;
+        pending.asked.least = session.transaction->least;
     } else {
         const auto route = m_step.state.routes.find(session.database);
         if (route == m_step.state.routes.end()) {
@@ -263,6 +272,9 @@
         go_on(pending.link, session);
         return true;
     }
+    if (runs_elsewhere(session)) {
+        return place_elsewhere(number, session);
+    }
     const std::optional<link_number> link =
         pending.needs_primary ? link_at_primary(session, pending.route.group) : link_for_read(session);
     if (!link) {
@@ -272,6 +284,64 @@
     return true;
 }
 
+/// Other entry hosts run it when this one holds no connections to the group, or has lost its way to it. What
+/// others pass on stays here.
+bool statement_desk::runs_elsewhere(const caller_session& session) const
+{
+    const protocol::group_access* access = m_step.access(session.pending->route.group);
+    if (session.is_relayed || access == nullptr || access->relays.empty()) {
+        return false;
+    }
+    return !access->is_direct || (is_cut_off(*session.pending) && !relays_for(session).empty());
+}
+
+std::vector<relay_candidate> statement_desk::relays_for(const caller_session& session) const
+{
+    std::vector<relay_candidate> candidates;
+    for (const std::uint32_t place : m_step.access(session.pending->route.group)->relays) {
+        const protocol::relay_host& host = m_step.state.view->relays->hosts.at(place);
+        const backend_server_name name{host.name.value};
+        const auto load = m_step.state.loads.find(name);
+        const bool is_known = load != m_step.state.loads.end();
+        candidates.push_back({place, host.zone == m_step.state.zone, is_known ? load->second.in_use : 0,
+                              is_known && m_step.now < load->second.avoid_until,
+                              session.pending->tried.contains(name)});
+    }
+    return in_order_of_use(std::move(candidates));
+}
+
+bool statement_desk::place_elsewhere(session_number number, caller_session& session)
+{
+    pending_statement& pending = *session.pending;
+    for (const relay_candidate& candidate : relays_for(session)) {
+        const protocol::relay_host& host = m_step.state.view->relays->hosts.at(candidate.place);
+        const backend_server_name name{host.name.value};
+        if (const std::optional<link_number> link = m_links.find_idle(name, session)) {
+            pending.least_position = own_commit(session);
+            start_on(*link, number, session);
+            return true;
+        }
+        const std::size_t waiting = m_step.state.queues[pending.route.group].size();
+        if (m_step.state.loads[name].opening < waiting) {
+            m_links.open_relay(host, pending.route.group, session.database);
+        }
+        if (m_step.state.loads[name].opening > 0) {
+            return false;
+        }
+    }
+    return false;
+}
+
+/// What a read of the session has to see whatever its age may be.
+std::optional<group_position> statement_desk::own_commit(const caller_session& session)
+{
+    const pending_statement& pending = *session.pending;
+    const auto own = session.commits.find(pending.route.group);
+    const bool sees_own = pending.only_reads && own != session.commits.end() &&
+                          pending.route.consistency == configuration::read_consistency::read_your_writes;
+    return sees_own ? std::max(pending.asked.least, std::optional(own->second)) : pending.asked.least;
+}
+
 std::optional<link_number> statement_desk::link_at_primary(const caller_session& session,
                                                            const group_name& group)
 {
@@ -297,11 +367,7 @@
     if (!least) {
         return link_at_primary(session, group);
     }
-    const auto own = session.commits.find(group);
-    if (pending.route.consistency == configuration::read_consistency::read_your_writes &&
-        own != session.commits.end()) {
-        least = std::max(*least, own->second);
-    }
+    least = std::max(least, own_commit(session));
     std::vector<read_server> servers;
     for (const auto& [name, server] : m_step.state.view->servers) {
         const bool is_primary = known != nullptr && known->primary == name;
@@ -352,6 +418,7 @@
 void statement_desk::finish_own(link_number number, const answer& whole)
 {
     server_link& link = *m_step.link(number);
+    note_heard(link);
     const statement own = *link.own;
     const bool is_ended = own.kind == statement_kind::rollback;
     if (whole.code == answer_code::done) {
@@ -415,6 +482,7 @@
     server_link& link = *m_step.link(number);
     const group_name group = link.group;
     m_links.note_latency(link);
+    note_heard(link);
     if (link.sent_in_term != 0 && whole.at && m_step.is_term_usable(group, link.sent_in_term)) {
         add_sample(m_step.state.samples[group], {link.sent_at, *whole.at}, m_step.now);
     }
@@ -428,7 +496,9 @@
         return;
     }
     if (whole.code != answer_code::done) {
-        m_links.avoid(link.server);
+        if (!link.is_relay) {
+            m_links.avoid(link.server);
+        }
         note_refusal(*session->pending, link.server, whole.code);
         if (whole.code == answer_code::unknown_statement) {
             link.prepared.clear();
@@ -449,6 +519,9 @@
         load.connect_after = m_step.now + reconnect_pause;
         load.unreachable_since = load.unreachable_since.value_or(link.opened_at);
     }
+    if (link.is_relay) {
+        load.avoid_until = m_step.now + (was_opening ? relay_avoidance : refusal_pause);
+    }
     m_step.log(logging::log_level::warning, "link_lost", link.server.value,
                fmt::format("group={} link={} opening={} session={} reason=\"{}\"", group.value, number,
                            was_opening, holder, reason));
@@ -557,7 +630,10 @@
     const group_name group = pending.route.group;
     const statement_scope scope = scope_of(session);
     const bool is_commit = commits_writes(scope);
-    if (is_commit && whole.code == answer_code::done) {
+    if (is_commit && whole.code == answer_code::done && m_step.state.links.at(link).is_relay) {
+        // The host that ran it holds the lease, and tells control of the commit.
+        session.commits[group] = std::max(session.commits[group], whole.at.value_or(group_position{}));
+    } else if (is_commit && whole.code == answer_code::done) {
         const group_term term = m_step.state.links.at(link).sent_in_term;
         if (!m_step.is_term_usable(group, term)) {
             m_step.log(logging::log_level::warning, "withhold_commit",
@@ -590,7 +666,9 @@
     if (!whole.at) {
         return;
     }
-    session.commits[group] = std::max(session.commits[group], *whole.at);
+    if (!session.is_relayed) {
+        session.commits[group] = std::max(session.commits[group], *whole.at);
+    }
     m_step.state.commits[group] = std::max(m_step.state.commits[group], *whole.at);
 }
 
@@ -625,8 +703,11 @@
     if (session.pending) {
         const pending_statement& pending = *session.pending;
         const milliseconds took = m_step.now - pending.asked.received_at;
-        m_step.emit(statement_finished{session.database, whole.code, pending.least_position.has_value(),
-                                       pending.only_reads, took});
+        const server_link* link = m_step.link(pending.link);
+        const bool ran_elsewhere = link != nullptr && link->is_relay;
+        m_step.emit(statement_finished{session.database, whole.code,
+                                       pending.least_position.has_value() && !ran_elsewhere,
+                                       pending.only_reads, took, ran_elsewhere});
         if (whole.code != answer_code::done) {
             m_step.log(logging::log_level::information, "refuse_statement", "",
                        fmt::format("id={} database={} group={} code={} stage={} attempts={} took_ms={} "
@@ -715,7 +796,7 @@
     std::vector<std::pair<link_number, std::string>> silent;
     for (const auto& [number, link] : m_step.state.links) {
         const bool is_own = link.stage == link_stage::preparing || link.stage == link_stage::rolling_back;
-        if (link.stage == link_stage::opening && m_step.now - link.opened_at >= connect_timeout) {
+        if (link.stage == link_stage::opening && m_step.now - link.opened_at >= connect_limit(link)) {
             silent.emplace_back(number, "not connected in time");
         } else if (is_own && m_step.now - link.sent_at >= own_statement_timeout) {
             silent.emplace_back(number, "no answer to the proxy's own statement");
@@ -739,7 +820,7 @@
         reply_code(number, session, answer_code::busy, "no server was free in time");
         return;
     }
-    if (pending.stage == statement_stage::queued && is_cut_off(pending)) {
+    if (pending.stage == statement_stage::queued && is_cut_off(pending) && !runs_elsewhere(session)) {
         reply_code(number, session, answer_code::busy,
                    "this host is cut off from the primary or from control");
         return;
@@ -748,6 +829,10 @@
         return;
     }
     server_link& link = *m_step.link(pending.link);
+    if (link.is_relay) {
+        check_relay(number, session, link);
+        return;
+    }
     if (m_step.now - pending.sent_at >= suspicious_silence) {
         suspect(link, "a statement is unanswered");
     }
@@ -764,11 +849,39 @@
     }
 }
 
+/// The other host waits, tries again and refuses by itself, unless it is lost.
+void statement_desk::check_relay(session_number number, caller_session& session, const server_link& link)
+{
+    const pending_statement& pending = *session.pending;
+    server_load& load = m_step.state.loads[link.server];
+    const bool is_silent = m_step.now - std::max(pending.sent_at, load.heard_at) >= relay_silence;
+    if (is_silent && m_step.now >= load.avoid_until) {
+        load.avoid_until = m_step.now + relay_avoidance;
+        m_step.log(logging::log_level::warning, "avoid_relay", link.server.value,
+                   fmt::format("group={} silent_ms={}", link.group.value,
+                               (m_step.now - std::max(pending.sent_at, load.heard_at)).count()));
+    }
+    const bool tries_elsewhere = is_silent && scope_of(session) == statement_scope::single_read &&
+                                 m_step.now + read_retry_after / 2 < pending.deadline;
+    if (tries_elsewhere || m_step.now >= pending.deadline) {
+        give_up_unanswered(number, session);
+    }
+}
+
+void statement_desk::note_heard(const server_link& link)
+{
+    if (link.is_relay) {
+        m_step.state.loads[link.server].heard_at = m_step.now;
+    }
+}
+
 void statement_desk::give_up_unanswered(session_number number, caller_session& session)
 {
     const link_number link = session.pending->link;
     session.pending->tried.insert(m_step.link(link)->server);
-    m_links.avoid(m_step.link(link)->server);
+    if (!m_step.link(link)->is_relay) {
+        m_links.avoid(m_step.link(link)->server);
+    }
     if (session.transaction) {
         session.transaction->link = 0;
     }
@@ -815,7 +928,8 @@
         }
         if (pending.stage == statement_stage::running) {
             const milliseconds silent = m_step.now - pending.sent_at;
-            for (const milliseconds limit : {read_retry_after, suspicious_silence, stalled_commit_after}) {
+            for (const milliseconds limit :
+                 {read_retry_after, suspicious_silence, relay_silence, stalled_commit_after}) {
                 next = silent < limit ? std::min(next, pending.sent_at + limit) : next;
             }
         }
@@ -825,7 +939,7 @@
     }
     for (const auto& [number, link] : m_step.state.links) {
         if (link.stage == link_stage::opening) {
-            next = std::min(next, link.opened_at + connect_timeout);
+            next = std::min(next, link.opened_at + connect_limit(link));
         } else if (link.stage == link_stage::preparing || link.stage == link_stage::rolling_back) {
             next = std::min(next, link.sent_at + own_statement_timeout);
         }
--- a/src/sessions/internal/statement_desk.h
+++ b/src/sessions/internal/statement_desk.h
@@ -2,6 +2,7 @@
 
 #include "sessions/internal/link_keeper.h"
 #include "sessions/internal/outcome.h"
+#include "sessions/internal/relay_choice.h"
 #include "sessions/internal/session_step.h"
 
 #include <optional>
@@ -15,7 +16,7 @@
 public:
     statement_desk(session_step& step, link_keeper& links);
 
-    void open(session_number number, const std::string& database);
+    void open(session_number number, const std::string& database, bool is_relayed);
     /// Opens, or refuses, the sessions that waited for a configuration.
     void open_waiting();
     void ask(session_number number, asked_statement asked);
@@ -51,6 +52,10 @@
     void queue(session_number number, caller_session& session, const asked_statement& asked);
 
     bool place(session_number number, caller_session& session);
+    [[nodiscard]] bool runs_elsewhere(const caller_session& session) const;
+    [[nodiscard]] std::vector<relay_candidate> relays_for(const caller_session& session) const;
+    bool place_elsewhere(session_number number, caller_session& session);
+    static std::optional<group_position> own_commit(const caller_session& session);
     std::optional<link_number> link_at_primary(const caller_session& session, const group_name& group);
     std::optional<link_number> link_for_read(caller_session& session);
     void start_on(link_number link, session_number number, caller_session& session);
@@ -73,6 +78,8 @@
     void leave_queue(session_number number, const group_name& group);
     void check_session(session_number number, caller_session& session);
     void give_up_unanswered(session_number number, caller_session& session);
+    void check_relay(session_number number, caller_session& session, const server_link& link);
+    void note_heard(const server_link& link);
     void suspect(const server_link& link, const std::string& reason, bool is_stalled = false);
     [[nodiscard]] bool is_cut_off(const pending_statement& pending) const;
 
--- a/src/sessions/traffic_view.h
+++ b/src/sessions/traffic_view.h
@@ -47,6 +47,9 @@
     shared_value<configuration::versioned_configuration> configuration;
     std::map<group_name, group_in_view> groups;
     std::map<backend_server_name, server_in_view> servers;
+    /// Which groups are reached over connections of its own, and which other entry hosts run statements for
+    /// it.
+    shared_value<protocol::relay_plan> relays;
 
     friend bool operator==(const traffic_view&, const traffic_view&) = default;
 };
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -53,6 +53,17 @@
 /// A commit unanswered for this long waits for the replicas; the longest queue at a primary takes a third of
 /// it.
 inline constexpr milliseconds stalled_commit_after{600};
+/// A connection to another entry host that is not open by then is given up; the way between regions takes a
+/// tenth of it.
+inline constexpr milliseconds relay_connect_timeout{250};
+/// Another entry host that has answered nothing for this long is taken to be lost: one that works has much to
+/// answer.
+inline constexpr milliseconds relay_silence{500};
+/// How long an entry host that seemed lost is left alone; control knows of it when its lease, of 2 s, is
+/// over.
+inline constexpr milliseconds relay_avoidance{2000};
+/// Connections to one other entry host; each carries one statement or transaction at a time.
+inline constexpr std::uint32_t max_relay_links = 48;
 inline constexpr std::size_t max_pipelined_statements = 64;
 inline constexpr std::size_t max_prepared_statements = 256;
 inline constexpr std::size_t max_values = 256;
@@ -71,6 +82,8 @@
     std::string id;
     statement what;
     time_point received_at{};
+    /// Set by the entry host that passes the statement on: a read must see at least this.
+    std::optional<group_position> least{};
 
     friend bool operator==(const asked_statement&, const asked_statement&) = default;
 };
@@ -85,6 +98,8 @@
     bool has_run = false;
     bool has_written = false;
     bool is_failed = false;
+    /// Of a transaction that another entry host passes on: its reads must see at least this.
+    std::optional<group_position> least;
     time_point begun_at{};
     time_point last_used{};
 
@@ -133,6 +148,8 @@
     /// The newest commit of this session, by group.
     std::map<group_name, group_position> commits;
     std::optional<group_position> last_position;
+    /// Another entry host passes its callers' statements on in it, one after the other.
+    bool is_relayed = false;
 
     friend bool operator==(const caller_session&, const caller_session&) = default;
 };
@@ -150,11 +167,15 @@
     rolling_back
 };
 
-/// A connection to a backend server.
+/// A connection to a backend server, or to an entry host that runs statements for this one.
 struct server_link
 {
+    /// The backend server; for another entry host its name, which no backend server has.
     backend_server_name server;
     group_name group;
+    bool is_relay = false;
+    /// Of a connection to another entry host.
+    std::string database;
     link_stage stage = link_stage::opening;
     /// Zero when no session holds it.
     session_number holder = 0;
@@ -184,13 +205,18 @@
 {
     std::string database;
     time_point since{};
+    bool is_relayed = false;
 
     friend bool operator==(const opening_session&, const opening_session&) = default;
 };
 
-/// What the traffic thread knows of one backend server beyond the view.
+/// What the traffic thread knows beyond the view of one backend server, or of an entry host that runs
+/// statements for this one.
 struct server_load
 {
+    bool is_relay = false;
+    /// Its last answer, of an entry host.
+    time_point heard_at{};
     std::uint32_t open = 0;
     std::uint32_t opening = 0;
     std::uint32_t in_use = 0;
@@ -253,6 +279,8 @@
 {
     session_number session = 0;
     std::string database;
+    /// By another entry host, not by a caller.
+    bool is_relayed = false;
 
     friend bool operator==(const session_opened&, const session_opened&) = default;
 };
@@ -262,6 +290,7 @@
     session_number session = 0;
     std::string id;
     statement what;
+    std::optional<group_position> least{};
 
     friend bool operator==(const statement_asked&, const statement_asked&) = default;
 };
@@ -386,6 +415,8 @@
     group_name group;
     backend_server_name server;
     protocol::endpoint address;
+    /// Set for a connection to another entry host, which opens a session on this database.
+    std::string database{};
 
     friend bool operator==(const open_link&, const open_link&) = default;
 };
@@ -441,6 +472,8 @@
     bool ran_on_replica = false;
     bool only_reads = false;
     milliseconds took{0};
+    /// Another entry host ran it for this one.
+    bool ran_elsewhere = false;
 
     friend bool operator==(const statement_finished&, const statement_finished&) = default;
 };
--- a/src/sessions/wire.h
+++ b/src/sessions/wire.h
@@ -21,6 +21,8 @@
 {
     std::string id;
     statement what;
+    /// Only other entry hosts name one.
+    std::optional<group_position> least{};
 
     friend bool operator==(const statement_request&, const statement_request&) = default;
 };
@@ -94,6 +96,8 @@
                                                   const std::string& server) const = 0;
     [[nodiscard]] virtual std::string encode_statement(const std::string& id, const statement& what,
                                                        const std::optional<group_position>& least) const = 0;
+    /// The first message to another entry host.
+    [[nodiscard]] virtual std::string encode_open(const std::string& database) const = 0;
     [[nodiscard]] virtual std::string encode_ready(const ready_line& ready) const = 0;
     [[nodiscard]] virtual std::string encode_refusal(const error_line& refusal) const = 0;
     [[nodiscard]] virtual std::string encode_answer(const answer& whole) const = 0;
--- a/src/settings/internal/types.cpp
+++ b/src/settings/internal/types.cpp
@@ -229,9 +229,9 @@
 {
     BOOST_LEAF_AUTO(table, parse(toml_text, file));
     const settings_reader reader(table, file);
-    BOOST_LEAF_CHECK(
-        reader.refuse_unknown({"name", "availability_zone", "callers", "sessions", "control_hosts", "seeds",
-                               "link_port", "stop_time_ms", "metrics", "caller_connections", "log_level"}));
+    BOOST_LEAF_CHECK(reader.refuse_unknown({"name", "availability_zone", "callers", "sessions", "relay",
+                                            "control_hosts", "seeds", "link_port", "stop_time_ms", "metrics",
+                                            "caller_connections", "log_level"}));
     entry_settings made;
     BOOST_LEAF_ASSIGN(made.name.value, reader.name("name"));
     BOOST_LEAF_ASSIGN(made.zone.value, reader.name("availability_zone"));
@@ -243,6 +243,7 @@
         BOOST_LEAF_ASSIGN(made.control_hosts, reader.control_hosts());
     }
     BOOST_LEAF_ASSIGN(made.sessions, reader.optional_address("sessions"));
+    BOOST_LEAF_ASSIGN(made.relay, reader.optional_address("relay"));
     BOOST_LEAF_ASSIGN(made.metrics, reader.optional_address("metrics"));
     BOOST_LEAF_AUTO(
         stop_time,
--- a/src/settings/types.h
+++ b/src/settings/types.h
@@ -56,6 +56,8 @@
     std::vector<control_host> control_hosts;
     /// Accepts callers' sessions; without it, there are none.
     std::optional<endpoint> sessions;
+    /// Runs statements of other entry hosts, which pass them on there; without it, it does so for none.
+    std::optional<endpoint> relay;
     /// Time from the order to stop until the process is ended.
     milliseconds stop_time{6000};
     /// Serves metrics beside `callers`.
--- a/src/supervision/internal/lease_keeper.cpp
+++ b/src/supervision/internal/lease_keeper.cpp
@@ -1,8 +1,10 @@
 #include "supervision/internal/lease_keeper.h"
 
 #include "consensus/reduce.h"
+#include "supervision/internal/relay_planner.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace hickorymount::supervision::detail {
 
@@ -11,6 +13,9 @@
 /// A request that waits longer than this has been sent again.
 constexpr milliseconds pending_grant_timeout{1000};
 
+/// Orders never take more of a server's connections than one in this many.
+constexpr std::uint32_t part_for_orders = 8;
+
 std::uint32_t value_or_zero(const std::map<backend_server_name, std::uint32_t>& counts,
                             const backend_server_name& key)
 {
@@ -28,9 +33,11 @@
     for (const auto& [entry, record] : m_step.directory().entry_hosts) {
         entry_status status;
         status.zone = record.zone;
+        status.relay = record.relay ? protocol::parse_endpoint(*record.relay) : std::nullopt;
         status.lease_end = m_step.around.consensus.leading_since + lease_duration;
         m_step.state.entries = std::move(m_step.state.entries).set(entry, status);
     }
+    plan_relays();
 }
 
 void lease_keeper::handle(const host_name& from, const protocol::lease_request& request)
@@ -40,7 +47,8 @@
     }
     const entry_key& entry = request.entry;
     if (!m_step.directory().entry_hosts.contains(entry) && m_step.state.admitting.insert(entry).second) {
-        m_step.propose(directory::admit_entry_host{entry, request.zone});
+        const auto relay = request.relay ? std::optional(to_string(*request.relay)) : std::nullopt;
+        m_step.propose(directory::admit_entry_host{entry, request.zone, relay});
     }
     if (const entry_status* known = m_step.state.entries.find(entry)) {
         entry_status status = *known;
@@ -49,7 +57,16 @@
         status.revision = request.revision;
         status.held = request.held_connections;
         status.wanted = request.wanted_connections;
+        status.is_stopping = request.is_stopping;
+        status.is_replaced = false;
+        const bool is_first_word = known->last_heard <= m_step.state.leading_since;
         m_step.state.entries = std::move(m_step.state.entries).set(entry, std::move(status));
+        if (is_first_word) {
+            note_replaced(entry);
+        }
+        if (request.is_stopping) {
+            plan_relays();
+        }
     }
     auto& grants = m_step.state.grants;
     grants.erase(std::remove_if(grants.begin(), grants.end(),
@@ -58,6 +75,20 @@
     grants.push_back({request, m_step.around.consensus.round, m_step.now()});
 }
 
+/// The host's other processes have ended, and their connections with them. Their leases are still waited for:
+/// what they acknowledged last is not known.
+void lease_keeper::note_replaced(const entry_key& newest)
+{
+    const shared_map<entry_key, entry_status> entries = m_step.state.entries;
+    for (const auto& [entry, status] : entries) {
+        if (entry.name == newest.name && entry != newest && !status.is_replaced) {
+            entry_status replaced = status;
+            replaced.is_replaced = true;
+            m_step.state.entries = std::move(m_step.state.entries).set(entry, std::move(replaced));
+        }
+    }
+}
+
 void lease_keeper::handle(const protocol::lease_return& returned)
 {
     if (m_step.directory().entry_hosts.contains(returned.entry) &&
@@ -72,7 +103,9 @@
     if (!m_step.state.entries.contains(admitted.entry)) {
         entry_status status;
         status.zone = admitted.zone;
+        status.relay = admitted.relay ? protocol::parse_endpoint(*admitted.relay) : std::nullopt;
         m_step.state.entries = std::move(m_step.state.entries).set(admitted.entry, status);
+        note_replaced(admitted.entry);
     }
     m_step.log(logging::log_level::information, "admit_entry_host", admitted.entry.name.value,
                "incarnation=" + admitted.entry.incarnation.value);
@@ -154,10 +187,13 @@
         send_servers(entry.name);
     }
     protocol::lease_grant grant{
-        entry, pending.request.sequence, lease_duration, shares_for(pending.request), {}};
+        entry, pending.request.sequence, lease_duration, shares_for(pending.request), {}, std::nullopt};
     for (const consensus::member& voter : m_step.around.consensus.members.voters) {
         grant.control_hosts.push_back(voter.name);
     }
+    if (pending.request.relays_digest != m_step.state.holders_digest) {
+        grant.relays = plan_for(entry.name, status.zone, m_step.state.holders);
+    }
     for (const auto& [server, share] : grant.connections) {
         status.held[server] = std::max(share, value_or_zero(pending.request.held_connections, server));
     }
@@ -216,26 +252,80 @@
     for (const auto& [server, status] : m_step.state.servers) {
         const auto group = groups.find(status.report.group);
         if (group != groups.end()) {
-            shares[server] = share_for(request, server, group->second.connections);
+            const bool holds = holds_connections(status.report.group, request.entry.name);
+            shares[server] = holds ? share_for(request, status.report, group->second.connections) : 0;
         }
     }
     return shares;
 }
 
+void lease_keeper::plan_relays()
+{
+    std::vector<protocol::relay_host> hosts;
+    for (const auto& [entry, status] : m_step.state.entries) {
+        if (status.relay && !status.is_stopping && !status.is_replaced && status.lease_end > m_step.now()) {
+            hosts.push_back({entry.name, *status.relay, status.zone});
+        }
+    }
+    std::sort(hosts.begin(), hosts.end());
+    hosts.erase(std::unique(hosts.begin(), hosts.end()), hosts.end());
+    const configuration::configuration_version version = m_step.directory().configuration->version;
+    if (hosts == m_step.state.relay_hosts && version == m_step.state.planned_for) {
+        return;
+    }
+    m_step.state.relay_hosts = hosts;
+    m_step.state.planned_for = version;
+    std::map<group_name, std::vector<protocol::relay_host>> holders;
+    for (const auto& [name, group] : m_step.directory().configuration->content.groups) {
+        holders[name] = connection_holders(name, group.connections, hosts);
+    }
+    if (holders == m_step.state.holders) {
+        return;
+    }
+    m_step.state.holders = std::move(holders);
+    m_step.state.holders_digest = digest_of(m_step.state.holders);
+    m_step.log(logging::log_level::information, "plan_relays", "",
+               "hosts=" + std::to_string(hosts.size()) +
+                   " groups=" + std::to_string(m_step.state.holders.size()) +
+                   " digest=" + std::to_string(m_step.state.holders_digest));
+}
+
+/// True when the entry host may open connections to the group's servers; without a plan, each may.
+bool lease_keeper::holds_connections(const group_name& group, const host_name& entry) const
+{
+    const auto found = m_step.state.holders.find(group);
+    return found == m_step.state.holders.end() || found->second.empty() ||
+           std::any_of(found->second.begin(), found->second.end(),
+                       [&](const protocol::relay_host& each) { return each.name == entry; });
+}
+
+std::vector<host_name> lease_keeper::hosts_before(const group_name& group) const
+{
+    std::vector<host_name> live = live_hosts();
+    std::vector<host_name> holding;
+    std::copy_if(live.begin(), live.end(), std::back_inserter(holding),
+                 [&](const host_name& each) { return holds_connections(group, each); });
+    return holding.empty() ? live : holding;
+}
+
 std::uint32_t lease_keeper::share_for(const protocol::lease_request& request,
-                                      const backend_server_name& server, std::uint32_t limit) const
+                                      const protocol::server_report& report, std::uint32_t connections) const
 {
+    const backend_server_name& server = report.name;
+    const bool needs_reserve = report.speaks == protocol::server_interface::sessions;
+    const std::uint32_t limit =
+        connections - (needs_reserve ? std::min(connections_for_orders, connections / part_for_orders) : 0);
     std::uint32_t held_by_others = 0;
     std::uint32_t wanted_by_all = 0;
     std::uint32_t live = 0;
     std::uint32_t unknown = 0;
     for (const auto& [entry, status] : m_step.state.entries) {
         const bool is_self = entry == request.entry;
-        if (!is_self && status.lease_end <= m_step.now()) {
+        if (!is_self && (status.lease_end <= m_step.now() || status.is_replaced)) {
             continue;
         }
-        // Another process of the same host has ended, and its connections with it.
-        if (!is_self && entry.name == request.entry.name) {
+        if (!holds_connections(report.group, entry.name)) {
+            held_by_others += value_or_zero(status.held, server);
             continue;
         }
         ++live;
--- a/src/supervision/internal/lease_keeper.h
+++ b/src/supervision/internal/lease_keeper.h
@@ -23,13 +23,21 @@
     void issue_due_grants();
     void dismiss_expired();
 
+    /// Chooses anew which entry hosts open connections to each group's servers.
+    void plan_relays();
+
     /// Processes that may hold a lease now.
     [[nodiscard]] std::set<entry_key> leased() const;
 
     /// Entry hosts that hold a lease and were heard under this leader, most recently heard first.
     [[nodiscard]] std::vector<host_name> live_hosts() const;
 
+    /// Those of them that open connections to the group's servers: what the others say of a server is
+    /// hearsay, and a probe by each of them would take connections that it has to spare.
+    [[nodiscard]] std::vector<host_name> hosts_before(const group_name& group) const;
+
 private:
+    void note_replaced(const entry_key& newest);
     void issue(const pending_grant& pending);
     void send_view(const host_name& to);
     void send_servers(const host_name& to);
@@ -38,7 +46,9 @@
     [[nodiscard]] std::map<backend_server_name, std::uint32_t>
     shares_for(const protocol::lease_request& request) const;
     [[nodiscard]] std::uint32_t share_for(const protocol::lease_request& request,
-                                          const backend_server_name& server, std::uint32_t limit) const;
+                                          const protocol::server_report& report,
+                                          std::uint32_t connections) const;
+    [[nodiscard]] bool holds_connections(const group_name& group, const host_name& entry) const;
 
     supervision_step& m_step;
 };
--- a/src/supervision/internal/primary_changer.cpp
+++ b/src/supervision/internal/primary_changer.cpp
@@ -63,7 +63,7 @@
     auto& stalls = m_step.state.stalls[group];
     stalls[from] = m_step.now();
     std::erase_if(stalls, [&](const auto& each) { return m_step.now() - each.second > stall_memory; });
-    const std::size_t live = m_leases.live_hosts().size();
+    const std::size_t live = m_leases.hosts_before(group).size();
     if (stalls.size() * 2 <= live || m_step.state.changes.contains(group) || is_paused(group)) {
         return;
     }
@@ -489,7 +489,7 @@
 void primary_changer::start_confirming(const group_name& group, const group_record& record,
                                        const std::string& reason)
 {
-    const std::vector<host_name> live = m_leases.live_hosts();
+    const std::vector<host_name> live = m_leases.hosts_before(group);
     if (m_step.state.changes.contains(group) || is_paused(group) || live.empty()) {
         return;
     }
@@ -583,15 +583,41 @@
 void primary_changer::start_collecting(const group_name& group, group_change change)
 {
     change.positions.clear();
+    change.position_rounds = 0;
     change.probe = m_step.next_number();
-    change.sent_at = m_step.now();
-    std::vector<host_name> through = m_leases.live_hosts();
-    through.resize(std::min(through.size(), probes_for_position));
+    change.stage = change_stage::collecting;
+    change.stage_since = m_step.now();
+    ask_positions(group, std::move(change));
+}
+
+/// Asks the candidates whose position is not known; each time through other entry hosts, since one that can't
+/// reach a candidate says nothing of it.
+void primary_changer::ask_positions(const group_name& group, group_change change)
+{
     const group_record* record = m_step.directory().groups.find(group);
+    std::vector<host_name> through = m_leases.hosts_before(group);
+    if (!through.empty()) {
+        const std::size_t first = change.position_rounds * probes_for_position % through.size();
+        std::rotate(through.begin(), through.begin() + static_cast<std::ptrdiff_t>(first), through.end());
+    }
+    through.resize(std::min(through.size(), probes_for_position));
     for (const server_report& candidate : candidates(group, change)) {
-        probe(candidate.name, change.probe, through, record == nullptr ? 0 : record->last_named_term + 1);
+        const auto known = change.positions.find(candidate.name);
+        if (known == change.positions.end() || !has_position(known->second)) {
+            probe(candidate.name, change.probe, through, record == nullptr ? 0 : record->last_named_term + 1);
+        }
+    }
+    const bool may_be_back = record != nullptr && speaks_in_sessions(record->primary) &&
+                             change.position_rounds >= rounds_before_returned_primary;
+    if (may_be_back) {
+        probe(record->primary, change.probe, through);
     }
-    set_stage(group, std::move(change), change_stage::collecting);
+    if (change.positions.empty()) {
+        change.stage_since = m_step.now();
+    }
+    ++change.position_rounds;
+    change.sent_at = m_step.now();
+    set_change(group, std::move(change));
 }
 
 void primary_changer::finish_collecting_if_done(const group_name& group, group_change change)
@@ -605,12 +631,21 @@
             answered.push_back(found->second);
         }
     }
+    // The lost primary is running again, with all that it acknowledged.
+    const group_record* record = m_step.directory().groups.find(group);
+    const auto returned = record == nullptr ? change.positions.end() : change.positions.find(record->primary);
+    const bool is_primary_back = !change.is_primary_candidate && returned != change.positions.end() &&
+                                 has_position(returned->second) && !returned->second.leaving;
+    if (is_primary_back) {
+        answered.push_back(returned->second);
+    }
+    const bool is_complete = is_primary_back || answered.size() == asked.size();
     const bool is_late = m_step.now() - change.stage_since >= collect_timeout(change, answered);
-    if (answered.empty() || (answered.size() < asked.size() && !is_late)) {
+    if (answered.empty() || (!is_complete && !is_late)) {
         set_change(group, std::move(change));
         return;
     }
-    if (answered.size() < asked.size()) {
+    if (!is_complete) {
         m_step.log(logging::log_level::warning, "collect_positions", group.value,
                    fmt::format("answered={} asked={}", answered.size(), asked.size()));
     }
@@ -674,7 +709,7 @@
 
 void primary_changer::probe_candidate(const group_name& group, group_change change)
 {
-    std::vector<host_name> through = m_leases.live_hosts();
+    std::vector<host_name> through = m_leases.hosts_before(group);
     through.resize(std::min(through.size(), probes_for_position));
     change.probe = m_step.next_number();
     change.sent_at = m_step.now();
@@ -789,11 +824,10 @@
         return;
     }
     case change_stage::collecting:
-        if (change.positions.empty() && since_sent >= probe_resend_interval) {
-            start_collecting(group, change);
-            return;
+        if (since_sent >= position_resend_interval) {
+            ask_positions(group, change);
         }
-        finish_collecting_if_done(group, change);
+        finish_collecting_if_done(group, *m_step.state.changes.find(group));
         return;
     case change_stage::promoting:
         if (speaks_in_sessions(change.candidate)) {
--- a/src/supervision/internal/primary_changer.h
+++ b/src/supervision/internal/primary_changer.h
@@ -55,6 +55,7 @@
     void finish_revoking_if_done(const group_name& group, group_change change);
     void finish_holding(const group_name& group, group_change change);
     void start_collecting(const group_name& group, group_change change);
+    void ask_positions(const group_name& group, group_change change);
     void finish_collecting_if_done(const group_name& group, group_change change);
     void start_naming(const group_name& group, group_change change, const backend_server_name& candidate);
     void send_promotion(const group_name& group, group_change change);
--- a/src/supervision/internal/reduce.cpp
+++ b/src/supervision/internal/reduce.cpp
@@ -283,6 +283,7 @@
         if (!m_step.state.is_leading) {
             return;
         }
+        m_leases.plan_relays();
         m_changer.pass_time();
         send_configuration_if_due(m_step.around.consensus.commit);
         m_changer.forget_silent_servers();
--- a/src/supervision/tests/session_promotion_tests.cpp
+++ b/src/supervision/tests/session_promotion_tests.cpp
@@ -1,5 +1,7 @@
 #include "supervision/reduce.h"
 
+#include <algorithm>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -77,4 +79,134 @@
     EXPECT_EQ(openings_after({2, 112}), 1U);
 }
 
+/// A leader that has asked two replicas for their positions; one has answered, without what was acknowledged.
+class session_collecting_fixture : public ::testing::Test
+{
+protected:
+    static constexpr session::group_position acknowledged{1, 60};
+
+    session_collecting_fixture()
+    {
+        m_consensus.current_role = consensus::role::leader;
+        m_consensus.own_term_start = m_consensus.commit = 1;
+        m_consensus.leading_since = m_now;
+        m_state.is_leading = true;
+        m_state.leading_since = m_now;
+        for (const char* name : {"first", "second", "third"}) {
+            server_status status;
+            status.report = report_of(name, {});
+            status.heard_at = m_now;
+            m_state.servers = std::move(m_state.servers).set(backend_server_name{name}, status);
+        }
+        for (const char* name : {"entry-1", "entry-2", "entry-3", "entry-4"}) {
+            entry_status status;
+            status.lease_end = m_now + milliseconds{60'000};
+            status.last_heard = m_now + milliseconds{1};
+            m_state.entries = std::move(m_state.entries).set({host_name{name}, incarnation_id{"a"}}, status);
+        }
+        group_change change;
+        change.stage = change_stage::collecting;
+        change.term = 1;
+        change.probe = 7;
+        change.stage_since = change.sent_at = m_now;
+        change.acknowledged = acknowledged;
+        change.position_rounds = 1;
+        change.positions[backend_server_name{"second"}] = report_of("second", {1, 12});
+        m_state.changes = std::move(m_state.changes).set(group_name{"orders"}, change);
+        directory::group_record record;
+        record.phase = directory::group_phase::promoting;
+        record.term = 1;
+        record.primary = backend_server_name{"first"};
+        m_directory.groups = std::move(m_directory.groups).set(group_name{"orders"}, record);
+    }
+
+    static protocol::server_report report_of(const std::string& name, const session::group_position& at)
+    {
+        protocol::server_report report;
+        report.name = backend_server_name{name};
+        report.group = group_name{"orders"};
+        report.speaks = protocol::server_interface::sessions;
+        report.at = at;
+        return report;
+    }
+
+    std::vector<supervision_effect> feed(const supervision_event& what)
+    {
+        supervision_transition next =
+            reduce(std::move(m_state), what, {m_directory, m_consensus, m_now, unix_milliseconds{0}});
+        m_state = std::move(next.state);
+        return std::move(next.effects);
+    }
+
+    /// Who is asked for a position after this much more time, and through which entry hosts.
+    std::set<std::pair<std::string, std::string>> asked_after(milliseconds duration)
+    {
+        m_now += duration;
+        std::set<std::pair<std::string, std::string>> asked;
+        for (const supervision_effect& effect : feed(time_passed{})) {
+            const auto* sent = std::get_if<send_to_entry>(&effect);
+            const auto* order =
+                sent == nullptr ? nullptr : std::get_if<protocol::probe_order>(&sent->content);
+            if (order != nullptr) {
+                asked.emplace(order->server.value, sent->to.value);
+            }
+        }
+        return asked;
+    }
+
+    /// The candidate that is named after this server's answer; empty when there is none.
+    std::string named_after(const std::string& name, const session::group_position& at)
+    {
+        const entry_message answered{
+            host_name{"entry-1"}, protocol::probe_report{7, backend_server_name{name}, report_of(name, at)}};
+        for (const supervision_effect& effect : feed(answered)) {
+            const auto* proposed = std::get_if<propose>(&effect);
+            const auto* named =
+                proposed == nullptr ? nullptr : std::get_if<directory::name_candidate>(&proposed->command);
+            if (named != nullptr) {
+                return named->candidate.value;
+            }
+        }
+        return "";
+    }
+
+    time_point m_now{milliseconds{10'000}};
+    consensus::consensus_state m_consensus;
+    directory::directory_state m_directory;
+    supervision_state m_state;
+};
+
+TEST_F(session_collecting_fixture, candidate_without_an_answer_is_asked_again_through_another_entry_host)
+{
+    const auto asked = asked_after(position_resend_interval);
+    EXPECT_TRUE(
+        std::any_of(asked.begin(), asked.end(), [](const auto& each) { return each.first == "third"; }));
+    EXPECT_TRUE(
+        std::none_of(asked.begin(), asked.end(), [](const auto& each) { return each.first == "second"; }));
+    std::set<std::string> through;
+    for (const auto& [server, host] : asked) {
+        through.insert(host);
+    }
+    EXPECT_TRUE(through.contains("entry-1"));
+    EXPECT_EQ(named_after("third", acknowledged), "third");
+}
+
+TEST_F(session_collecting_fixture, lost_primary_that_is_back_is_preferred_to_a_replica_that_lacks_commits)
+{
+    EXPECT_TRUE(asked_after(position_resend_interval).count({"first", "entry-1"}) == 0);
+    bool is_primary_asked = false;
+    for (const auto& [server, host] : asked_after(position_resend_interval)) {
+        is_primary_asked = is_primary_asked || server == "first";
+    }
+    EXPECT_TRUE(is_primary_asked);
+    EXPECT_EQ(named_after("first", acknowledged), "first");
+}
+
+TEST_F(session_collecting_fixture,
+       replica_that_lacks_acknowledged_commits_is_not_named_while_another_is_silent)
+{
+    m_now += collect_timeout_default;
+    EXPECT_EQ(named_after("second", {1, 12}), "");
+}
+
 } // namespace hickorymount::supervision
--- a/src/supervision/types.h
+++ b/src/supervision/types.h
@@ -47,6 +47,11 @@
 /// The replicas' positions are known, or the acknowledged position is covered, before this much has passed;
 /// after it the service's return weighs more than a commit that only the lost servers may hold.
 inline constexpr milliseconds collect_limit{15'000};
+/// Candidates whose position is not known are asked again after this; a question waits 500 ms for its answer.
+inline constexpr milliseconds position_resend_interval{600};
+/// With positions still missing after so many rounds, the lost primary is asked whether it is back with its
+/// log.
+inline constexpr std::size_t rounds_before_returned_primary = 2;
 /// Longest time that one call to the platform for a promotion may be under way.
 inline constexpr milliseconds promotion_call_bound{1000};
 /// Between two looks at a candidate whose promotion was accepted.
@@ -69,6 +74,8 @@
 inline constexpr milliseconds in_force_timeout{5000};
 inline constexpr milliseconds claim_expiry_interval{60'000};
 inline constexpr std::size_t probes_for_position = 3;
+/// Connections to each server that are left for probes and orders.
+inline constexpr std::uint32_t connections_for_orders = 2;
 inline constexpr int takeover_attempts = 3;
 
 /// What the leader knows of one entry host's process.
@@ -83,6 +90,11 @@
     /// Most connections it may hold to each backend server until its next report.
     std::map<backend_server_name, std::uint32_t> held;
     std::map<backend_server_name, std::uint32_t> wanted;
+    /// Where it runs statements for others, if it does.
+    std::optional<protocol::endpoint> relay;
+    bool is_stopping = false;
+    /// A later process of the same host was heard.
+    bool is_replaced = false;
 
     friend bool operator==(const entry_status&, const entry_status&) = default;
 };
@@ -163,6 +175,8 @@
     /// No entry host's lease ran out before it confirmed the term's end.
     bool have_all_confirmed = true;
     std::map<backend_server_name, protocol::server_report> positions;
+    /// How often the candidates were asked for their positions.
+    std::size_t position_rounds = 0;
     backend_server_name candidate;
     protocol::group_term next_term = 0;
     protocol::log_position start = 0;
@@ -221,6 +235,13 @@
     std::set<entry_key> admitting;
     std::set<entry_key> dismissing;
     std::vector<pending_grant> grants;
+    /// The live entry hosts that run statements for others, and the configuration, that `holders` follows
+    /// from.
+    std::vector<protocol::relay_host> relay_hosts;
+    configuration::configuration_version planned_for = 0;
+    /// The entry hosts that open connections to each group's servers, and a hash of them.
+    std::map<group_name, std::vector<protocol::relay_host>> holders;
+    std::uint64_t holders_digest = 0;
     shared_map<group_name, group_change> changes;
     /// When each entry host last said that commits of the group's primary wait.
     std::map<group_name, std::map<host_name, time_point>> stalls;
