Make a lease cheap to grant before many entry hosts

In the storm after a lost leader every host asked every control host. Change: the uses of a server's connections are kept by server (connection_shares); grants and requests name only what a host may use; hosts confirm a configuration spread over 200 ms; a host one update behind is not sent the whole view; three control hosts are asked at once, not all. Also: entry hosts take RESET from one another; each reuse of a passed-on session with other values had failed.

--- a/src/routing/internal/connection_keeper.cpp
+++ b/src/routing/internal/connection_keeper.cpp
@@ -198,7 +198,9 @@
     for (const auto& [name, server] : m_step.state.servers) {
         const auto use = m_step.state.session_uses.find(name);
         if (use != m_step.state.session_uses.end()) {
-            counts[name] = std::max(1U, use->second.wanted);
+            if (use->second.open > 0 || use->second.wanted > 0) {
+                counts[name] = std::max(1U, use->second.wanted);
+            }
             continue;
         }
         const group_state* group = m_step.state.groups.find(server.report.group);
--- a/src/routing/internal/entry_step.h
+++ b/src/routing/internal/entry_step.h
@@ -3,6 +3,7 @@
 #include "routing/read_policy.h"
 #include "routing/types.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 #include <vector>
@@ -24,16 +25,18 @@
         effects.emplace_back(send_to_control{to, std::move(content)});
     }
 
-    /// Sends to the leader, or to every control host while the leader is not known.
+    /// Sends to the leader; while it is not known, to some control hosts, and to others the next time.
     void send_to_leader(const protocol::message& content)
     {
         if (state.leader) {
             send(*state.leader, content);
             return;
         }
-        for (const host_name& host : state.control_hosts) {
-            send(host, content);
+        const std::size_t count = state.control_hosts.size();
+        for (std::size_t at = 0; at < std::min(count, control_hosts_asked); ++at) {
+            send(state.control_hosts[(state.first_asked + at) % count], content);
         }
+        state.first_asked = count == 0 ? 0 : (state.first_asked + control_hosts_asked) % count;
     }
 
     void log(logging::log_level level, std::string step, std::string peer, std::string text)
--- a/src/routing/internal/lease_holder.cpp
+++ b/src/routing/internal/lease_holder.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <xxhash.h>
+
 namespace hickorymount::routing::detail {
 
 namespace {
@@ -39,6 +41,7 @@
     for (const auto& [server, share] : grant.connections) {
         m_connections.set_share(server, share);
     }
+    end_shares_not_granted(grant);
     if (grant.relays) {
         const auto direct = std::count_if(grant.relays->groups.begin(), grant.relays->groups.end(),
                                           [](const auto& each) { return each.second.is_direct; });
@@ -49,6 +52,19 @@
     }
 }
 
+/// A grant names the servers before which this host may open connections, and no others.
+void lease_holder::end_shares_not_granted(const protocol::lease_grant& grant)
+{
+    const auto servers = m_step.state.servers;
+    for (const auto& [name, server] : servers) {
+        const bool is_ended = server.report.speaks == protocol::server_interface::sessions &&
+                              server.connections.share > 0 && !grant.connections.contains(name);
+        if (is_ended) {
+            m_connections.set_share(name, 0);
+        }
+    }
+}
+
 void lease_holder::handle(const host_name& from, const protocol::not_leader& answer)
 {
     const bool is_believed = !m_step.state.leader || *m_step.state.leader == from;
@@ -134,6 +150,14 @@
     m_step.send_to_leader(request);
 }
 
+void lease_holder::renew_soon()
+{
+    const std::string& name = m_step.state.self.name.value;
+    const auto part = XXH3_64bits(name.data(), name.size()) % confirmation_spread.count();
+    m_step.state.lease.renew_at =
+        std::min(m_step.state.lease.renew_at, m_step.now + milliseconds{static_cast<std::int64_t>(part)});
+}
+
 void lease_holder::give_back()
 {
     m_step.state.lease.valid_until = {};
--- a/src/routing/internal/lease_holder.h
+++ b/src/routing/internal/lease_holder.h
@@ -19,9 +19,12 @@
     void pass_time();
     /// Asks for the lease at once, so that control learns what this entry host has taken over.
     void renew();
+    /// Renews within `confirmation_spread`, each host at a moment of its own.
+    void renew_soon();
     void give_back();
 
     void note_report(const protocol::server_report& report);
+    void end_shares_not_granted(const protocol::lease_grant& grant);
     void send_reports();
     void forget_control_hosts(const std::vector<host_name>& voters);
 
--- a/src/routing/internal/view_keeper.cpp
+++ b/src/routing/internal/view_keeper.cpp
@@ -48,7 +48,7 @@
         take_group(view);
     }
     if (is_new_version) {
-        m_lease.renew();
+        m_lease.renew_soon();
     }
 }
 
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -35,6 +35,10 @@
 inline constexpr milliseconds lease_retry_interval{150};
 /// A renewal unanswered for this long goes to all control hosts.
 inline constexpr milliseconds leader_silence{600};
+/// Control hosts that are asked at once while the leader is not known: when it was lost, every entry host asks.
+inline constexpr std::size_t control_hosts_asked = 3;
+/// A new configuration is confirmed to control within this time; not by all entry hosts in the same moment.
+inline constexpr milliseconds confirmation_spread{200};
 /// Subtracted from a lease: the clocks of two hosts may differ in rate by 1% each.
 inline constexpr milliseconds lease_drift_margin{40};
 /// Reports of backend servers are passed on in batches of this interval.
@@ -324,6 +328,8 @@
     availability_zone zone;
     std::vector<host_name> control_hosts;
     std::optional<host_name> leader;
+    /// The place in `control_hosts` of the first one to ask while the leader is not known.
+    std::size_t first_asked = 0;
     shared_value<configuration::versioned_configuration> configuration;
     protocol::view_revision revision = 0;
     shared_map<group_name, group_state> groups;
--- a/src/sessions/internal/statement_desk.cpp
+++ b/src/sessions/internal/statement_desk.cpp
@@ -144,6 +144,10 @@
                    what.kind == statement_kind::commit ? "the transaction has failed" : "");
         return true;
     }
+    if (what.kind == statement_kind::reset) {
+        take_reset(number, session);
+        return true;
+    }
     if (is_local_kind(what.kind)) {
         if (what.kind == statement_kind::set_value && session.values.size() < max_values) {
             session.values[what.name] = what.argument;
@@ -176,6 +180,17 @@
     return false;
 }
 
+void statement_desk::take_reset(session_number number, caller_session& session)
+{
+    if (!session.is_relayed) {
+        reply_code(number, session, answer_code::malformed, "not a statement");
+        return;
+    }
+    session.values.clear();
+    session.prepared.clear();
+    reply_code(number, session, answer_code::done, "");
+}
+
 void statement_desk::take_begin(session_number number, caller_session& session, const asked_statement& asked)
 {
     if (session.transaction) {
--- a/src/sessions/statement.h
+++ b/src/sessions/statement.h
@@ -26,8 +26,10 @@
     prepare,
     execute,
     deallocate,
-    /// The rest are the proxy's own, for backend servers only.
+    /// The rest are the proxy's own. Forgets a session's values and prepared statements; entry hosts ask one
+    /// another for it as well.
     reset,
+    /// For backend servers only.
     status,
     pause,
     resume,
--- a/src/sessions/tests/relay_tests.cpp
+++ b/src/sessions/tests/relay_tests.cpp
@@ -228,6 +228,29 @@
     EXPECT_EQ(run_through().least_position, (group_position{3, 40}));
 }
 
+TEST_F(relay_fixture, reset_by_another_host_forgets_values_and_prepared_statements)
+{
+    follow(true);
+    const session_number session = m_next_session++;
+    feed(session_opened{session, "ledger", true});
+    ask(session, set_value("colour", "red"));
+    ask(session, prepare("p1", true, "shape"));
+    take<answer_session>();
+    ask(session, plain(statement_kind::reset));
+    EXPECT_EQ(next_answer().code, answer_code::done);
+    ask(session, execute("p1", "1"));
+    EXPECT_EQ(next_answer().code, answer_code::unknown_statement);
+    ask(session, plain(statement_kind::read, "READ 1"));
+    EXPECT_EQ(next_run().what.kind, statement_kind::read);
+}
+
+TEST_F(relay_fixture, reset_by_a_caller_is_no_statement)
+{
+    const session_number session = open("ledger");
+    ask(session, plain(statement_kind::reset));
+    EXPECT_EQ(next_answer().code, answer_code::malformed);
+}
+
 TEST_F(relay_fixture, idle_connections_to_a_host_that_left_the_plan_are_closed)
 {
     const session_number session = open("ledger");
--- a/src/supervision/internal/lease_keeper.cpp
+++ b/src/supervision/internal/lease_keeper.cpp
@@ -13,19 +13,9 @@
 /// A request that waits longer than this has been sent again.
 constexpr milliseconds pending_grant_timeout{1000};
 
-/// Orders never take more of a server's connections than one in this many.
-constexpr std::uint32_t part_for_orders = 8;
-
-std::uint32_t value_or_zero(const std::map<backend_server_name, std::uint32_t>& counts,
-                            const backend_server_name& key)
-{
-    const auto found = counts.find(key);
-    return found == counts.end() ? 0 : found->second;
-}
-
 } // namespace
 
-lease_keeper::lease_keeper(supervision_step& step) : m_step(step) {}
+lease_keeper::lease_keeper(supervision_step& step) : m_step(step), m_shares(step) {}
 
 void lease_keeper::start_leading()
 {
@@ -36,6 +26,7 @@
         status.relay = record.relay ? protocol::parse_endpoint(*record.relay) : std::nullopt;
         status.lease_end = m_step.around.consensus.leading_since + lease_duration;
         m_step.state.entries = std::move(m_step.state.entries).set(entry, status);
+        m_step.state.unheard.insert(entry);
     }
     plan_relays();
 }
@@ -55,11 +46,11 @@
         status.last_heard = m_step.now();
         status.version = request.version;
         status.revision = request.revision;
-        status.held = request.held_connections;
-        status.wanted = request.wanted_connections;
         status.is_stopping = request.is_stopping;
         status.is_replaced = false;
         const bool is_first_word = known->last_heard <= m_step.state.leading_since;
+        m_step.state.unheard.erase(entry);
+        m_shares.note_request(request);
         m_step.state.entries = std::move(m_step.state.entries).set(entry, std::move(status));
         if (is_first_word) {
             note_replaced(entry);
@@ -115,6 +106,8 @@
 {
     m_step.state.dismissing.erase(dismissed.entry);
     m_step.state.entries = std::move(m_step.state.entries).erase(dismissed.entry);
+    m_step.state.unheard.erase(dismissed.entry);
+    m_shares.forget(dismissed.entry);
     m_step.log(logging::log_level::information, "dismiss_entry_host", dismissed.entry.name.value,
                "incarnation=" + dismissed.entry.incarnation.value);
 }
@@ -181,31 +174,36 @@
 {
     const entry_key& entry = pending.request.entry;
     entry_status status = *m_step.state.entries.find(entry);
-    if (pending.request.revision < m_step.state.revision) {
+    if (pending.request.revision < m_step.state.revision && !is_update_under_way(pending.request.revision)) {
         send_view(entry.name);
     } else if (pending.request.servers_digest != servers_digest()) {
         send_servers(entry.name);
     }
     protocol::lease_grant grant{
-        entry, pending.request.sequence, lease_duration, shares_for(pending.request), {}, std::nullopt};
+        entry,       pending.request.sequence, lease_duration, m_shares.shares_for(pending.request), {},
+        std::nullopt};
     for (const consensus::member& voter : m_step.around.consensus.members.voters) {
         grant.control_hosts.push_back(voter.name);
     }
     if (pending.request.relays_digest != m_step.state.holders_digest) {
         grant.relays = plan_for(entry.name, status.zone, m_step.state.holders);
     }
-    for (const auto& [server, share] : grant.connections) {
-        status.held[server] = std::max(share, value_or_zero(pending.request.held_connections, server));
-    }
+    m_shares.note_granted(pending.request, grant.connections);
     status.lease_end = std::max(status.lease_end, pending.received_at + lease_duration);
     status.last_heard = std::max(status.last_heard, pending.received_at);
     status.version = pending.request.version;
     status.revision = pending.request.revision;
-    status.wanted = pending.request.wanted_connections;
     m_step.state.entries = std::move(m_step.state.entries).set(entry, std::move(status));
     m_step.send(entry.name, std::move(grant));
 }
 
+/// True for a host that lacks nothing but what it has been sent a moment ago.
+bool lease_keeper::is_update_under_way(protocol::view_revision known) const
+{
+    return known != 0 && known >= m_step.state.revision_before &&
+           m_step.now() - m_step.state.published_at < view_delivery_time;
+}
+
 void lease_keeper::send_view(const host_name& to)
 {
     protocol::view_update view{0, m_step.state.revision, m_step.directory().configuration, {}};
@@ -244,21 +242,6 @@
     });
 }
 
-std::map<backend_server_name, std::uint32_t>
-lease_keeper::shares_for(const protocol::lease_request& request) const
-{
-    std::map<backend_server_name, std::uint32_t> shares;
-    const auto& groups = m_step.directory().configuration->content.groups;
-    for (const auto& [server, status] : m_step.state.servers) {
-        const auto group = groups.find(status.report.group);
-        if (group != groups.end()) {
-            const bool holds = holds_connections(status.report.group, request.entry.name);
-            shares[server] = holds ? share_for(request, status.report, group->second.connections) : 0;
-        }
-    }
-    return shares;
-}
-
 void lease_keeper::plan_relays()
 {
     std::vector<protocol::relay_host> hosts;
@@ -290,63 +273,13 @@
                    " digest=" + std::to_string(m_step.state.holders_digest));
 }
 
-/// True when the entry host may open connections to the group's servers; without a plan, each may.
-bool lease_keeper::holds_connections(const group_name& group, const host_name& entry) const
-{
-    const auto found = m_step.state.holders.find(group);
-    return found == m_step.state.holders.end() || found->second.empty() ||
-           std::any_of(found->second.begin(), found->second.end(),
-                       [&](const protocol::relay_host& each) { return each.name == entry; });
-}
-
 std::vector<host_name> lease_keeper::hosts_before(const group_name& group) const
 {
     std::vector<host_name> live = live_hosts();
     std::vector<host_name> holding;
     std::copy_if(live.begin(), live.end(), std::back_inserter(holding),
-                 [&](const host_name& each) { return holds_connections(group, each); });
+                 [&](const host_name& each) { return m_shares.holds_connections(group, each); });
     return holding.empty() ? live : holding;
 }
 
-std::uint32_t lease_keeper::share_for(const protocol::lease_request& request,
-                                      const protocol::server_report& report, std::uint32_t connections) const
-{
-    const backend_server_name& server = report.name;
-    const bool needs_reserve = report.speaks == protocol::server_interface::sessions;
-    const std::uint32_t limit =
-        connections - (needs_reserve ? std::min(connections_for_orders, connections / part_for_orders) : 0);
-    std::uint32_t held_by_others = 0;
-    std::uint32_t wanted_by_all = 0;
-    std::uint32_t live = 0;
-    std::uint32_t unknown = 0;
-    for (const auto& [entry, status] : m_step.state.entries) {
-        const bool is_self = entry == request.entry;
-        if (!is_self && (status.lease_end <= m_step.now() || status.is_replaced)) {
-            continue;
-        }
-        if (!holds_connections(report.group, entry.name)) {
-            held_by_others += value_or_zero(status.held, server);
-            continue;
-        }
-        ++live;
-        const bool is_unknown = !is_self && status.last_heard <= m_step.state.leading_since;
-        if (is_unknown) {
-            ++unknown;
-            ++wanted_by_all;
-            continue;
-        }
-        wanted_by_all += std::max(1U, is_self ? value_or_zero(request.wanted_connections, server)
-                                              : value_or_zero(status.wanted, server));
-        held_by_others += is_self ? 0 : value_or_zero(status.held, server);
-    }
-    // A host that this leader has not heard yet is taken to hold its fair part.
-    held_by_others += unknown * (limit / std::max(1U, live));
-    const std::uint32_t wanted = std::max(1U, value_or_zero(request.wanted_connections, server));
-    const std::uint32_t spare = wanted_by_all < limit ? (limit - wanted_by_all) / std::max(1U, live) : 0;
-    const std::uint32_t target =
-        wanted_by_all <= limit ? wanted + spare : std::max(1U, limit * wanted / wanted_by_all);
-    const std::uint32_t available = limit > held_by_others ? limit - held_by_others : 0;
-    return std::min(target, available);
-}
-
 } // namespace hickorymount::supervision::detail
--- a/src/supervision/internal/lease_keeper.h
+++ b/src/supervision/internal/lease_keeper.h
@@ -1,13 +1,13 @@
 #pragma once
 
+#include "supervision/internal/connection_shares.h"
 #include "supervision/internal/supervision_step.h"
 
-#include <map>
 #include <set>
 
 namespace hickorymount::supervision::detail {
 
-/// Grants leases and connection shares to entry hosts, and forgets entry hosts that are gone.
+/// Grants leases, with shares of connections, to entry hosts, and forgets entry hosts that are gone.
 class lease_keeper
 {
 public:
@@ -39,18 +39,14 @@
 private:
     void note_replaced(const entry_key& newest);
     void issue(const pending_grant& pending);
+    [[nodiscard]] bool is_update_under_way(protocol::view_revision known) const;
     void send_view(const host_name& to);
     void send_servers(const host_name& to);
     [[nodiscard]] std::uint64_t servers_digest() const;
     [[nodiscard]] bool is_held_back(const entry_key& entry) const;
-    [[nodiscard]] std::map<backend_server_name, std::uint32_t>
-    shares_for(const protocol::lease_request& request) const;
-    [[nodiscard]] std::uint32_t share_for(const protocol::lease_request& request,
-                                          const protocol::server_report& report,
-                                          std::uint32_t connections) const;
-    [[nodiscard]] bool holds_connections(const group_name& group, const host_name& entry) const;
 
     supervision_step& m_step;
+    connection_shares m_shares;
 };
 
 } // namespace hickorymount::supervision::detail
--- a/src/supervision/internal/reduce.cpp
+++ b/src/supervision/internal/reduce.cpp
@@ -250,6 +250,8 @@
     {
         const protocol::view_revision before = m_step.state.revision;
         m_step.state.revision = revision;
+        m_step.state.revision_before = before;
+        m_step.state.published_at = m_step.now();
         if (m_step.state.is_leading) {
             m_step.send_to_all(
                 protocol::view_update{before, revision, std::move(configuration), std::move(groups)});
--- a/src/supervision/types.h
+++ b/src/supervision/types.h
@@ -58,6 +58,8 @@
 inline constexpr milliseconds promotion_poll_interval{60};
 /// A candidate that has not taken over by then is given up.
 inline constexpr milliseconds promotion_limit{6000};
+/// An update of the view reaches entry hosts within this time; until then the whole view is not sent instead.
+inline constexpr milliseconds view_delivery_time{300};
 /// A backend server that was not heard for this long is forgotten.
 inline constexpr milliseconds server_forgotten{60'000};
 /// Longest time for which a planned change holds new writes back.
@@ -87,9 +89,6 @@
     time_point last_heard{};
     configuration::configuration_version version = 0;
     protocol::view_revision revision = 0;
-    /// Most connections it may hold to each backend server until its next report.
-    std::map<backend_server_name, std::uint32_t> held;
-    std::map<backend_server_name, std::uint32_t> wanted;
     /// Where it runs statements for others, if it does.
     std::optional<protocol::endpoint> relay;
     bool is_stopping = false;
@@ -99,6 +98,16 @@
     friend bool operator==(const entry_status&, const entry_status&) = default;
 };
 
+/// One entry host's part of the connections that a backend server takes.
+struct connection_use
+{
+    /// The most that it may hold until its next request.
+    std::uint32_t held = 0;
+    std::uint32_t wanted = 0;
+
+    friend bool operator==(const connection_use&, const connection_use&) = default;
+};
+
 struct server_status
 {
     protocol::server_report report;
@@ -229,8 +238,16 @@
     bool is_leading = false;
     time_point leading_since{};
     protocol::view_revision revision = 0;
+    /// The revision before the last update, and when that was sent.
+    protocol::view_revision revision_before = 0;
+    time_point published_at{};
     shared_map<entry_key, entry_status> entries;
     shared_map<backend_server_name, server_status> servers;
+    std::map<backend_server_name, std::map<entry_key, connection_use>> uses;
+    /// The keys of `uses` under which each entry host stands.
+    std::map<entry_key, std::set<backend_server_name>> used_servers;
+    /// Entry hosts of earlier leaders that this one has not heard.
+    std::set<entry_key> unheard;
     /// Entry hosts whose admission was proposed.
     std::set<entry_key> admitting;
     std::set<entry_key> dismissing;
