--- a/src/gateway/internal/line_connection.cpp
+++ b/src/framework/net/internal/line_connection.cpp
@@ -1,4 +1,4 @@
-#include "gateway/internal/line_connection.h"
+#include "net/line_connection.h"
 
 #include <array>
 #include <utility>
@@ -6,7 +6,7 @@
 #include <boost/asio/buffer.hpp>
 #include <netinet/tcp.h>
 
-namespace hickorymount::gateway::detail {
+namespace hickorymount::net {
 
 namespace {
 
@@ -195,4 +195,4 @@
     }
 }
 
-} // namespace hickorymount::gateway::detail
+} // namespace hickorymount::net
--- a/src/gateway/internal/line_connection.h
+++ b/src/framework/net/line_connection.h
@@ -11,7 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
-namespace hickorymount::gateway::detail {
+namespace hickorymount::net {
 
 /// A TCP connection that carries lines. Used on the thread of its context alone; never blocks.
 class line_connection : public std::enable_shared_from_this<line_connection>
@@ -67,4 +67,4 @@
     bool m_is_closed = false;
 };
 
-} // namespace hickorymount::gateway::detail
+} // namespace hickorymount::net
--- a/src/gateway/internal/server_call.cpp
+++ b/src/gateway/internal/server_call.cpp
@@ -38,8 +38,8 @@
         asio::post(m_context, [self] { self->finish({}); });
         return;
     }
-    m_connection =
-        std::make_shared<line_connection>(asio::ip::tcp::socket(m_context), line_connection::limits{});
+    m_connection = std::make_shared<net::line_connection>(asio::ip::tcp::socket(m_context),
+                                                          net::line_connection::limits{});
     m_connection->set_handlers({[self](std::string_view line) { self->take(line); },
                                 [self](const std::string& /*reason*/) { self->finish({}); }});
     m_connection->connect(*address, [self, service, server] {
--- a/src/gateway/internal/server_call.h
+++ b/src/gateway/internal/server_call.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/identifier.h"
-#include "gateway/internal/line_connection.h"
+#include "net/line_connection.h"
 #include "protocol/types.h"
 #include "sessions/wire.h"
 
@@ -41,7 +41,7 @@
     boost::asio::io_context& m_context;
     const sessions::wire& m_wire;
     finished m_on_finished;
-    std::shared_ptr<line_connection> m_connection;
+    std::shared_ptr<net::line_connection> m_connection;
     boost::asio::steady_timer m_timer;
     sessions::statement m_what;
     bool m_is_open = false;
--- a/src/gateway/internal/session_front.cpp
+++ b/src/gateway/internal/session_front.cpp
@@ -246,7 +246,8 @@
 void session_front::take_caller(tcp::socket socket, bool is_relayed)
 {
     const sessions::session_number number = m_next_session++;
-    auto connection = std::make_shared<line_connection>(std::move(socket), line_connection::limits{});
+    auto connection =
+        std::make_shared<net::line_connection>(std::move(socket), net::line_connection::limits{});
     connection->set_handlers({[this, number](std::string_view line) { take_caller_line(number, line); },
                               [this, number](const std::string& /*reason*/) {
                                   m_callers.erase(number);
@@ -401,7 +402,8 @@
     m_metrics.count(effect.database.empty() ? "hickorymount_links_opened_total"
                                             : "hickorymount_relay_links_opened_total",
                     "");
-    auto connection = std::make_shared<line_connection>(tcp::socket(m_context), line_connection::limits{});
+    auto connection =
+        std::make_shared<net::line_connection>(tcp::socket(m_context), net::line_connection::limits{});
     connection->set_handlers({[this, number](std::string_view line) { take_link_line(number, line); },
                               [this, number](const std::string& reason) { end_link(number, reason); }});
     m_links.emplace(number, link{connection, false, {}, false});
--- a/src/gateway/internal/session_front.h
+++ b/src/gateway/internal/session_front.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "base/error.h"
-#include "gateway/internal/line_connection.h"
 #include "gateway/internal/server_call.h"
 #include "logging/log_writer.h"
 #include "metrics/metric_registry.h"
+#include "net/line_connection.h"
 #include "protocol/types.h"
 #include "routing/types.h"
 #include "sessions/reduce.h"
@@ -54,7 +54,7 @@
 private:
     struct caller
     {
-        std::shared_ptr<line_connection> connection;
+        std::shared_ptr<net::line_connection> connection;
         bool is_open = false;
         /// It is another entry host.
         bool is_relayed = false;
@@ -62,7 +62,7 @@
 
     struct link
     {
-        std::shared_ptr<line_connection> connection;
+        std::shared_ptr<net::line_connection> connection;
         bool is_open = false;
         sessions::answer partial;
         bool has_outcome = false;
--- a/src/sessions/internal/statement_desk.cpp
+++ b/src/sessions/internal/statement_desk.cpp
@@ -144,8 +144,8 @@
                    what.kind == statement_kind::commit ? "the transaction has failed" : "");
         return true;
     }
-    if (what.kind == statement_kind::reset) {
-        take_reset(number, session);
+    if (what.kind >= statement_kind::reset) {
+        take_own(number, session, what);
         return true;
     }
     if (is_local_kind(what.kind)) {
@@ -180,9 +180,10 @@
     return false;
 }
 
-void statement_desk::take_reset(session_number number, caller_session& session)
+/// What proxies say, and callers do not.
+void statement_desk::take_own(session_number number, caller_session& session, const statement& what)
 {
-    if (!session.is_relayed) {
+    if (!session.is_relayed || what.kind != statement_kind::reset) {
         reply_code(number, session, answer_code::malformed, "not a statement");
         return;
     }
--- a/src/sessions/internal/statement_desk.h
+++ b/src/sessions/internal/statement_desk.h
@@ -47,7 +47,7 @@
 private:
     void take(session_number number, caller_session& session, const asked_statement& asked);
     bool take_locally(session_number number, caller_session& session, const asked_statement& asked);
-    void take_reset(session_number number, caller_session& session);
+    void take_own(session_number number, caller_session& session, const statement& what);
     void take_begin(session_number number, caller_session& session, const asked_statement& asked);
     void take_rollback(session_number number, caller_session& session);
     void queue(session_number number, caller_session& session, const asked_statement& asked);
--- a/src/sessions/wire.h
+++ b/src/sessions/wire.h
@@ -13,6 +13,8 @@
 struct open_request
 {
     std::string database;
+    /// The server that the sender expects, where the sender is a proxy; otherwise empty.
+    std::string server{};
 
     friend bool operator==(const open_request&, const open_request&) = default;
 };
@@ -99,6 +101,8 @@
     /// The first message to another entry host.
     [[nodiscard]] virtual std::string encode_open(const std::string& database) const = 0;
     [[nodiscard]] virtual std::string encode_ready(const ready_line& ready) const = 0;
+    /// A server's answer to a question for its status.
+    [[nodiscard]] virtual std::string encode_status(const server_status& status) const = 0;
     [[nodiscard]] virtual std::string encode_refusal(const error_line& refusal) const = 0;
     [[nodiscard]] virtual std::string encode_answer(const answer& whole) const = 0;
 };
