Keep work in the host's own line before a server that is full, and keep connections of reads that moved on

Twelve hosts sent what they had over and over; reads unanswered for 350 ms closed their connection, and a new one takes a slot for 27 ms. Change: a limit of statements under way for each server, lowered by refusals and raised by answers; the newest first while the line's oldest has waited 250 ms; connections whose read moved on are kept; a refusal that another host gave after a wait is final. A dial of a control host that is down ends after 400 ms instead of 5 s. Tests: flight_limit_fixture and waiting_line_fixture replay the loads; session_fixture, two more.

--- a/src/framework/link/internal/websocket_transport.cpp
+++ b/src/framework/link/internal/websocket_transport.cpp
@@ -19,7 +19,24 @@
 
 namespace {
 
-using client = websocketpp::client<websocketpp::config::asio_client>;
+/// The first packet to a host that is down is lost, and sent again only after a second or more. A dial ends
+/// before, so that the host is found soon after it is back; the way there and back takes 50 ms at the most.
+constexpr long connect_timeout_ms = 400;
+
+struct dialling : public websocketpp::config::asio_client
+{
+    using type = dialling;
+    using base = websocketpp::config::asio_client;
+
+    struct transport_config : public base::transport_config
+    {
+        static const long timeout_connect = connect_timeout_ms;
+    };
+
+    using transport_type = websocketpp::transport::asio::endpoint<transport_config>;
+};
+
+using client = websocketpp::client<dialling>;
 using server = websocketpp::server<websocketpp::config::asio>;
 using websocketpp::connection_hdl;
 
--- a/src/sessions/internal/link_keeper.cpp
+++ b/src/sessions/internal/link_keeper.cpp
@@ -214,6 +214,13 @@
     }
 }
 
+void link_keeper::leave_unanswered(link_number number)
+{
+    server_link& link = m_step.state.links.at(number);
+    --m_step.state.loads[link.server].in_use;
+    link.holder = 0;
+}
+
 void link_keeper::close(link_number number)
 {
     m_step.emit(close_link{number});
--- a/src/sessions/internal/link_keeper.h
+++ b/src/sessions/internal/link_keeper.h
@@ -37,6 +37,9 @@
     /// Takes the connection back: rolls back what is open, then keeps it or closes it.
     void release(link_number number);
     void close(link_number number);
+    /// No session waits for the answer any more; once it has come the connection is used again. A new one
+    /// would take a slot of a server that has none to spare.
+    void leave_unanswered(link_number number);
     /// Forgets a connection that has ended.
     void forget(link_number number);
 
--- a/src/sessions/internal/statement_desk.cpp
+++ b/src/sessions/internal/statement_desk.cpp
@@ -261,7 +261,12 @@
         line.push_back({number, session.pending->link != 0, session.pending->route.priority,
                         session.pending->asked.received_at});
     }
-    std::sort(line.begin(), line.end(), goes_before);
+    const auto oldest = std::min_element(line.begin(), line.end(),
+                                         [](const waiting_statement& left, const waiting_statement& right) {
+                                             return left.received_at < right.received_at;
+                                         });
+    const bool serves_newest = is_overloaded(m_step.now - oldest->received_at);
+    std::sort(line.begin(), line.end(), serves_newest ? goes_before_in_overload : goes_before);
     for (const waiting_statement& each : line) {
         caller_session& session = m_step.state.sessions.at(each.session);
         if (session.pending->retry_at <= m_step.now && place(each.session, session)) {
@@ -363,7 +368,7 @@
 {
     const group_in_view* known = m_step.group(group);
     if (known == nullptr || !m_step.is_primary_usable(*known) || known->is_held ||
-        is_new_work_refused(known->primary)) {
+        is_new_work_refused(known->primary) || !has_room(known->primary)) {
         return std::nullopt;
     }
     const std::optional<link_number> link = m_links.find_idle(known->primary, session);
@@ -373,6 +378,12 @@
     return link;
 }
 
+bool statement_desk::has_room(const backend_server_name& server) const
+{
+    const auto load = m_step.state.loads.find(server);
+    return load == m_step.state.loads.end() || may_send(load->second.limit, load->second.in_use);
+}
+
 std::optional<link_number> statement_desk::link_for_read(caller_session& session)
 {
     pending_statement& pending = *session.pending;
@@ -388,7 +399,8 @@
     for (const auto& [name, server] : m_step.state.view->servers) {
         const bool is_primary = known != nullptr && known->primary == name;
         const bool is_usable = !is_primary || (m_step.is_primary_usable(*known) && !known->is_held);
-        if (server.group != group || server.is_leaving || !is_usable || pending.tried.contains(name)) {
+        if (server.group != group || server.is_leaving || !is_usable || pending.tried.contains(name) ||
+            !has_room(name)) {
             continue;
         }
         const server_load& load = m_step.state.loads[name];
@@ -471,6 +483,7 @@
     const std::string reason = "refused before it ran: code=" + std::to_string(static_cast<int>(whole.code));
     link.own.reset();
     m_links.avoid(server);
+    note_load(link, whole.code);
     note_refusal(*session.pending, server, whole.code);
     // A connection that did not begin a transaction is as it was; after any other refusal its values are in
     // doubt.
@@ -502,6 +515,7 @@
     if (link.sent_in_term != 0 && whole.at && m_step.is_term_usable(group, link.sent_in_term)) {
         add_sample(m_step.state.samples[group], {link.sent_at, *whole.at}, m_step.now);
     }
+    note_load(link, whole.code);
     link.is_in_transaction = whole.state != transaction_state::none;
     link.stage = link_stage::reserved;
     const session_number holder = link.holder;
@@ -603,7 +617,7 @@
         pass_on(number, session, std::move(*whole));
         return;
     case verdict::try_elsewhere:
-        if (is_too_late(pending, m_step.now)) {
+        if (is_too_late(pending, m_step.now) || was_refused_after_a_wait(pending, code)) {
             if (is_link_left) {
                 m_links.release(link);
             }
@@ -639,6 +653,16 @@
     }
 }
 
+/// Another entry host has kept it waiting, as this one would have: its servers have more work than they can
+/// do, and asking the next host only adds to it.
+bool statement_desk::was_refused_after_a_wait(const pending_statement& pending,
+                                              const std::optional<answer_code>& code) const
+{
+    const server_link* link = m_step.link(pending.link);
+    return link != nullptr && link->is_relay && code == answer_code::busy &&
+           m_step.now - pending.sent_at >= overload_after;
+}
+
 void statement_desk::pass_on(session_number number, caller_session& session, answer whole)
 {
     pending_statement& pending = *session.pending;
@@ -783,10 +807,7 @@
     }
     const bool is_running = session->pending && session->pending->link != 0;
     if (is_running && !session->transaction) {
-        // The answer is awaited, so that the connection can be used again.
-        server_link& link = *m_step.link(session->pending->link);
-        --m_step.state.loads[link.server].in_use;
-        link.holder = 0;
+        m_links.leave_unanswered(session->pending->link);
     }
     if (session->transaction) {
         end_transaction(*session);
@@ -884,6 +905,16 @@
     }
 }
 
+void statement_desk::note_load(const server_link& link, answer_code code)
+{
+    server_load& load = m_step.state.loads[link.server];
+    if (code == answer_code::busy) {
+        load.limit = after_refusal(load.limit, load.in_use, m_step.now);
+    } else if (code == answer_code::done) {
+        load.limit = after_answer(load.limit, load.in_use);
+    }
+}
+
 void statement_desk::note_heard(const server_link& link)
 {
     if (link.is_relay) {
@@ -901,7 +932,12 @@
     if (session.transaction) {
         session.transaction->link = 0;
     }
-    m_links.close(link);
+    if (scope_of(session) == statement_scope::single_read) {
+        m_links.leave_unanswered(link);
+    } else {
+        m_links.close(link);
+    }
+    session.pending->link = 0;
     if (m_step.now >= session.pending->deadline && scope_of(session) == statement_scope::single_read) {
         reply_code(number, session, answer_code::timed_out, "no answer in time");
         return;
--- a/src/sessions/internal/statement_desk.h
+++ b/src/sessions/internal/statement_desk.h
@@ -79,6 +79,10 @@
     void leave_queue(session_number number, const group_name& group);
     void check_session(session_number number, caller_session& session);
     void give_up_unanswered(session_number number, caller_session& session);
+    [[nodiscard]] bool has_room(const backend_server_name& server) const;
+    [[nodiscard]] bool was_refused_after_a_wait(const pending_statement& pending,
+                                                const std::optional<answer_code>& code) const;
+    void note_load(const server_link& link, answer_code code);
     void check_relay(session_number number, caller_session& session, const server_link& link);
     void note_heard(const server_link& link);
     void suspect(const server_link& link, const std::string& reason, bool is_stalled = false);
--- a/src/sessions/internal/waiting_line.cpp
+++ b/src/sessions/internal/waiting_line.cpp
@@ -10,6 +10,17 @@
            std::tuple(!right.continues_transaction, right.priority, right.received_at, right.session);
 }
 
+bool goes_before_in_overload(const waiting_statement& left, const waiting_statement& right)
+{
+    return std::tuple(!left.continues_transaction, left.priority, right.received_at, left.session) <
+           std::tuple(!right.continues_transaction, right.priority, left.received_at, right.session);
+}
+
+bool is_overloaded(milliseconds oldest_wait)
+{
+    return oldest_wait >= overload_after;
+}
+
 bool is_too_late(const pending_statement& waiting, time_point now)
 {
     return now + send_margin >= waiting.deadline;
--- a/src/sessions/internal/waiting_line.h
+++ b/src/sessions/internal/waiting_line.h
@@ -20,6 +20,15 @@
 /// used, so it goes first; then the class that operators rank highest; then the oldest.
 bool goes_before(const waiting_statement& left, const waiting_statement& right);
 
+/// With work that has waited longer than this, the line is not a passing one.
+inline constexpr milliseconds overload_after{250};
+
+/// The same while `oldest_wait` says that there is more work than can be done. Answers to: an overload that
+/// lasts, in which the oldest first would mean that each is served just before its time is over, and most of
+/// them in vain. The newest first are served in good time, and the rest is refused as it would be anyway.
+bool goes_before_in_overload(const waiting_statement& left, const waiting_statement& right);
+bool is_overloaded(milliseconds oldest_wait);
+
 /// True when a statement that still waits can't be answered within its time limit any more; its caller is
 /// told at once.
 bool is_too_late(const pending_statement& waiting, time_point now);
--- a/src/sessions/tests/decision_tests.cpp
+++ b/src/sessions/tests/decision_tests.cpp
@@ -1,3 +1,4 @@
+#include "sessions/flight_limit.h"
 #include "sessions/internal/freshness.h"
 #include "sessions/internal/outcome.h"
 #include "sessions/internal/placement.h"
@@ -129,11 +130,12 @@
 
 class waiting_line_fixture : public ::testing::Test
 {
+protected:
+    static time_point at(std::int64_t when) { return time_point{milliseconds{when}}; }
 };
 
 TEST_F(waiting_line_fixture, burst_is_served_by_begun_transactions_then_priority_then_age)
 {
-    const auto at = [](int ms) { return time_point{milliseconds{ms}}; };
     std::vector<waiting_statement> line{
         {1, false, 2, at(1)}, {2, false, 1, at(5)}, {3, true, 2, at(9)}, {4, false, 1, at(3)}};
     std::sort(line.begin(), line.end(), goes_before);
@@ -144,6 +146,52 @@
     EXPECT_EQ(order, (std::vector<session_number>{3, 4, 2, 1}));
 }
 
+TEST_F(waiting_line_fixture, lasting_overload_is_served_by_begun_transactions_then_priority_then_newest)
+{
+    std::vector<waiting_statement> line{
+        {1, false, 2, at(1)}, {2, false, 1, at(5)}, {3, true, 2, at(9)}, {4, false, 1, at(3)}};
+    std::sort(line.begin(), line.end(), goes_before_in_overload);
+    std::vector<session_number> order;
+    for (const waiting_statement& each : line) {
+        order.push_back(each.session);
+    }
+    EXPECT_EQ(order, (std::vector<session_number>{3, 2, 4, 1}));
+    EXPECT_FALSE(is_overloaded(overload_after - milliseconds{1}));
+    EXPECT_TRUE(is_overloaded(overload_after));
+}
+
+/// Replays a load that is twice what a server can do: arrivals at equal distances, and as many served.
+TEST_F(waiting_line_fixture,
+       half_of_a_lasting_double_load_is_answered_in_time_by_the_newest_first_and_none_by_the_oldest)
+{
+    constexpr std::int64_t service_ms = 6;
+    constexpr std::int64_t arrival_ms = 3;
+    constexpr std::int64_t time_limit_ms = 800;
+    constexpr std::int64_t aim_ms = 400;
+    constexpr std::int64_t length_ms = 12'000;
+    const auto in_time = [&](auto goes_first) {
+        std::vector<waiting_statement> line;
+        int answered = 0;
+        for (std::int64_t now = 0; now < length_ms; ++now) {
+            if (now % arrival_ms == 0) {
+                line.push_back({static_cast<session_number>(now), false, 1, at(now)});
+            }
+            std::erase_if(line, [&](const waiting_statement& each) {
+                return now - each.received_at.time_since_epoch().count() >= time_limit_ms;
+            });
+            if (now % service_ms == 0 && !line.empty()) {
+                std::sort(line.begin(), line.end(), goes_first);
+                const std::int64_t waited = now - line.front().received_at.time_since_epoch().count();
+                answered += now > length_ms / 2 && waited + service_ms <= aim_ms ? 1 : 0;
+                line.erase(line.begin());
+            }
+        }
+        return answered;
+    };
+    EXPECT_EQ(in_time(goes_before), 0);
+    EXPECT_GT(in_time(goes_before_in_overload), length_ms / 2 / service_ms * 9 / 10);
+}
+
 TEST_F(waiting_line_fixture, statement_too_late_to_be_answered_is_refused)
 {
     pending_statement waiting;
@@ -152,4 +200,62 @@
     EXPECT_TRUE(is_too_late(waiting, waiting.deadline - send_margin));
 }
 
+class flight_limit_fixture : public ::testing::Test
+{
+};
+
+TEST_F(flight_limit_fixture, refusals_that_come_together_lower_the_limit_once)
+{
+    const time_point now{milliseconds{1000}};
+    const flight_limit lowered = after_refusal({8, {}}, 8, now);
+    EXPECT_LT(lowered.allowed, 8);
+    EXPECT_EQ(after_refusal(lowered, 8, now + milliseconds{1}), lowered);
+    EXPECT_LT(after_refusal(lowered, 8, now + lowering_pause).allowed, lowered.allowed);
+}
+
+TEST_F(flight_limit_fixture, one_statement_may_always_be_sent)
+{
+    flight_limit limit;
+    for (int at = 1; at < 50; ++at) {
+        limit = after_refusal(limit, 1, time_point{milliseconds{at * 100}});
+    }
+    EXPECT_TRUE(may_send(limit, 0));
+    EXPECT_FALSE(may_send(limit, 1));
+}
+
+TEST_F(flight_limit_fixture, answers_raise_a_limit_that_is_used_and_no_other)
+{
+    const flight_limit limit{4, {}};
+    EXPECT_EQ(after_answer(limit, 1), limit);
+    EXPECT_GT(after_answer(limit, 3).allowed, limit.allowed);
+    EXPECT_LE(after_answer({most_in_flight, {}}, 24).allowed, most_in_flight);
+}
+
+/// Twelve hosts with work without end before a server of 3 slots and a queue of 24: in rounds, each sends
+/// what it may, and the server takes what it has room for.
+TEST_F(flight_limit_fixture, hosts_before_one_full_server_soon_send_what_it_takes)
+{
+    constexpr std::size_t hosts = 12;
+    constexpr std::uint32_t room = 27;
+    constexpr int rounds = 400;
+    std::vector<flight_limit> limits(hosts);
+    int sent_late = 0;
+    int refused_late = 0;
+    for (int round = 0; round < rounds; ++round) {
+        const time_point now{milliseconds{round * 60}};
+        std::uint32_t taken = 0;
+        for (flight_limit& limit : limits) {
+            std::uint32_t in_flight = 0;
+            while (may_send(limit, in_flight)) {
+                ++in_flight;
+                const bool is_refused = ++taken > room;
+                sent_late += round > rounds / 2 ? 1 : 0;
+                refused_late += round > rounds / 2 && is_refused ? 1 : 0;
+                limit = is_refused ? after_refusal(limit, in_flight, now) : after_answer(limit, in_flight);
+            }
+        }
+    }
+    EXPECT_LT(refused_late, sent_late / 4);
+}
+
 } // namespace hickorymount::sessions::detail
--- a/src/sessions/tests/session_tests.cpp
+++ b/src/sessions/tests/session_tests.cpp
@@ -465,4 +465,41 @@
     EXPECT_TRUE(suspected.back().is_stalled);
 }
 
+TEST_F(session_fixture, connection_of_a_read_that_is_tried_elsewhere_is_kept_and_used_again)
+{
+    take_sample({3, 40});
+    connect_replicas();
+    pass(milliseconds{30});
+    const session_number session = open("catalogue");
+    ask(session, plain(statement_kind::read, "READ 1"));
+    const link_number slow = run_through().link;
+    pass(read_retry_after);
+    EXPECT_TRUE(take<close_link>().empty());
+    answer_done(run_through().link);
+    next_answer();
+    answer_done(slow);
+    EXPECT_TRUE(take<answer_session>().empty());
+    EXPECT_EQ(m_state.links.at(slow).stage, link_stage::idle);
+}
+
+TEST_F(session_fixture, server_whose_queue_was_full_is_sent_less_and_the_rest_waits_here)
+{
+    std::vector<session_number> sessions;
+    for (int at = 0; at < 3; ++at) {
+        sessions.push_back(open("ledger"));
+        ask(sessions.back(), plain(statement_kind::read, "READ 1"));
+    }
+    open_links();
+    const auto runs = take<run_on_link>();
+    ASSERT_GE(runs.size(), 2U);
+    server_load& load = m_state.loads[backend_server_name{"first"}];
+    load.limit.allowed = 2;
+    answer_error(runs[0].link, answer_code::busy);
+    EXPECT_LT(load.limit.allowed, 2);
+    pass(refusal_pause);
+    EXPECT_TRUE(take<run_on_link>().empty());
+    answer_done(runs[1].link);
+    EXPECT_EQ(take<run_on_link>().size(), 1U);
+}
+
 } // namespace hickorymount::sessions
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -5,6 +5,7 @@
 #include "base/shared_value.h"
 #include "configuration/types.h"
 #include "logging/types.h"
+#include "sessions/flight_limit.h"
 #include "sessions/statement.h"
 #include "sessions/traffic_view.h"
 
@@ -221,6 +222,7 @@
     std::uint32_t opening = 0;
     std::uint32_t in_use = 0;
     std::uint32_t peak_in_use = 0;
+    flight_limit limit;
     /// Smoothed time from sending a statement to its answer.
     double latency_ms = 0;
     time_point avoid_until{};
