--- a/src/gateway/internal/session_front.cpp
+++ b/src/gateway/internal/session_front.cpp
@@ -260,19 +260,19 @@
 void session_front::take_caller_line(sessions::session_number number, std::string_view line)
 {
     caller& known = m_callers.at(number);
-    const sessions::caller_line decoded = m_wire->decode_caller(line);
+    const sessions::caller_line decoded =
+        known.is_relayed ? m_wire->decode_proxy(line) : m_wire->decode_caller(line);
     if (const auto* opening = std::get_if<sessions::open_request>(&decoded);
         opening != nullptr && !known.is_open) {
         step(sessions::session_opened{number, opening->database, known.is_relayed});
         return;
     }
     if (const auto* asked = std::get_if<sessions::statement_request>(&decoded);
-        asked != nullptr && known.is_open && (known.is_relayed || !asked->least)) {
+        asked != nullptr && known.is_open) {
         step(sessions::statement_asked{number, asked->id, asked->what, asked->least});
         return;
     }
-    if (known.is_open && !std::holds_alternative<sessions::open_request>(decoded) &&
-        !std::holds_alternative<sessions::leave_request>(decoded)) {
+    if (known.is_open && std::holds_alternative<sessions::malformed_request>(decoded)) {
         step(sessions::malformed_asked{number});
         return;
     }
--- a/src/sessions/wire.h
+++ b/src/sessions/wire.h
@@ -23,7 +23,7 @@
 {
     std::string id;
     statement what;
-    /// Only other entry hosts name one.
+    /// A read must see at least this; only proxies say so.
     std::optional<group_position> least{};
 
     friend bool operator==(const statement_request&, const statement_request&) = default;
@@ -89,6 +89,9 @@
     virtual ~wire() = default;
 
     [[nodiscard]] virtual caller_line decode_caller(std::string_view line) const = 0;
+    /// The same from a proxy, which may say more than a caller: for entry hosts that run statements for others,
+    /// and for stand-ins of servers.
+    [[nodiscard]] virtual caller_line decode_proxy(std::string_view line) const = 0;
     [[nodiscard]] virtual server_line decode_server(std::string_view line) const = 0;
     /// Empty when the row is no status.
     [[nodiscard]] virtual std::optional<server_status> decode_status(std::string_view row) const = 0;
--- a/src/soak/internal/emulated_group.cpp
+++ b/src/soak/internal/emulated_group.cpp
@@ -226,7 +226,7 @@
     if (millisecond_clock::now() < of.silent_until) {
         return;
     }
-    const sessions::caller_line decoded = m_wire.decode_caller(line);
+    const sessions::caller_line decoded = m_wire.decode_proxy(line);
     if (const auto* opening = std::get_if<sessions::open_request>(&decoded)) {
         const bool is_right =
             opening->database == m_name && (opening->server.empty() || opening->server == of.name);
