Send the whole view once to a host that asks over and over, and encode it once for all

Change: the view is not sent again within 300 ms; the last message of each kind stays encoded; hosts without a lease ask less often the longer they wait, 600 ms at the most.

--- a/src/gateway/internal/control_service.cpp
+++ b/src/gateway/internal/control_service.cpp
@@ -19,6 +19,7 @@
 #include "supervision/descriptions.h"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <mutex>
 #include <random>
@@ -249,13 +250,14 @@
 
     void carry_out(node::send_to_peer&& effect)
     {
-        // A message to all is encoded once; its large parts are shared, so comparing it is cheap.
-        if (m_last_encoded.bytes.empty() || m_last_encoded.content != effect.content) {
-            m_last_encoded = {std::move(effect.content), {}};
-            m_last_encoded.bytes = protocol::encode(m_last_encoded.content);
+        // What many hosts are sent is encoded once; its large parts are shared, so comparing it is cheap.
+        encoded_message& last = m_last_encoded[effect.content.index()];
+        if (last.bytes.empty() || last.content != effect.content) {
+            last.content = std::move(effect.content);
+            last.bytes = protocol::encode(last.content);
         }
-        m_metrics.count("hickorymount_control_bytes_sent_total", "", m_last_encoded.bytes.size());
-        m_transport->send(effect.to.value, m_last_encoded.bytes);
+        m_metrics.count("hickorymount_control_bytes_sent_total", "", last.bytes.size());
+        m_transport->send(effect.to.value, last.bytes);
     }
 
     void carry_out(consensus::persist_log&& effect) { m_storage->write(std::move(effect)); }
@@ -422,7 +424,8 @@
         protocol::message content;
         std::string bytes;
     };
-    encoded_message m_last_encoded;
+    /// The last message of each kind.
+    std::array<encoded_message, std::variant_size_v<protocol::message>> m_last_encoded;
     std::set<host_name> m_dialled;
     std::atomic<bool> m_knows_leader{false};
     mutable std::mutex m_leader_mutex;
--- a/src/routing/internal/lease_holder.cpp
+++ b/src/routing/internal/lease_holder.cpp
@@ -13,6 +13,11 @@
 /// Hosts that are no leaders may name one another; a hint is followed this often at most.
 constexpr milliseconds hint_interval{100};
 
+milliseconds retry_interval(const lease_state& lease)
+{
+    return std::min(lease_retry_interval * (1 + lease.unanswered / 2), lease_retry_interval_max);
+}
+
 } // namespace
 
 lease_holder::lease_holder(entry_step& step, connection_keeper& connections)
@@ -32,6 +37,7 @@
     lease.valid_until = std::max(lease.valid_until, valid_until);
     lease.sent.erase(lease.sent.begin(), std::next(sent));
     lease.last_grant = m_step.now;
+    lease.unanswered = 0;
     if (!lease.was_valid && m_step.has_lease()) {
         m_step.log(logging::log_level::information, "lease_granted", from.value, "");
     }
@@ -146,7 +152,8 @@
     if (lease.sent.size() > max_remembered_renewals) {
         lease.sent.erase(lease.sent.begin());
     }
-    lease.renew_at = m_step.now + (m_step.has_lease() ? lease_renewal_interval : lease_retry_interval);
+    lease.renew_at = m_step.now + (m_step.has_lease() ? lease_renewal_interval : retry_interval(lease));
+    ++lease.unanswered;
     m_step.send_to_leader(request);
 }
 
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -31,8 +31,10 @@
 using connection_number = std::uint64_t;
 
 inline constexpr milliseconds lease_renewal_interval{400};
-/// The same without a lease.
+/// The same without a lease, at first; each further request waits longer, up to the most. After a loss of all
+/// control hosts every entry host asks over and over.
 inline constexpr milliseconds lease_retry_interval{150};
+inline constexpr milliseconds lease_retry_interval_max{600};
 /// A renewal unanswered for this long goes to all control hosts.
 inline constexpr milliseconds leader_silence{600};
 /// Control hosts that are asked at once while the leader is not known: when it was lost, every entry host asks.
@@ -307,6 +309,8 @@
     time_point renew_at{};
     time_point last_grant{};
     time_point hinted_at{};
+    /// Requests since the last grant.
+    int unanswered = 0;
     bool was_valid = false;
 
     friend bool operator==(const lease_state&, const lease_state&) = default;
--- a/src/supervision/internal/lease_keeper.cpp
+++ b/src/supervision/internal/lease_keeper.cpp
@@ -174,7 +174,9 @@
 {
     const entry_key& entry = pending.request.entry;
     entry_status status = *m_step.state.entries.find(entry);
-    if (pending.request.revision < m_step.state.revision && !is_update_under_way(pending.request.revision)) {
+    const bool is_behind = pending.request.revision < m_step.state.revision;
+    if (is_behind && !is_update_under_way(status, pending.request.revision)) {
+        status.view_sent_at = m_step.now();
         send_view(entry.name);
     } else if (pending.request.servers_digest != servers_digest()) {
         send_servers(entry.name);
@@ -198,8 +200,11 @@
 }
 
 /// True for a host that lacks nothing but what it has been sent a moment ago.
-bool lease_keeper::is_update_under_way(protocol::view_revision known) const
+bool lease_keeper::is_update_under_way(const entry_status& to, protocol::view_revision known) const
 {
+    if (to.view_sent_at && m_step.now() - *to.view_sent_at < view_delivery_time) {
+        return true;
+    }
     return known != 0 && known >= m_step.state.revision_before &&
            m_step.now() - m_step.state.published_at < view_delivery_time;
 }
--- a/src/supervision/internal/lease_keeper.h
+++ b/src/supervision/internal/lease_keeper.h
@@ -39,7 +39,7 @@
 private:
     void note_replaced(const entry_key& newest);
     void issue(const pending_grant& pending);
-    [[nodiscard]] bool is_update_under_way(protocol::view_revision known) const;
+    [[nodiscard]] bool is_update_under_way(const entry_status& to, protocol::view_revision known) const;
     void send_view(const host_name& to);
     void send_servers(const host_name& to);
     [[nodiscard]] std::uint64_t servers_digest() const;
--- a/src/supervision/types.h
+++ b/src/supervision/types.h
@@ -58,7 +58,7 @@
 inline constexpr milliseconds promotion_poll_interval{60};
 /// A candidate that has not taken over by then is given up.
 inline constexpr milliseconds promotion_limit{6000};
-/// An update of the view reaches entry hosts within this time; until then the whole view is not sent instead.
+/// An update of the view, or the whole, reaches entry hosts within this time; until then it is not sent again.
 inline constexpr milliseconds view_delivery_time{300};
 /// A backend server that was not heard for this long is forgotten.
 inline constexpr milliseconds server_forgotten{60'000};
@@ -89,6 +89,8 @@
     time_point last_heard{};
     configuration::configuration_version version = 0;
     protocol::view_revision revision = 0;
+    /// When it was last sent the whole view.
+    std::optional<time_point> view_sent_at;
     /// Where it runs statements for others, if it does.
     std::optional<protocol::endpoint> relay;
     bool is_stopping = false;
