--- a/src/routing/internal/lease_holder.cpp
+++ b/src/routing/internal/lease_holder.cpp
@@ -79,6 +79,7 @@
         return;
     }
     m_step.state.leader = answer.leader;
+    add_control_hosts({*answer.leader});
     m_step.state.lease.hinted_at = m_step.now;
     renew();
 }
--- a/src/routing/tests/session_groups_tests.cpp
+++ b/src/routing/tests/session_groups_tests.cpp
@@ -1,6 +1,8 @@
 #include "routing/read_policy.h"
 #include "routing/reduce.h"
 
+#include <algorithm>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -112,4 +114,54 @@
     EXPECT_EQ(digest(), 0U);
 }
 
+/// A process that has just started knows the control hosts of its settings, and the leader need not be one.
+TEST_F(session_groups_fixture, leader_that_is_named_by_a_control_host_gets_a_connection_and_the_request)
+{
+    from_control(protocol::not_leader{host_name{"10.0.0.9:7440"}});
+    const auto& known = m_state.control_hosts;
+    EXPECT_NE(std::find(known.begin(), known.end(), host_name{"10.0.0.9:7440"}), known.end());
+    EXPECT_EQ(m_state.leader, host_name{"10.0.0.9:7440"});
+    EXPECT_FALSE(sent<protocol::lease_request>().empty());
+}
+
+TEST_F(session_groups_fixture, shares_that_a_grant_does_not_name_have_ended)
+{
+    feed(time_passed{});
+    const auto grant = [this](std::map<backend_server_name, std::uint32_t> shares) {
+        m_sent.clear();
+        m_now += lease_renewal_interval;
+        feed(time_passed{});
+        protocol::lease_grant granted;
+        granted.entry = m_state.self;
+        granted.sequence = sent<protocol::lease_request>().at(0).sequence;
+        granted.duration = milliseconds{2000};
+        granted.connections = std::move(shares);
+        from_control(granted);
+        return m_state.servers.find(backend_server_name{"first"})->connections.share;
+    };
+    EXPECT_EQ(grant({{backend_server_name{"first"}, 3}}), 3U);
+    EXPECT_EQ(grant({}), 0U);
+}
+
+TEST_F(session_groups_fixture, requests_without_an_answer_become_rarer)
+{
+    milliseconds last{0};
+    for (int at = 0; at < 12; ++at) {
+        m_now = m_state.lease.renew_at;
+        feed(time_passed{});
+        const milliseconds pause = m_state.lease.renew_at - m_now;
+        EXPECT_GE(pause, last);
+        last = pause;
+    }
+    EXPECT_EQ(last, lease_retry_interval_max);
+}
+
+TEST_F(session_groups_fixture, host_that_stops_says_so_at_once)
+{
+    feed(stop_announced{});
+    const auto requests = sent<protocol::lease_request>();
+    ASSERT_EQ(requests.size(), 1U);
+    EXPECT_TRUE(requests[0].is_stopping);
+}
+
 } // namespace hickorymount::routing
