End transactions that rest while others wait, count only unanswered statements as work, elect sooner after a start

transaction_idle_timeout was read and not used: a caller that rests inside a transaction held its connection for good. A resting transaction also counted against the limit of statements under way. Tests in session_fixture.

--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -26,8 +26,9 @@
 inline constexpr milliseconds heartbeat_interval{50};
 inline constexpr milliseconds election_timeout_min{300};
 inline constexpr milliseconds election_timeout_max{600};
-/// A host that starts asks for votes this much earlier; often all hosts have just started.
-inline constexpr milliseconds first_election_lead{150};
+/// A host that starts asks for votes this much earlier: often all hosts have just started, and where a leader
+/// is heard the others refuse.
+inline constexpr milliseconds first_election_lead{270};
 inline constexpr milliseconds join_interval{500};
 inline constexpr milliseconds snapshot_resend_interval{1000};
 /// A voter that has been silent for this long is removed, as long as enough voters remain.
--- a/src/sessions/internal/link_keeper.cpp
+++ b/src/sessions/internal/link_keeper.cpp
@@ -16,6 +16,12 @@
 /// Weight of the newest observation in the smoothed latency.
 constexpr double latency_weight = 0.1;
 
+bool is_under_way(link_stage stage)
+{
+    return stage == link_stage::preparing || stage == link_stage::running ||
+           stage == link_stage::rolling_back;
+}
+
 /// How much has to be sent before the connection holds the session's values.
 int mismatch(const server_link& link, const caller_session& session)
 {
@@ -104,7 +110,7 @@
 {
     server_link& link = m_step.state.links.at(number);
     link.holder = holder;
-    link.stage = link_stage::reserved;
+    set_stage(link, link_stage::reserved);
     server_load& load = m_step.state.loads[link.server];
     ++load.in_use;
     load.peak_in_use = std::max(load.peak_in_use, load.in_use);
@@ -156,7 +162,7 @@
     server_link& link = m_step.state.links.at(number);
     const group_in_view* group = m_step.group(link.group);
     const bool is_primary = group != nullptr && group->primary == link.server;
-    link.stage = link_stage::running;
+    set_stage(link, link_stage::running);
     link.sent_at = m_step.now;
     link.sent_in_term = is_primary && m_step.is_primary_usable(*group) ? group->term : 0;
     statement what = wanted.asked.what;
@@ -205,10 +211,10 @@
     }
     if (link.is_in_transaction) {
         send_own(number, link, {.kind = statement_kind::rollback}, {});
-        link.stage = link_stage::rolling_back;
+        set_stage(link, link_stage::rolling_back);
         return;
     }
-    link.stage = link_stage::idle;
+    set_stage(link, link_stage::idle);
     if (is_surplus(link)) {
         close(number);
     }
@@ -235,6 +241,7 @@
     --load.open;
     load.opening -= link.stage == link_stage::opening ? 1 : 0;
     load.in_use -= link.holder != 0 ? 1 : 0;
+    load.under_way -= is_under_way(link.stage) ? 1 : 0;
     m_step.state.links.erase(found);
 }
 
@@ -254,6 +261,14 @@
     }
 }
 
+void link_keeper::set_stage(server_link& link, link_stage stage)
+{
+    server_load& load = m_step.state.loads[link.server];
+    load.under_way += is_under_way(stage) ? 1 : 0;
+    load.under_way -= is_under_way(link.stage) ? 1 : 0;
+    link.stage = stage;
+}
+
 void link_keeper::note_latency(const server_link& link)
 {
     server_load& load = m_step.state.loads[link.server];
@@ -269,7 +284,7 @@
 void link_keeper::send_own(link_number number, server_link& link, statement what,
                            const std::optional<group_position>& least)
 {
-    link.stage = link_stage::preparing;
+    set_stage(link, link_stage::preparing);
     link.sent_at = m_step.now;
     link.sent_in_term = 0;
     link.own = what;
--- a/src/sessions/internal/link_keeper.h
+++ b/src/sessions/internal/link_keeper.h
@@ -22,6 +22,9 @@
     /// Opens one more connection to another entry host, for a session on `database`.
     void open_relay(const protocol::relay_host& host, const group_name& group, const std::string& database);
 
+    /// Every change of a stage goes through here, so that what is under way at each server is known.
+    void set_stage(server_link& link, link_stage stage);
+
     void lend(link_number number, session_number holder);
 
     /// Sends the next thing that brings the connection to the session's values, transaction and prepared
--- a/src/sessions/internal/statement_desk.cpp
+++ b/src/sessions/internal/statement_desk.cpp
@@ -134,6 +134,10 @@
     const statement& what = asked.what;
     const bool ends = what.kind == statement_kind::commit || what.kind == statement_kind::rollback;
     if (session.transaction && session.transaction->is_failed) {
+        if (!ends && std::exchange(session.transaction->has_expired, false)) {
+            reply_code(number, session, answer_code::aborted, "the transaction was idle for too long");
+            return true;
+        }
         if (!ends) {
             reply_code(number, session, answer_code::malformed, "the transaction has failed");
             return true;
@@ -381,7 +385,7 @@
 bool statement_desk::has_room(const backend_server_name& server) const
 {
     const auto load = m_step.state.loads.find(server);
-    return load == m_step.state.loads.end() || may_send(load->second.limit, load->second.in_use);
+    return load == m_step.state.loads.end() || may_send(load->second.limit, load->second.under_way);
 }
 
 std::optional<link_number> statement_desk::link_for_read(caller_session& session)
@@ -404,8 +408,8 @@
             continue;
         }
         const server_load& load = m_step.state.loads[name];
-        servers.push_back({name, is_primary, server.zone == m_step.state.zone, load.in_use, load.latency_ms,
-                           m_step.now < load.avoid_until});
+        servers.push_back({name, is_primary, server.zone == m_step.state.zone, load.under_way,
+                           load.latency_ms, m_step.now < load.avoid_until});
     }
     const std::vector<read_server> preferred = in_order_of_preference(std::move(servers));
     for (const read_server& server : preferred) {
@@ -517,7 +521,7 @@
     }
     note_load(link, whole.code);
     link.is_in_transaction = whole.state != transaction_state::none;
-    link.stage = link_stage::reserved;
+    m_links.set_stage(link, link_stage::reserved);
     const session_number holder = link.holder;
     caller_session* session = holder == 0 ? nullptr : m_step.session(holder);
     if (session == nullptr || !session->pending) {
@@ -830,6 +834,7 @@
             check_session(number, *session);
         }
     }
+    end_idle_transactions();
     std::vector<std::pair<link_number, std::string>> silent;
     for (const auto& [number, link] : m_step.state.links) {
         const bool is_own = link.stage == link_stage::preparing || link.stage == link_stage::rolling_back;
@@ -850,6 +855,25 @@
     }
 }
 
+/// A caller that rests inside a transaction holds a connection; it loses it when others wait for one.
+void statement_desk::end_idle_transactions()
+{
+    const milliseconds limit = m_step.state.view->configuration->content.transaction_idle_timeout;
+    for (auto& [number, session] : m_step.state.sessions) {
+        const bool is_idle = session.transaction && session.transaction->link != 0 && !session.pending &&
+                             m_step.now - session.transaction->last_used >= limit;
+        if (!is_idle || m_step.state.queues[session.transaction->route.group].empty()) {
+            continue;
+        }
+        m_step.log(logging::log_level::information, "end_idle_transaction", "",
+                   fmt::format("database={} group={} idle_ms={}", session.database,
+                               session.transaction->route.group.value,
+                               (m_step.now - session.transaction->last_used).count()));
+        fail_transaction(session);
+        session.transaction->has_expired = true;
+    }
+}
+
 void statement_desk::check_session(session_number number, caller_session& session)
 {
     pending_statement& pending = *session.pending;
@@ -909,9 +933,9 @@
 {
     server_load& load = m_step.state.loads[link.server];
     if (code == answer_code::busy) {
-        load.limit = after_refusal(load.limit, load.in_use, m_step.now);
+        load.limit = after_refusal(load.limit, load.under_way, m_step.now);
     } else if (code == answer_code::done) {
-        load.limit = after_answer(load.limit, load.in_use);
+        load.limit = after_answer(load.limit, load.under_way);
     }
 }
 
--- a/src/sessions/internal/statement_desk.h
+++ b/src/sessions/internal/statement_desk.h
@@ -77,6 +77,7 @@
                     const std::string& detail);
     void take_next(session_number number);
     void leave_queue(session_number number, const group_name& group);
+    void end_idle_transactions();
     void check_session(session_number number, caller_session& session);
     void give_up_unanswered(session_number number, caller_session& session);
     [[nodiscard]] bool has_room(const backend_server_name& server) const;
--- a/src/sessions/tests/session_tests.cpp
+++ b/src/sessions/tests/session_tests.cpp
@@ -502,4 +502,43 @@
     EXPECT_EQ(take<run_on_link>().size(), 1U);
 }
 
+TEST_F(session_fixture, transaction_that_rests_is_ended_when_others_wait_for_its_connection)
+{
+    const milliseconds limit = m_view.configuration->content.transaction_idle_timeout;
+    const session_number resting = open("ledger");
+    ask(resting, plain(statement_kind::begin));
+    ask(resting, plain(statement_kind::write, "WRITE 1 a"));
+    take<answer_session>();
+    answer_done(run_through(transaction_state::open).link, transaction_state::open);
+    take<answer_session>();
+    pass(limit);
+    EXPECT_TRUE(m_state.sessions.at(resting).transaction->link != 0);
+    m_state.loads[backend_server_name{"first"}].connect_after = m_now + limit;
+    const session_number waiting = open("ledger");
+    ask(waiting, plain(statement_kind::write, "WRITE 2 b"));
+    pass(milliseconds{1});
+    const auto runs = take<run_on_link>();
+    ASSERT_EQ(runs.size(), 1U);
+    EXPECT_EQ(runs[0].what.kind, statement_kind::rollback);
+    EXPECT_TRUE(take<answer_session>().empty());
+    ask(resting, plain(statement_kind::write, "WRITE 1 c"));
+    EXPECT_EQ(next_answer().code, answer_code::aborted);
+    ask(resting, plain(statement_kind::rollback, "ROLLBACK"));
+    EXPECT_EQ(next_answer().code, answer_code::done);
+}
+
+TEST_F(session_fixture, transactions_that_rest_do_not_count_as_work_at_the_server)
+{
+    for (int at = 0; at < 2; ++at) {
+        const session_number session = open("ledger");
+        ask(session, plain(statement_kind::begin));
+        ask(session, plain(statement_kind::write, "WRITE 1 a"));
+        take<answer_session>();
+        answer_done(run_through(transaction_state::open).link, transaction_state::open);
+    }
+    const server_load& load = m_state.loads[backend_server_name{"first"}];
+    EXPECT_EQ(load.in_use, 2U);
+    EXPECT_EQ(load.under_way, 0U);
+}
+
 } // namespace hickorymount::sessions
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -99,6 +99,8 @@
     bool has_run = false;
     bool has_written = false;
     bool is_failed = false;
+    /// The proxy has ended it, and the caller has not been told yet.
+    bool has_expired = false;
     /// Of a transaction that another entry host passes on: its reads must see at least this.
     std::optional<group_position> least;
     time_point begun_at{};
@@ -222,6 +224,8 @@
     std::uint32_t opening = 0;
     std::uint32_t in_use = 0;
     std::uint32_t peak_in_use = 0;
+    /// Statements, the proxy's own included, that are unanswered.
+    std::uint32_t under_way = 0;
     flight_limit limit;
     /// Smoothed time from sending a statement to its answer.
     double latency_ms = 0;
