--- a/src/soak/caller.h
+++ b/src/soak/caller.h
@@ -65,7 +65,7 @@
     void take_end();
     void next_operation();
     void next_statement();
-    void ask(sessions::statement what);
+    void ask(const sessions::statement& what);
     void settle_failure(sessions::answer_code code);
     void end_operation();
     void arm(milliseconds duration, void (caller::*then)());
--- a/src/soak/internal/caller.cpp
+++ b/src/soak/internal/caller.cpp
@@ -200,10 +200,10 @@
     }
     statement next = m_left.back();
     m_left.pop_back();
-    ask(std::move(next));
+    ask(next);
 }
 
-void caller::ask(statement what)
+void caller::ask(const statement& what)
 {
     m_id = fmt::format("c{}-{}-{}", m_number, m_attempt, m_random());
     m_asked = what;
