Keep the number of voting control hosts odd

Tests: control_fixture, two rows (the first fails without the change, which makes four voters of four hosts).

--- a/src/consensus/internal/consensus_reducer.cpp
+++ b/src/consensus/internal/consensus_reducer.cpp
@@ -457,14 +457,36 @@
     }
 }
 
+bool consensus_reducer::is_caught_up(const member& learner) const
+{
+    const auto found = m_state.followers.find(learner.name);
+    return found != m_state.followers.end() && found->second.who == learner &&
+           found->second.match >= m_state.commit && m_now - found->second.last_answer <= election_timeout_max;
+}
+
+/// An even number of voters bears no more losses than one less, and falls to pieces when it is cut in halves:
+/// the last learner stays a spare while every voter is heard.
+bool consensus_reducer::is_spare(const member& learner) const
+{
+    const std::vector<member>& voters = m_state.members.voters;
+    const bool makes_even = voters.size() >= least_voters && voters.size() % 2 == 1;
+    if (!makes_even || has_name(voters, learner.name)) {
+        return false;
+    }
+    const auto ready =
+        std::count_if(m_state.members.learners.begin(), m_state.members.learners.end(),
+                      [&](const member& each) { return !has_name(voters, each.name) && is_caught_up(each); });
+    const bool are_all_heard =
+        std::none_of(m_state.followers.begin(), m_state.followers.end(), [&](const auto& each) {
+            return is_voter(each.second.who) && m_now - each.second.last_answer >= spare_needed_after;
+        });
+    return ready < 2 && are_all_heard;
+}
+
 bool consensus_reducer::add_caught_up_learner()
 {
     for (const member& learner : m_state.members.learners) {
-        const auto found = m_state.followers.find(learner.name);
-        const bool is_caught_up = found != m_state.followers.end() && found->second.who == learner &&
-                                  found->second.match >= m_state.commit &&
-                                  m_now - found->second.last_answer <= election_timeout_max;
-        if (!is_caught_up) {
+        if (!is_caught_up(learner) || is_spare(learner)) {
             continue;
         }
         membership next = m_state.members;
--- a/src/consensus/internal/consensus_reducer.h
+++ b/src/consensus/internal/consensus_reducer.h
@@ -37,6 +37,8 @@
     bool accept_leader(const member& leader, log_term term);
     void check_quorum();
     void change_members_if_due();
+    [[nodiscard]] bool is_caught_up(const member& learner) const;
+    [[nodiscard]] bool is_spare(const member& learner) const;
     bool add_caught_up_learner();
     void remove_silent_voter();
     void ask_for_admission();
--- a/src/node/tests/control_tests.cpp
+++ b/src/node/tests/control_tests.cpp
@@ -197,6 +197,33 @@
     EXPECT_EQ(version_at(lost), 1U);
 }
 
+TEST_F(control_fixture, fourth_host_stays_a_spare_and_a_fifth_makes_both_voters)
+{
+    const auto members = [this] { return control(leader()).consensus.members; };
+    add_control_host("control-4");
+    ASSERT_TRUE(pass_until([&] { return members().learners.size() == 1; }));
+    pass(milliseconds{6000});
+    EXPECT_EQ(members().voters.size(), 3U);
+    add_control_host("control-5");
+    EXPECT_TRUE(pass_until([&] { return members().voters.size() == 5 && members().learners.empty(); }));
+}
+
+TEST_F(control_fixture, spare_takes_the_place_of_a_voter_that_is_lost)
+{
+    const auto members = [this] { return control(leader()).consensus.members; };
+    add_control_host("control-4");
+    ASSERT_TRUE(pass_until([&] { return members().learners.size() == 1; }));
+    const std::string lost = follower();
+    const consensus::member gone = control(lost).consensus.self;
+    kill(lost);
+    EXPECT_TRUE(pass_until(
+        [&] {
+            const auto& voters = members().voters;
+            return voters.size() == 3 && std::find(voters.begin(), voters.end(), gone) == voters.end();
+        },
+        milliseconds{10'000}));
+}
+
 TEST_F(control_fixture, one_disk_repaired_and_then_another_host_lost_keeps_the_state)
 {
     change(leader(), "a", 0);
--- a/src/node/tests/node_fixture.cpp
+++ b/src/node/tests/node_fixture.cpp
@@ -82,6 +82,13 @@
     }
 }
 
+void node_fixture::add_control_host(const std::string& name)
+{
+    m_disks[name].durable.identity = folder_identity{"folder-" + std::to_string(m_next_identity++)};
+    m_hosts[name] = {};
+    restart(name);
+}
+
 void node_fixture::start_entry_hosts(int count)
 {
     for (int at = 1; at <= count; ++at) {
--- a/src/node/tests/node_fixture.h
+++ b/src/node/tests/node_fixture.h
@@ -25,6 +25,8 @@
     static constexpr milliseconds step_time{5};
 
     void start_control_hosts(int count);
+    /// One more, with an empty folder, that knows the others.
+    void add_control_host(const std::string& name);
     void start_entry_hosts(int count);
     void start_entry_host(const std::string& name);
     /// One primary and `replicas` replicas, named GROUP-1 and so on.
