--- a/src/app/soak/main.cpp
+++ b/src/app/soak/main.cpp
@@ -1,4 +1,5 @@
 #include "command_line/command_line.h"
+#include "operations/control_client.h"
 #include "platform/session_wire.h"
 #include "platform/stand_in_calls.h"
 #include "soak/run.h"
@@ -27,19 +28,6 @@
     return parts;
 }
 
-result<std::vector<protocol::endpoint>> endpoints_of(const std::string& text)
-{
-    std::vector<protocol::endpoint> made;
-    for (const std::string& part : split(text)) {
-        const auto parsed = protocol::parse_endpoint(part);
-        if (!parsed) {
-            return fail("command_line", part, "expected an IP number and port");
-        }
-        made.push_back(*parsed);
-    }
-    return made;
-}
-
 configuration::database_route route_of(const std::string& database,
                                        configuration::read_consistency consistency, milliseconds staleness)
 {
@@ -114,8 +102,8 @@
     made.seed = static_cast<std::uint32_t>(seed);
     made.duration = milliseconds{seconds * 1000};
     made.platform_port = static_cast<std::uint16_t>(platform_port);
-    BOOST_LEAF_ASSIGN(made.control, endpoints_of(controls));
-    BOOST_LEAF_AUTO(sessions, endpoints_of(entries));
+    BOOST_LEAF_ASSIGN(made.control, operations::parse_endpoints(controls));
+    BOOST_LEAF_AUTO(sessions, operations::parse_endpoints(entries));
     for (const protocol::endpoint& each : sessions) {
         made.entry_ports.push_back(each.port);
     }
--- a/src/gateway/control_pages.h
+++ b/src/gateway/control_pages.h
@@ -45,6 +45,16 @@
     virtual std::optional<http::response> serve(const http::request& asked, control_desk& desk) = 0;
 };
 
+/// What came of an order for a promotion.
+struct promotion_answer
+{
+    supervision::promotion_outcome outcome = supervision::promotion_outcome::unclear;
+    /// Why it is unclear; for the log.
+    std::string reason;
+
+    friend bool operator==(const promotion_answer&, const promotion_answer&) = default;
+};
+
 /// Carries orders for promotions to the platform.
 class promotion_caller
 {
@@ -55,7 +65,7 @@
     virtual ~promotion_caller() = default;
 
     /// Blocks for as long as one call may take.
-    virtual supervision::promotion_outcome promote(const supervision::order_promotion& order) = 0;
+    virtual promotion_answer promote(const supervision::order_promotion& order) = 0;
 };
 
 } // namespace hickorymount::gateway
--- a/src/gateway/internal/control_service.cpp
+++ b/src/gateway/internal/control_service.cpp
@@ -271,15 +271,16 @@
     void carry_out(supervision::order_promotion&& effect)
     {
         m_promotion_calls.post([this, order = std::move(effect)] {
-            supervision::promotion_outcome outcome = supervision::promotion_outcome::unclear;
+            promotion_answer answer{supervision::promotion_outcome::unclear, "the order is out of date"};
             // A host that stood still meanwhile may have been replaced by another leader.
             if (m_promotions != nullptr && millisecond_clock::now() < order.valid_until) {
-                outcome = m_promotions->promote(order);
+                answer = m_promotions->promote(order);
             }
-            m_log.write({logging::log_level::information, "promotion_answered", order.server.value,
-                         fmt::format("group={} token={} outcome={}", order.group.value, order.fencing_token,
-                                     codec::enumerator_name(outcome))});
-            post(supervision::promotion_answered{order.order, order.group, outcome});
+            m_log.write(
+                {logging::log_level::information, "promotion_answered", order.server.value,
+                 fmt::format("group={} token={} outcome={} reason=\"{}\"", order.group.value,
+                             order.fencing_token, codec::enumerator_name(answer.outcome), answer.reason)});
+            post(supervision::promotion_answered{order.order, order.group, answer.outcome});
         });
     }
 
