--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -33,7 +33,8 @@
 inline constexpr milliseconds snapshot_resend_interval{1000};
 /// A voter that has been silent for this long is removed, as long as enough voters remain.
 inline constexpr milliseconds voter_removal_delay{4000};
-/// A voter that has been silent for this long is likely to be removed, and a spare host takes part in the vote.
+/// A voter that has been silent for this long is likely to be removed, and a spare host takes part in the
+/// vote.
 inline constexpr milliseconds spare_needed_after{2000};
 /// Fewer voters than this would not bear the loss of one.
 inline constexpr std::size_t least_voters = 3;
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -37,7 +37,8 @@
 inline constexpr milliseconds lease_retry_interval_max{600};
 /// A renewal unanswered for this long goes to all control hosts.
 inline constexpr milliseconds leader_silence{600};
-/// Control hosts that are asked at once while the leader is not known: when it was lost, every entry host asks.
+/// Control hosts that are asked at once while the leader is not known: when it was lost, every entry host
+/// asks.
 inline constexpr std::size_t control_hosts_asked = 3;
 /// A new configuration is confirmed to control within this time; not by all entry hosts in the same moment.
 inline constexpr milliseconds confirmation_spread{200};
--- a/src/sessions/wire.h
+++ b/src/sessions/wire.h
@@ -89,8 +89,8 @@
     virtual ~wire() = default;
 
     [[nodiscard]] virtual caller_line decode_caller(std::string_view line) const = 0;
-    /// The same from a proxy, which may say more than a caller: for entry hosts that run statements for others,
-    /// and for stand-ins of servers.
+    /// The same from a proxy, which may say more than a caller: for entry hosts that run statements for
+    /// others, and for stand-ins of servers.
     [[nodiscard]] virtual caller_line decode_proxy(std::string_view line) const = 0;
     [[nodiscard]] virtual server_line decode_server(std::string_view line) const = 0;
     /// Empty when the row is no status.
--- a/src/supervision/tests/connection_share_tests.cpp
+++ b/src/supervision/tests/connection_share_tests.cpp
@@ -76,7 +76,8 @@
         feed(log_progressed{});
         for (const supervision_effect& effect : m_effects) {
             const auto* sent = std::get_if<send_to_entry>(&effect);
-            const auto* grant = sent == nullptr ? nullptr : std::get_if<protocol::lease_grant>(&sent->content);
+            const auto* grant =
+                sent == nullptr ? nullptr : std::get_if<protocol::lease_grant>(&sent->content);
             if (grant != nullptr && grant->entry == key) {
                 return grant->connections.at(backend_server_name{"first"});
             }
--- a/src/supervision/types.h
+++ b/src/supervision/types.h
@@ -58,7 +58,8 @@
 inline constexpr milliseconds promotion_poll_interval{60};
 /// A candidate that has not taken over by then is given up.
 inline constexpr milliseconds promotion_limit{6000};
-/// An update of the view, or the whole, reaches entry hosts within this time; until then it is not sent again.
+/// An update of the view, or the whole, reaches entry hosts within this time; until then it is not sent
+/// again.
 inline constexpr milliseconds view_delivery_time{300};
 /// A backend server that was not heard for this long is forgotten.
 inline constexpr milliseconds server_forgotten{60'000};
