--- a/src/soak/caller.h
+++ b/src/soak/caller.h
@@ -67,7 +67,6 @@
     void next_statement();
     void ask(const sessions::statement& what);
     void settle_failure(sessions::answer_code code);
-    void end_operation();
     void arm(milliseconds duration, void (caller::*then)());
     void give_up();
     [[nodiscard]] sessions::statement data_statement(bool writes);
@@ -95,7 +94,6 @@
     sessions::statement m_asked;
     bool m_is_waiting = false;
     sessions::answer m_partial;
-    bool m_has_outcome = false;
 };
 
 } // namespace hickorymount::soak
--- a/src/soak/internal/caller.cpp
+++ b/src/soak/internal/caller.cpp
@@ -72,7 +72,7 @@
 {
     m_entry_place = m_random() % m_around.entry_ports.size();
     m_session = m_number + sessions_of_a_caller * ++m_connections;
-    m_is_open = m_is_waiting = m_has_outcome = false;
+    m_is_open = m_is_waiting = false;
     m_partial = {};
     m_values.clear();
     m_prepared.clear();
@@ -104,12 +104,10 @@
     }
     if (const auto* done = std::get_if<sessions::done_line>(&decoded)) {
         m_partial.detail = done->signature;
-        m_has_outcome = true;
         return;
     }
     if (const auto* error = std::get_if<sessions::error_line>(&decoded)) {
         m_partial.code = error->code;
-        m_has_outcome = true;
         return;
     }
     const auto* ready = std::get_if<sessions::ready_line>(&decoded);
@@ -122,7 +120,6 @@
         return;
     }
     sessions::answer whole = std::exchange(m_partial, {});
-    m_has_outcome = false;
     whole.state = ready->state;
     whole.at = ready->at;
     take_answer(whole);
@@ -191,7 +188,7 @@
 void caller::next_statement()
 {
     if (m_left.empty()) {
-        end_operation();
+        next_operation();
         return;
     }
     if (std::uniform_real_distribution<double>()(m_random) < leaving_share) {
@@ -276,15 +273,10 @@
     if (m_is_transaction) {
         reconnect_later();
     } else {
-        end_operation();
+        next_operation();
     }
 }
 
-void caller::end_operation()
-{
-    next_operation();
-}
-
 void caller::take_end()
 {
     if (m_is_stopped) {
--- a/src/supervision/internal/relay_planner.cpp
+++ b/src/supervision/internal/relay_planner.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <string>
-#include <tuple>
 #include <utility>
 
 #include <fmt/format.h>
