Show bytes by kind of message, the backlog of links and what a refused statement waited for

Control and entry hosts now count bytes and messages by kind, and export the bytes that wait for all links and for the fullest one, and the longest time without a pause. A refusal out of the queue names what the statement waited for, in the log line and in hickorymount_statements_refused_in_queue_total.

No decision changes.

--- a/src/framework/link/internal/websocket_transport.cpp
+++ b/src/framework/link/internal/websocket_transport.cpp
@@ -1,7 +1,10 @@
 #include "link/peer_transport.h"
 
+#include <algorithm>
+#include <chrono>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <set>
 #include <thread>
 #include <utility>
@@ -114,6 +117,21 @@
                           [this, peer, bytes = std::move(bytes)] { send_if_connected(peer, bytes); });
     }
 
+    [[nodiscard]] link_backlog backlog() const override
+    {
+        const std::lock_guard lock(m_backlog_mutex);
+        const auto now = std::chrono::steady_clock::now();
+        link_backlog total;
+        for (const auto& [peer, queue] : m_queues) {
+            total.queued_bytes += queue.bytes;
+            total.largest_queue_bytes = std::max(total.largest_queue_bytes, queue.bytes);
+            total.longest_wait =
+                std::max(total.longest_wait,
+                         std::chrono::duration_cast<std::chrono::milliseconds>(now - queue.waiting_since));
+        }
+        return total;
+    }
+
     void start() override
     {
         m_work_guard = std::make_unique<work_guard>(m_context.get_executor());
@@ -123,6 +141,13 @@
     void stop() override { stop_thread(); }
 
 private:
+    /// Messages that a connection has not written yet.
+    struct send_queue
+    {
+        std::size_t bytes = 0;
+        std::chrono::steady_clock::time_point waiting_since;
+    };
+
     using work_guard = boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
 
     void stop_thread()
@@ -186,6 +211,7 @@
         const std::string peer = found->second;
         m_outgoing_peers.erase(found);
         m_outgoing.erase(peer);
+        record_queue(peer, 0);
         auto timer = std::make_shared<boost::asio::steady_timer>(m_context, reconnect_interval);
         timer->async_wait([this, peer, timer](const boost::system::error_code& error) {
             if (!error) {
@@ -231,6 +257,7 @@
                                 !handle.owner_before(current->second);
         if (is_current) {
             m_incoming.erase(current);
+            record_queue(known->second, 0);
         }
         m_incoming_peers.erase(known);
     }
@@ -248,6 +275,17 @@
         }
     }
 
+    void record_queue(const std::string& peer, std::size_t bytes)
+    {
+        const std::lock_guard lock(m_backlog_mutex);
+        if (bytes == 0) {
+            m_queues.erase(peer);
+            return;
+        }
+        const auto added = m_queues.try_emplace(peer, send_queue{0, std::chrono::steady_clock::now()});
+        added.first->second.bytes = bytes;
+    }
+
     template <class Endpoint>
     void send_on(Endpoint& endpoint, const connection_hdl& handle, const std::string& peer,
                  const std::string& bytes)
@@ -257,7 +295,9 @@
         if (error) {
             return;
         }
-        if (connection->get_buffered_amount() > max_buffered_bytes) {
+        const std::size_t waiting_bytes = connection->get_buffered_amount();
+        record_queue(peer, waiting_bytes);
+        if (waiting_bytes > max_buffered_bytes) {
             m_handlers.on_error(peer, "the send buffer is full; the connection is closed");
             connection->terminate(websocketpp::lib::error_code());
             return;
@@ -277,6 +317,8 @@
     std::map<std::string, connection_hdl> m_outgoing;
     std::map<connection_hdl, std::string, handle_order> m_incoming_peers;
     std::map<std::string, connection_hdl> m_incoming;
+    mutable std::mutex m_backlog_mutex;
+    std::map<std::string, send_queue> m_queues;
     std::unique_ptr<work_guard> m_work_guard;
     std::thread m_thread;
 };
--- a/src/framework/link/peer_transport.h
+++ b/src/framework/link/peer_transport.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -17,6 +19,16 @@
     std::function<void(const std::string& peer, const std::string& reason)> on_error;
 };
 
+/// Messages that wait because a peer's link is slower than they are sent.
+struct link_backlog
+{
+    /// Bytes that wait for all peers, and for the peer with the most.
+    std::size_t queued_bytes = 0;
+    std::size_t largest_queue_bytes = 0;
+    /// Longest time for which messages have waited for the same peer without a pause.
+    std::chrono::milliseconds longest_wait{0};
+};
+
 /// Carries messages between the processes of the system. Messages on one connection arrive in order;
 /// undelivered ones are lost when the connection closes.
 class peer_transport
@@ -36,6 +48,9 @@
     /// Sends the message if the peer is connected; drops it otherwise. Safe to call from any thread.
     virtual void send(const std::string& peer, std::string bytes) = 0;
 
+    /// The backlog at the last message to each peer. Safe to call from any thread.
+    [[nodiscard]] virtual link_backlog backlog() const = 0;
+
     /// Starts the transport's thread.
     virtual void start() = 0;
     virtual void stop() = 0;
--- a/src/gateway/internal/control_service.cpp
+++ b/src/gateway/internal/control_service.cpp
@@ -3,6 +3,7 @@
 #include "codec/json_codec.h"
 #include "consensus/descriptions.h"
 #include "gateway/internal/entry_status.h"
+#include "gateway/internal/link_metrics.h"
 #include "gateway/internal/storage_thread.h"
 #include "gateway/primary_switch_request.h"
 #include "http/server.h"
@@ -263,7 +264,7 @@
             last.content = std::move(effect.content);
             last.bytes = protocol::encode(last.content);
         }
-        m_metrics.count("hickorymount_control_bytes_sent_total", "", last.bytes.size());
+        detail::count_sent_message(m_metrics, last.content, last.bytes.size());
         m_transport->send(effect.recipient.value, last.bytes);
     }
 
@@ -389,6 +390,7 @@
             return json_response(200, codec::encode(consensus::member{m_settings.name, m_identity}));
         }
         if (target == "GET /metrics") {
+            detail::set_link_gauges(m_metrics, m_transport->backlog());
             http::response response = detail::make_response(200, m_metrics.exposition());
             response.content_type = "text/plain; version=0.0.4";
             return response;
--- a/src/gateway/internal/entry_service.cpp
+++ b/src/gateway/internal/entry_service.cpp
@@ -5,6 +5,7 @@
 #include "gateway/internal/backend_connections.h"
 #include "gateway/internal/caller_codec.h"
 #include "gateway/internal/entry_status.h"
+#include "gateway/internal/link_metrics.h"
 #include "gateway/internal/session_server.h"
 #include "gateway/internal/traffic_view.h"
 #include "http/client.h"
@@ -282,7 +283,7 @@
     void execute(routing::send_to_control&& effect)
     {
         const std::string bytes = protocol::encode(effect.content);
-        m_metrics.count("hickorymount_control_bytes_sent_total", "", bytes.size());
+        detail::count_sent_message(m_metrics, effect.content, bytes.size());
         m_transport->send(effect.recipient.value, bytes);
     }
 
@@ -405,6 +406,7 @@
         if (target == "GET /metrics") {
             const auto state = copy_state();
             detail::set_gauges(m_metrics, state, m_caller_requests.size());
+            detail::set_link_gauges(m_metrics, m_transport->backlog());
             http::response response = detail::make_response(200, m_metrics.exposition());
             response.content_type = "text/plain; version=0.0.4";
             return response;
--- a/src/gateway/internal/session_server.cpp
+++ b/src/gateway/internal/session_server.cpp
@@ -476,6 +476,10 @@
                     fmt::format("{},code=\"{}\",reads=\"{}\",replica=\"{}\",elsewhere=\"{}\"", labels,
                                 code_name(effect.code), effect.is_read_only, effect.ran_on_replica,
                                 effect.ran_on_relay));
+    if (effect.waited_for != sessions::wait_cause::none) {
+        m_metrics.count("hickorymount_statements_refused_in_queue_total",
+                        fmt::format("cause=\"{}\"", to_string(effect.waited_for)));
+    }
 }
 
 void session_server::execute(sessions::report_stopped&& /*effect*/)
--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -4,6 +4,7 @@
 #include "sessions/internal/queue_order.h"
 #include "sessions/internal/read_ranking.h"
 #include "sessions/internal/relay_ranking.h"
+#include "sessions/internal/wait_cause.h"
 
 #include <algorithm>
 #include <utility>
@@ -785,9 +786,9 @@
         const milliseconds took = m_context.now - pending.request.received_at;
         const server_connection* connection = m_context.connection(pending.connection);
         const bool ran_on_relay = connection != nullptr && connection->is_relay;
-        m_context.emit(record_statement_metrics{session.database, response.code,
-                                                pending.minimum_position.has_value() && !ran_on_relay,
-                                                pending.is_read_only, took, ran_on_relay});
+        m_context.emit(record_statement_metrics{
+            session.database, response.code, pending.minimum_position.has_value() && !ran_on_relay,
+            pending.is_read_only, took, ran_on_relay, pending.waited_for});
         if (response.code != response_code::done) {
             m_context.log(logging::log_level::information, "refuse_statement", "",
                           fmt::format("id={} database={} group={} code={} stage={} attempts={} took_ms={} "
@@ -918,7 +919,9 @@
 {
     pending_statement& pending = *session.pending;
     if (pending.stage == statement_stage::queued && is_too_late(pending, m_context.now)) {
-        reply_with_code(number, session, response_code::busy, "no server was free in time");
+        pending.waited_for = find_wait_cause(m_context, pending, uses_relay(session));
+        reply_with_code(number, session, response_code::busy,
+                        fmt::format("no server was free in time: {}", to_string(pending.waited_for)));
         return;
     }
     if (pending.stage == statement_stage::queued && is_isolated(pending) && !uses_relay(session)) {
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -123,6 +124,25 @@
     running
 };
 
+/// What a queued statement waits for.
+enum class wait_cause
+{
+    none,
+    /// The lease has expired, so the primary can't be used.
+    no_lease,
+    /// The primary is unknown or is being replaced.
+    no_primary,
+    /// Control has granted this host no connection to a server that could run the statement.
+    no_connection_granted,
+    not_connected,
+    /// All connections are in use, or the server accepts no more statements.
+    servers_busy,
+    no_relay_connected,
+    relays_busy
+};
+
+std::string_view to_string(wait_cause cause);
+
 /// The statement that a session waits for. Later statements of the session are queued behind it.
 struct pending_statement
 {
@@ -143,6 +163,8 @@
     time_point sent_at{};
     /// The statement was sent on a connection that was lost before the response.
     bool may_have_run = false;
+    /// Set when the statement is refused in the queue.
+    wait_cause waited_for = wait_cause::none;
 
     friend bool operator==(const pending_statement&, const pending_statement&) = default;
 };
@@ -494,6 +516,8 @@
     milliseconds duration{0};
     /// Another entry host ran the statement for this one.
     bool ran_on_relay = false;
+    /// For a statement that was refused in the queue.
+    wait_cause waited_for = wait_cause::none;
 
     friend bool operator==(const record_statement_metrics&, const record_statement_metrics&) = default;
 };
