Send entry hosts the changes of the configuration, one update at a time

Entry hosts lost leases, relays and healthy primaries.

Cause: each version went whole to each entry host, with the operator's document, and a host that had not confirmed within 300 ms got the complete view again with its next lease request. On a link of 2 Mbit/s one version of 390 routes takes 0.5 s, so copies were queued faster than the link sends them; leases, probes and statements waited behind them. The class: a document that is sent again after a fixed time, whatever its size and the link. The list of servers and the relay plan had the same fault.

Change: an update holds the changes to the version that the entry host has reported, with routes in columns and equal settings stored once (under 16 bytes a route), and without the document and the names of routes, which entry hosts do not use. A document counts as in transit until the entry host reports a grant that was sent after it: by then it has arrived or is lost, at any speed of the link. Each host has one update in transit, then pauses as long as the transfer took, then gets the newest version. A connection's send buffer is bounded by 16 MiB instead of 128.

--- a/src/configuration/descriptions.h
+++ b/src/configuration/descriptions.h
@@ -104,4 +104,35 @@
         std::tuple{member{"version", &type::version}, member{"content", &type::content}};
 };
 
+template <>
+struct description<configuration::route_key>
+{
+    using type = configuration::route_key;
+    static constexpr std::string_view name = "route_key";
+    static constexpr auto members =
+        std::tuple{member{"database", &type::database}, member{"path_prefix", &type::path_prefix}};
+};
+
+template <>
+struct description<configuration::route_table>
+{
+    using type = configuration::route_table;
+    static constexpr std::string_view name = "route_table";
+    static constexpr auto members =
+        std::tuple{member{"settings", &type::settings}, member{"databases", &type::databases},
+                   member{"indexes", &type::settings_indexes}};
+};
+
+template <>
+struct description<configuration::configuration_difference>
+{
+    using type = configuration::configuration_difference;
+    static constexpr std::string_view name = "configuration_difference";
+    static constexpr auto members = std::tuple{
+        member{"base", &type::base_version},      member{"version", &type::version},
+        member{"settings", &type::settings},      member{"removed", &type::removed_routes},
+        member{"changed", &type::changed_routes},
+    };
+};
+
 } // namespace hickorymount::codec
--- a/src/configuration/types.h
+++ b/src/configuration/types.h
@@ -128,6 +128,47 @@
     friend bool operator==(const versioned_configuration&, const versioned_configuration&) = default;
 };
 
+/// Identifies a route: no two routes share the database name and the path prefix.
+struct route_key
+{
+    std::string database;
+    std::string path_prefix;
+
+    friend auto operator<=>(const route_key&, const route_key&) = default;
+    friend bool operator==(const route_key&, const route_key&) = default;
+};
+
+/// Routes in columns, with equal settings stored once. Large configurations consist of many routes that
+/// differ in their names only. The names of the routes themselves are left out, since entry hosts do not use
+/// them.
+struct route_table
+{
+    /// Distinct settings of the routes, as routes without `name` and `database`.
+    std::vector<database_route> settings;
+    std::vector<std::string> databases;
+    /// For each route, its index in `settings`.
+    std::vector<std::uint32_t> settings_indexes;
+
+    friend bool operator==(const route_table&, const route_table&) = default;
+};
+
+/// The changes that turn one version of the configuration into another, for entry hosts. What only operators
+/// read is left out: their document and the names of routes.
+struct configuration_difference
+{
+    /// The version to which the changes apply; zero stands for the empty configuration, so that the
+    /// difference is complete.
+    configuration_version base_version = 0;
+    configuration_version version = 0;
+    /// The configuration without its routes, if it differs from that of the base.
+    std::optional<configuration> settings;
+    std::vector<route_key> removed_routes;
+    /// New routes, and those whose settings have changed.
+    route_table changed_routes;
+
+    friend bool operator==(const configuration_difference&, const configuration_difference&) = default;
+};
+
 /// One error in a questionnaire, with its position.
 struct questionnaire_problem
 {
--- a/src/framework/link/internal/websocket_transport.cpp
+++ b/src/framework/link/internal/websocket_transport.cpp
@@ -44,7 +44,7 @@
 using websocketpp::connection_hdl;
 
 constexpr std::size_t max_message_bytes = std::size_t{64} << 20;
-constexpr std::size_t max_buffered_bytes = std::size_t{128} << 20;
+constexpr std::size_t max_buffered_bytes = std::size_t{16} << 20;
 constexpr std::size_t max_name_bytes = 64;
 constexpr std::chrono::milliseconds reconnect_interval{100};
 constexpr long handshake_timeout_ms = 1000;
--- a/src/node/benchmarks/decisions_benchmark.cpp
+++ b/src/node/benchmarks/decisions_benchmark.cpp
@@ -1,3 +1,4 @@
+#include "configuration/difference.h"
 #include "node/reduce.h"
 
 #include <string>
@@ -73,8 +74,10 @@
             record.term_starts = {{1, 0}};
             view.groups.push_back({group_name{group_name_of(group)}, record});
         }
-        view.configuration = shared_value(std::move(versioned));
         reduce_event(routing::control_message_received{host_name{"control-1"}, view});
+        reduce_event(routing::control_message_received{
+            host_name{"control-1"},
+            protocol::configuration_update{shared_value(configuration::make_difference({}, versioned))}});
     }
 
     void report(std::int64_t group, std::int64_t server_index, std::uint64_t sequence)
--- a/src/node/tests/node_fixture.cpp
+++ b/src/node/tests/node_fixture.cpp
@@ -1,6 +1,7 @@
 #include "node/tests/node_fixture.h"
 
 #include "consensus/reduce.h"
+#include "protocol/message_codec.h"
 
 #include <algorithm>
 #include <utility>
@@ -12,6 +13,7 @@
 constexpr milliseconds statement_delay{1};
 constexpr milliseconds report_interval{100};
 constexpr milliseconds probe_timeout{150};
+constexpr std::int64_t milliseconds_in_second = 1000;
 
 std::string group_of(const std::string& server)
 {
@@ -531,7 +533,8 @@
     }
     std::uniform_int_distribution<std::int64_t> delay_distribution(0, m_max_link_delay.count());
     time_point& arrival = m_last_arrival[{from, to}];
-    arrival = std::max(arrival, m_now + step_duration + milliseconds{delay_distribution(m_random_engine)});
+    arrival = std::max(arrival, pass_link(to, content) + step_duration +
+                                    milliseconds{delay_distribution(m_random_engine)});
     schedule(arrival - m_now, [this, from, to, content] {
         const auto found = m_hosts.find(to);
         if (found == m_hosts.end() || !is_linked(from, to)) {
@@ -546,6 +549,20 @@
     });
 }
 
+time_point node_fixture::pass_link(const std::string& to, const protocol::message& content)
+{
+    const auto rate = m_link_rates.find(to);
+    if (rate == m_link_rates.end()) {
+        return m_now;
+    }
+    const auto bytes = static_cast<std::int64_t>(protocol::encode(content).size());
+    time_point& free_at = m_link_free_at[to];
+    free_at = std::max(free_at, m_now) + milliseconds{bytes * milliseconds_in_second / rate->second};
+    milliseconds& longest = m_longest_link_waits[to];
+    longest = std::max(longest, free_at - m_now);
+    return free_at;
+}
+
 std::uint64_t node_fixture::register_call(std::function<void(const database::database_response&)> on_answer)
 {
     const std::uint64_t number = m_next_id++;
--- a/src/node/tests/node_fixture.h
+++ b/src/node/tests/node_fixture.h
@@ -69,6 +69,17 @@
     /// Delays each message between hosts by a random time up to `max_delay`; a link keeps its messages in
     /// order.
     void set_max_link_delay(milliseconds max_delay) { m_max_link_delay = max_delay; }
+    /// Limits the bytes per second that reach the host from all others; messages wait in order.
+    void set_link_rate(const std::string& host, std::int64_t bytes_per_second)
+    {
+        m_link_rates[host] = bytes_per_second;
+    }
+    /// Longest time that a message has waited for the host's link since the start.
+    [[nodiscard]] milliseconds longest_link_wait(const std::string& host) const
+    {
+        const auto found = m_longest_link_waits.find(host);
+        return found == m_longest_link_waits.end() ? milliseconds{0} : found->second;
+    }
     /// Sets the data folder of a killed host, including its identity.
     void set_disk(const std::string& host, consensus::stored_state stored);
     /// Lets the host's clock gain this many milliseconds per second; negative values let it lose.
@@ -181,6 +192,8 @@
     void carry_out(const std::string& host, control_effect&& effect);
     void carry_out(const std::string& host, routing::entry_effect&& effect);
     void send(const std::string& from, const std::string& to, const protocol::message& content);
+    /// Time at which the last byte of the message passes the link of `to`.
+    time_point pass_link(const std::string& to, const protocol::message& content);
     void finish_syncs(const std::string& host);
     void reduce_backend_event(const std::string& server, const database::database_event_payload& event);
     void schedule_answer(const std::string& server, const database::send_response& effect);
@@ -209,6 +222,10 @@
         m_connection_loss_handlers;
     milliseconds m_max_link_delay{0};
     std::map<std::pair<std::string, std::string>, time_point> m_last_arrival;
+    std::map<std::string, std::int64_t> m_link_rates;
+    /// Time at which each limited link has passed all messages sent so far.
+    std::map<std::string, time_point> m_link_free_at;
+    std::map<std::string, milliseconds> m_longest_link_waits;
     std::minstd_rand m_random_engine{20261204};
     std::uint64_t m_next_id = 1;
     std::uint64_t m_next_identity = 1;
--- a/src/protocol/descriptions.h
+++ b/src/protocol/descriptions.h
@@ -103,7 +103,8 @@
                                                member{"servers_digest", &type::servers_digest},
                                                member{"relay", &type::relay_address},
                                                member{"relays_digest", &type::relay_plan_digest},
-                                               member{"is_stopping", &type::is_stopping}};
+                                               member{"is_stopping", &type::is_stopping},
+                                               member{"granted", &type::granted_sequence}};
 };
 
 template <>
@@ -150,7 +151,15 @@
     static constexpr std::string_view name = "view_update";
     static constexpr auto members =
         std::tuple{member{"from", &type::from_revision}, member{"to", &type::to_revision},
-                   member{"configuration", &type::configuration}, member{"groups", &type::groups}};
+                   member{"groups", &type::groups}};
+};
+
+template <>
+struct description<protocol::configuration_update>
+{
+    using type = protocol::configuration_update;
+    static constexpr std::string_view name = "configuration_update";
+    static constexpr auto members = std::tuple{member{"difference", &type::difference}};
 };
 
 template <>
--- a/src/protocol/tests/message_codec_tests.cpp
+++ b/src/protocol/tests/message_codec_tests.cpp
@@ -46,6 +46,12 @@
     server_report report;
     report.name = backend_server_name{"orders-1"};
     report.address = {"127.0.0.1", 80};
+    configuration::configuration_difference difference;
+    difference.base_version = 3;
+    difference.version = 5;
+    difference.settings = configuration::configuration{};
+    difference.removed_routes = {{"heads", "/"}};
+    difference.changed_routes = {{configuration::database_route{}}, {"proofs"}, {0}};
     const std::vector<message> messages{
         consensus::vote_request{true, 3, self, 4, 2},
         consensus::vote_response{true, 3, self, true},
@@ -64,7 +70,8 @@
                       11,
                       endpoint{"127.0.0.1", 7455},
                       12,
-                      true},
+                      true,
+                      4},
         lease_release{{host_name{"entry-1"}, incarnation_id{"i"}}},
         lease_grant{{host_name{"entry-1"}, incarnation_id{"i"}},
                     5,
@@ -75,8 +82,7 @@
                                {{host_name{"entry-2"}, {"127.0.0.1", 7455}, {"casa-a"}}},
                                {{group_name{"orders"}, {false, {0}}}}}},
         not_leader{host_name{"control-2"}},
-        view_update{
-            1, 2, shared_value(configuration::versioned_configuration{}), {{group_name{"orders"}, {}}}},
+        view_update{1, 2, {{group_name{"orders"}, {}}}},
         server_reports{{report}, true},
         primary_suspicion{group_name{"orders"}, 2, backend_server_name{"orders-1"}, "lost", true},
         probe_request{
@@ -99,6 +105,7 @@
         role_change_response{1, group_name{"orders"}, {"orders-2"}, server_role_change::promote, 2, true, 8},
         claim_request{3, directory::withdraw_claim{{group_name{"orders"}, request_key{"1-a"}}, {}}},
         claim_response{3, {directory::claim_outcome::answered, directory::recorded_answer{"{}", {2, 9}}}},
+        configuration_update{shared_value(difference)},
     };
     ASSERT_EQ(messages.size(), std::variant_size_v<message>);
     for (const message& original : messages) {
--- a/src/protocol/types.h
+++ b/src/protocol/types.h
@@ -145,6 +145,9 @@
     std::uint64_t relay_plan_digest = 0;
     /// The entry host is shutting down; other entry hosts must not send it new statements.
     bool is_stopping = false;
+    /// Highest sequence number of the grants that the entry host has received. What control sent before that
+    /// grant has arrived or is lost.
+    std::uint64_t granted_sequence = 0;
 
     friend bool operator==(const lease_request&, const lease_request&) = default;
 };
@@ -194,12 +197,20 @@
 {
     view_revision from_revision = 0;
     view_revision to_revision = 0;
-    std::optional<shared_value<configuration::versioned_configuration>> configuration;
     std::vector<group_view> groups;
 
     friend bool operator==(const view_update&, const view_update&) = default;
 };
 
+/// Sent by control: a newer version of the configuration, as the changes to a version that the entry host has
+/// reported.
+struct configuration_update
+{
+    shared_value<configuration::configuration_difference> difference;
+
+    friend bool operator==(const configuration_update&, const configuration_update&) = default;
+};
+
 /// Backend server reports, forwarded between entry hosts and control in both directions.
 struct server_reports
 {
@@ -353,6 +364,6 @@
                  consensus::join_request, consensus::member_hint, lease_request, lease_release, lease_grant,
                  not_leader, view_update, server_reports, primary_suspicion, probe_request, probe_response,
                  close_term_request, close_term_response, resume_term_request, role_change_request,
-                 role_change_response, claim_request, claim_response>;
+                 role_change_response, claim_request, claim_response, configuration_update>;
 
 } // namespace hickorymount::protocol
--- a/src/routing/internal/lease_client.cpp
+++ b/src/routing/internal/lease_client.cpp
@@ -28,8 +28,12 @@
 void lease_client::handle(const host_name& from, const protocol::lease_grant& grant)
 {
     lease_state& lease = m_context.state.lease;
+    if (grant.entry != m_context.state.self) {
+        return;
+    }
+    lease.granted_sequence = std::max(lease.granted_sequence, grant.sequence);
     const auto sent = lease.send_times.find(grant.sequence);
-    if (grant.entry != m_context.state.self || sent == lease.send_times.end()) {
+    if (sent == lease.send_times.end()) {
         return;
     }
     m_context.state.leader = from;
@@ -150,6 +154,7 @@
     request.relay_address = m_context.state.relay_address;
     request.relay_plan_digest = m_context.state.relay_plan->digest;
     request.is_stopping = m_context.state.is_shutting_down;
+    request.granted_sequence = lease.granted_sequence;
     m_connections.reset_peaks();
     lease.send_times[request.sequence] = m_context.now;
     if (lease.send_times.size() > max_remembered_renewals) {
--- a/src/routing/internal/reduce.cpp
+++ b/src/routing/internal/reduce.cpp
@@ -59,6 +59,10 @@
     void receive(const host_name& from, const protocol::lease_grant& grant) { m_lease.handle(from, grant); }
     void receive(const host_name& from, const protocol::not_leader& answer) { m_lease.handle(from, answer); }
     void receive(const host_name& from, const protocol::view_update& update) { m_view.handle(from, update); }
+    void receive(const host_name& from, const protocol::configuration_update& update)
+    {
+        m_view.handle(from, update);
+    }
     void receive(const host_name& from, const protocol::close_term_request& order)
     {
         m_view.handle(from, order);
--- a/src/routing/internal/view_tracker.cpp
+++ b/src/routing/internal/view_tracker.cpp
@@ -1,7 +1,11 @@
 #include "routing/internal/view_tracker.h"
 
+#include "configuration/difference.h"
+
 #include <algorithm>
 
+#include <fmt/format.h>
+
 namespace hickorymount::routing::detail {
 
 namespace {
@@ -38,19 +42,32 @@
         return;
     }
     m_context.state.revision = update.to_revision;
-    const bool is_new_version =
-        update.configuration && (*update.configuration)->version > m_context.state.configuration->version;
-    if (is_new_version) {
-        m_context.state.configuration = *update.configuration;
-        m_context.log(logging::log_level::information, "configuration_in_force", "",
-                      "version=" + std::to_string(m_context.state.configuration->version));
-    }
     for (const protocol::group_view& view : update.groups) {
         apply_group(view);
     }
-    if (is_new_version) {
-        m_lease.schedule_early_renewal();
+}
+
+void view_tracker::handle(const host_name& from, const protocol::configuration_update& update)
+{
+    const configuration::configuration_difference& difference = *update.difference;
+    if (difference.version <= m_context.state.configuration->version) {
+        return;
     }
+    handle_failure(
+        [&]() -> result<void> {
+            BOOST_LEAF_AUTO(next,
+                            configuration::apply_difference(*m_context.state.configuration, difference));
+            m_context.state.configuration = shared_value(std::move(next));
+            m_context.log(logging::log_level::information, "configuration_in_force", "",
+                          fmt::format("version={} base={} changed={} removed={}", difference.version,
+                                      difference.base_version, difference.changed_routes.databases.size(),
+                                      difference.removed_routes.size()));
+            return {};
+        },
+        [&](const failure& error) {
+            m_context.log(logging::log_level::warning, error.step, from.value, error.reason);
+        });
+    m_lease.schedule_early_renewal();
 }
 
 void view_tracker::handle(const host_name& from, const protocol::close_term_request& order)
--- a/src/routing/internal/view_tracker.h
+++ b/src/routing/internal/view_tracker.h
@@ -15,6 +15,7 @@
                  request_processor& requests);
 
     void handle(const host_name& from, const protocol::view_update& update);
+    void handle(const host_name& from, const protocol::configuration_update& update);
     void handle(const host_name& from, const protocol::close_term_request& order);
     void handle(const host_name& from, const protocol::resume_term_request& order);
     void handle(const host_name& from, const protocol::server_reports& forwarded);
--- a/src/routing/tests/session_groups_tests.cpp
+++ b/src/routing/tests/session_groups_tests.cpp
@@ -29,7 +29,7 @@
         record.phase = directory::group_phase::open;
         record.term = 3;
         record.primary = report.name;
-        from_control(protocol::view_update{0, 5, {}, {{group_name{"orders"}, record}}});
+        from_control(protocol::view_update{0, 5, {{group_name{"orders"}, record}}});
         from_control(protocol::server_reports{{report}, false});
         m_sent.clear();
     }
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -336,6 +336,8 @@
 {
     time_point valid_until{};
     std::uint64_t next_sequence = 1;
+    /// Highest sequence number of the grants received.
+    std::uint64_t granted_sequence = 0;
     /// The send time of each unanswered request, by sequence number.
     std::map<std::uint64_t, time_point> send_times;
     time_point renew_at{};
--- a/src/supervision/internal/lease_manager.cpp
+++ b/src/supervision/internal/lease_manager.cpp
@@ -13,6 +13,21 @@
 /// An older request is dropped; the entry host has sent a newer one by then.
 constexpr milliseconds pending_lease_request_timeout{1000};
 
+bool is_in_transit(const std::optional<sent_document>& sent, std::uint64_t granted_sequence)
+{
+    return sent && granted_sequence <= sent->after_grant;
+}
+
+/// Forgets the documents that have arrived or are lost.
+void remove_settled_documents(entry_status& status, std::uint64_t granted_sequence)
+{
+    for (auto* sent : {&status.sent_view, &status.sent_servers, &status.sent_relay_plan}) {
+        if (!is_in_transit(*sent, granted_sequence)) {
+            sent->reset();
+        }
+    }
+}
+
 } // namespace
 
 lease_manager::lease_manager(supervision_context& context) : m_context(context), m_connections(context) {}
@@ -47,8 +62,7 @@
     if (const entry_status* known = m_context.state.entry_hosts.find(entry)) {
         entry_status status = *known;
         status.last_request_at = m_context.now();
-        status.version = request.applied_version;
-        status.revision = request.applied_revision;
+        record_applied(status, request);
         status.is_stopping = request.is_stopping;
         status.is_replaced = false;
         const bool is_first_request = known->last_request_at <= m_context.state.leading_since;
@@ -70,6 +84,32 @@
     grants.push_back({request, m_context.inputs.consensus.heartbeat_round, m_context.now()});
 }
 
+/// Records what the entry host has applied, and which documents are no longer in transit.
+void lease_manager::record_applied(entry_status& status, const protocol::lease_request& request)
+{
+    status.version = request.applied_version;
+    status.revision = request.applied_revision;
+    status.last_grant_sequence = std::max(status.last_grant_sequence, request.granted_sequence);
+    remove_settled_documents(status, request.granted_sequence);
+    const std::optional<sent_document>& sent = status.sent_configuration;
+    if (!sent) {
+        return;
+    }
+    const bool is_applied = request.applied_version >= sent->version;
+    if (is_applied) {
+        // The wait takes as long as the transfer, so that updates leave half of the link to other messages.
+        const milliseconds transfer_time = m_context.now() - sent->sent_at;
+        status.next_configuration_at =
+            std::max(m_context.now() + transfer_time, sent->sent_at + configuration_send_interval);
+        status.sent_configuration.reset();
+    } else if (!is_in_transit(sent, request.granted_sequence)) {
+        m_context.log(logging::log_level::warning, "configuration_not_applied", request.entry.name.value,
+                      "version=" + std::to_string(sent->version) +
+                          " applied=" + std::to_string(request.applied_version));
+        status.sent_configuration.reset();
+    }
+}
+
 /// Older processes of the host have ended, and their connections are closed. Their leases still have to
 /// expire, since the last position that they acknowledged is unknown.
 void lease_manager::mark_replaced_entries(const entry_process_id& newest)
@@ -118,8 +158,9 @@
                   "incarnation=" + dismissed.entry.incarnation.value);
 }
 
-void lease_manager::answer_confirmed_requests()
+bool lease_manager::answer_confirmed_requests()
 {
+    bool has_granted = false;
     std::vector<pending_lease_request> waiting;
     for (const pending_lease_request& pending : m_context.state.pending_lease_requests) {
         const entry_process_id& entry = pending.request.entry;
@@ -129,11 +170,13 @@
             consensus::is_leadership_confirmed_since(m_context.inputs.consensus, pending.after_round);
         if (is_admitted && is_confirmed && !is_lease_withheld(entry)) {
             grant_lease(pending);
+            has_granted = true;
         } else if (m_context.now() - pending.received_at < pending_lease_request_timeout) {
             waiting.push_back(pending);
         }
     }
     m_context.state.pending_lease_requests = std::move(waiting);
+    return has_granted;
 }
 
 void lease_manager::dismiss_expired_entries()
@@ -182,11 +225,16 @@
 {
     const entry_process_id& entry = pending.request.entry;
     entry_status status = *m_context.state.entry_hosts.find(entry);
+    record_applied(status, pending.request);
+    const sent_document sent_now{m_context.state.revision, status.last_grant_sequence, m_context.now()};
     const bool is_behind = pending.request.applied_revision < m_context.state.revision;
-    if (is_behind && !is_view_update_in_transit(status, pending.request.applied_revision)) {
-        status.view_sent_at = m_context.now();
+    const bool lacks_servers = pending.request.servers_digest != servers_digest();
+    if (is_behind && !is_view_in_transit(status)) {
+        status.sent_view = sent_now;
+        status.sent_servers = sent_now;
         send_view(entry.name);
-    } else if (pending.request.servers_digest != servers_digest()) {
+    } else if (lacks_servers && !status.sent_servers) {
+        status.sent_servers = sent_now;
         send_servers(entry.name);
     }
     protocol::lease_grant grant{
@@ -195,32 +243,45 @@
     for (const consensus::member& voter : m_context.inputs.consensus.members.voters) {
         grant.voting_control_hosts.push_back(voter.name);
     }
-    if (pending.request.relay_plan_digest != m_context.state.holders_digest) {
+    const std::uint64_t plan_digest = m_context.state.holders_digest;
+    const bool is_plan_in_transit = status.sent_relay_plan && status.sent_relay_plan->version == plan_digest;
+    if (pending.request.relay_plan_digest != plan_digest && !is_plan_in_transit) {
         grant.new_relay_plan = relay_plan_for(entry.name, status.zone, m_context.state.connection_holders);
+        status.sent_relay_plan = sent_document{plan_digest, status.last_grant_sequence, m_context.now()};
     }
+    status.last_grant_sequence = pending.request.sequence;
     m_connections.record_grant(pending.request, grant.connection_limits);
     status.lease_end = std::max(status.lease_end, pending.received_at + lease_duration);
     status.last_request_at = std::max(status.last_request_at, pending.received_at);
-    status.version = pending.request.applied_version;
-    status.revision = pending.request.applied_revision;
     m_context.state.entry_hosts = std::move(m_context.state.entry_hosts).set(entry, std::move(status));
     m_context.send(entry.name, std::move(grant));
 }
 
-/// True when a view update that brings the host up to date was sent within `view_resend_interval`.
-bool lease_manager::is_view_update_in_transit(const entry_status& status,
-                                              protocol::view_revision known_revision) const
+/// True when a message in transit brings the entry host up to date.
+bool lease_manager::is_view_in_transit(const entry_status& status) const
+{
+    return status.sent_view && status.sent_view->version >= m_context.state.revision;
+}
+
+void lease_manager::record_view_update(protocol::view_revision from_revision,
+                                       protocol::view_revision to_revision)
 {
-    if (status.view_sent_at && m_context.now() - *status.view_sent_at < view_resend_interval) {
-        return true;
+    const shared_map<entry_process_id, entry_status> entries = m_context.state.entry_hosts;
+    for (const auto& [entry, status] : entries) {
+        const bool is_applicable = (status.revision != 0 && status.revision >= from_revision) ||
+                                   (status.sent_view && status.sent_view->version >= from_revision);
+        entry_status updated = status;
+        updated.sent_view.reset();
+        if (is_applicable) {
+            updated.sent_view = sent_document{to_revision, status.last_grant_sequence, m_context.now()};
+        }
+        m_context.state.entry_hosts = std::move(m_context.state.entry_hosts).set(entry, std::move(updated));
     }
-    return known_revision != 0 && known_revision >= m_context.state.previous_revision &&
-           m_context.now() - m_context.state.published_at < view_resend_interval;
 }
 
 void lease_manager::send_view(const host_name& entry_host)
 {
-    protocol::view_update view{0, m_context.state.revision, m_context.directory().configuration, {}};
+    protocol::view_update view{0, m_context.state.revision, {}};
     for (const auto& [name, record] : m_context.directory().groups) {
         view.groups.push_back({name, record});
     }
--- a/src/supervision/internal/lease_manager.h
+++ b/src/supervision/internal/lease_manager.h
@@ -20,10 +20,15 @@
     void handle(const directory::admit_entry_host& admitted);
     void handle(const directory::dismiss_entry_host& dismissed);
 
-    /// Answers the lease requests for which a majority has confirmed the leader since their arrival.
-    void answer_confirmed_requests();
+    /// Answers the lease requests for which a majority has confirmed the leader since their arrival. Returns
+    /// true if it has granted a lease.
+    bool answer_confirmed_requests();
     void dismiss_expired_entries();
 
+    /// Records that an update of the view was sent to all entry hosts. Those that have `from_revision`, or
+    /// get it from a message in transit, will apply the update; the others need the complete view.
+    void record_view_update(protocol::view_revision from_revision, protocol::view_revision to_revision);
+
     /// Selects the entry hosts that open connections to each group's servers.
     void update_relay_plan();
 
@@ -41,8 +46,8 @@
 private:
     void mark_replaced_entries(const entry_process_id& newest);
     void grant_lease(const pending_lease_request& pending);
-    [[nodiscard]] bool is_view_update_in_transit(const entry_status& status,
-                                                 protocol::view_revision known_revision) const;
+    void record_applied(entry_status& status, const protocol::lease_request& request);
+    [[nodiscard]] bool is_view_in_transit(const entry_status& status) const;
     void send_view(const host_name& entry_host);
     void send_servers(const host_name& entry_host);
     /// Hash of all server reports; an entry host with another hash gets the reports again.
--- a/src/supervision/internal/reduce.cpp
+++ b/src/supervision/internal/reduce.cpp
@@ -2,6 +2,7 @@
 
 #include "consensus/reduce.h"
 #include "supervision/descriptions.h"
+#include "supervision/internal/configuration_distributor.h"
 #include "supervision/internal/failover_manager.h"
 #include "supervision/internal/lease_manager.h"
 #include "supervision/internal/operator_request_handler.h"
@@ -20,8 +21,8 @@
 {
 public:
     supervision_reducer(supervision_state state, const supervision_inputs& inputs)
-        : m_context(std::move(state), inputs), m_leases(m_context), m_failover(m_context, m_leases),
-          m_operator_requests(m_context, m_leases, m_failover)
+        : m_context(std::move(state), inputs), m_configurations(m_context), m_leases(m_context),
+          m_failover(m_context, m_leases), m_operator_requests(m_context, m_leases, m_failover)
     {
     }
 
@@ -30,7 +31,9 @@
         update_leadership();
         std::visit([this](const auto& content) { apply(content); }, event);
         if (m_context.state.is_leading) {
-            m_leases.answer_confirmed_requests();
+            if (m_leases.answer_confirmed_requests()) {
+                m_configurations.send_due_updates();
+            }
             m_operator_requests.answer_configuration_reads();
         }
         return {std::move(m_context.state), std::move(m_context.effects)};
@@ -51,6 +54,7 @@
             m_context.state.leading_since = m_context.inputs.consensus.leading_since;
             m_context.state.next_claim_expiry_at = m_context.now() + claim_expiry_interval;
             m_leases.start_leading();
+            m_configurations.record_current();
             m_failover.start_leading();
             m_context.log(logging::log_level::information, "lead", "",
                           "term=" + std::to_string(m_context.inputs.consensus.persistent_state.term));
@@ -175,17 +179,14 @@
         const bool is_new = answer != nullptr && answer->outcome == directory::change_outcome::accepted &&
                             answer->version == m_context.directory().configuration->version;
         if (is_new) {
-            publish(applied.index, m_context.directory().configuration, {});
+            distribute_configuration(applied.index);
         }
     }
 
     void handle_applied(const command_applied& applied, const directory::replace_configuration& command)
     {
         if (command.version == m_context.directory().configuration->version && !command.is_repeated) {
-            m_context.state.has_unsent_configuration = true;
-            send_configuration_if_due(applied.index);
-            m_context.log(logging::log_level::information, "configuration_committed", "",
-                          fmt::format("version={} index={}", command.version, applied.index));
+            distribute_configuration(applied.index);
         }
     }
 
@@ -229,35 +230,29 @@
     void publish_group(consensus::log_index index, const group_name& group)
     {
         if (const directory::group_record* record = m_context.directory().groups.find(group)) {
-            publish(index, std::nullopt, {{group, *record}});
+            publish(index, {{group, *record}});
         }
     }
 
-    /// Limits how often a replaced configuration is sent, since a large one takes each entry host time to
-    /// load. Only the newest of several versions is sent.
-    void send_configuration_if_due(protocol::view_revision revision)
+    void distribute_configuration(consensus::log_index index)
     {
-        const bool is_due =
-            m_context.now() - m_context.state.configuration_sent_at >= configuration_send_interval;
-        if (!m_context.state.has_unsent_configuration || (m_context.state.is_leading && !is_due)) {
-            return;
+        m_context.log(
+            logging::log_level::information, "configuration_committed", "",
+            fmt::format("version={} index={}", m_context.directory().configuration->version, index));
+        if (m_context.state.is_leading) {
+            m_configurations.record_current();
+            m_configurations.send_due_updates();
         }
-        m_context.state.has_unsent_configuration = false;
-        m_context.state.configuration_sent_at = m_context.now();
-        publish(std::max(revision, m_context.state.revision), m_context.directory().configuration, {});
     }
 
-    void publish(protocol::view_revision revision,
-                 std::optional<shared_value<configuration::versioned_configuration>> configuration,
-                 std::vector<protocol::group_view> groups)
+    void publish(protocol::view_revision revision, std::vector<protocol::group_view> groups)
     {
-        const protocol::view_revision previous_revision = m_context.state.revision;
-        m_context.state.revision = revision;
-        m_context.state.previous_revision = previous_revision;
-        m_context.state.published_at = m_context.now();
+        const protocol::view_revision previous_revision =
+            std::exchange(m_context.state.revision, std::max(revision, m_context.state.revision));
         if (m_context.state.is_leading) {
-            m_context.send_to_all(protocol::view_update{previous_revision, revision, std::move(configuration),
-                                                        std::move(groups)});
+            m_leases.record_view_update(previous_revision, m_context.state.revision);
+            m_context.send_to_all(
+                protocol::view_update{previous_revision, m_context.state.revision, std::move(groups)});
         }
     }
 
@@ -290,7 +285,7 @@
         }
         m_leases.update_relay_plan();
         m_failover.run_periodic_checks();
-        send_configuration_if_due(m_context.inputs.consensus.commit_index);
+        m_configurations.send_due_updates();
         m_failover.remove_silent_servers();
         m_leases.dismiss_expired_entries();
         m_operator_requests.answer_changes_in_force();
@@ -317,6 +312,7 @@
     }
 
     detail::supervision_context m_context;
+    detail::configuration_distributor m_configurations;
     detail::lease_manager m_leases;
     detail::failover_manager m_failover;
     detail::operator_request_handler m_operator_requests;
--- a/src/supervision/types.h
+++ b/src/supervision/types.h
@@ -44,8 +44,12 @@
 inline constexpr milliseconds takeover_timeout{400};
 /// Shortest time between two follow orders for the same server.
 inline constexpr milliseconds follow_order_interval{200};
-/// Shortest time between two configurations sent to entry hosts; versions in between are skipped.
+/// Shortest time between two configurations sent to one entry host; versions in between are skipped.
 inline constexpr milliseconds configuration_send_interval{250};
+/// An entry host without a lease request for this long gets no configuration until its next one.
+inline constexpr milliseconds configuration_contact_limit{2000};
+/// Versions that are kept as the base of differences; an entry host with an older one gets all routes.
+inline constexpr std::size_t max_recent_configurations = 16;
 /// A primary with the session interface is probed after this many missed reports in a row.
 inline constexpr int missed_reports_before_check = 3;
 /// `confirmation_timeout` for servers with the session interface, where a probe opens a connection first and
@@ -66,8 +70,6 @@
 inline constexpr milliseconds promotion_poll_interval{60};
 /// Longest time for a candidate to become primary; afterwards a new candidate is chosen.
 inline constexpr milliseconds promotion_timeout{6000};
-/// A view update is expected at an entry host within this time and is not sent again before.
-inline constexpr milliseconds view_resend_interval{300};
 /// A backend server without a report for this long is removed.
 inline constexpr milliseconds silent_server_retention{60'000};
 /// Longest time for which a planned change of primary holds back new writes.
@@ -95,6 +97,20 @@
 /// Takeover orders sent to one candidate before a new candidate is chosen.
 inline constexpr int max_takeover_attempts = 3;
 
+/// A document that was sent to an entry host. It is in transit until the entry host has received a grant that
+/// was sent later on the same connection; by then it has arrived or is lost. This holds at any speed of the
+/// link, while a fixed time limit would queue copies behind a slow one.
+struct sent_document
+{
+    /// Revision or version that the entry host reports once it has applied the document.
+    std::uint64_t version = 0;
+    /// Sequence number of the newest grant sent before the document.
+    std::uint64_t after_grant = 0;
+    time_point sent_at{};
+
+    friend bool operator==(const sent_document&, const sent_document&) = default;
+};
+
 /// The leader's knowledge of one process of an entry host.
 struct entry_status
 {
@@ -105,8 +121,15 @@
     /// Configuration version and view revision that the process reported last.
     configuration::configuration_version version = 0;
     protocol::view_revision revision = 0;
-    /// Time at which the complete view was last sent to the process.
-    std::optional<time_point> view_sent_at;
+    /// Sequence number of the newest grant sent to the process.
+    std::uint64_t last_grant_sequence = 0;
+    /// The documents in transit to the process.
+    std::optional<sent_document> sent_view;
+    std::optional<sent_document> sent_servers;
+    std::optional<sent_document> sent_relay_plan;
+    std::optional<sent_document> sent_configuration;
+    /// Earliest time for the next configuration.
+    time_point next_configuration_at{};
     /// Address at which the process runs statements for other entry hosts; empty without a relay.
     std::optional<protocol::endpoint> relay_address;
     bool is_stopping = false;
@@ -273,9 +296,6 @@
     bool is_leading = false;
     time_point leading_since{};
     protocol::view_revision revision = 0;
-    /// Revision before the last view update, and the time at which that update was sent.
-    protocol::view_revision previous_revision = 0;
-    time_point published_at{};
     shared_map<entry_process_id, entry_status> entry_hosts;
     shared_map<backend_server_name, server_status> servers;
     std::map<backend_server_name, std::map<entry_process_id, connection_use>> connection_uses;
@@ -301,11 +321,14 @@
     shared_map<group_name, time_point> paused_until;
     /// Servers whose newest report has not been sent to entry hosts.
     std::set<backend_server_name> unsent_reports;
-    /// A replaced configuration has not been sent to entry hosts.
-    bool has_unsent_configuration = false;
     /// Highest configuration version that this leader has proposed.
     configuration::configuration_version proposed_version = 0;
-    time_point configuration_sent_at{};
+    /// Versions that entry hosts may hold, as they hold them.
+    std::map<configuration::configuration_version, shared_value<configuration::versioned_configuration>>
+        recent_configurations;
+    /// Differences from these versions to the current one.
+    std::map<configuration::configuration_version, shared_value<configuration::configuration_difference>>
+        differences;
     std::vector<pending_change_answer> pending_change_answers;
     std::vector<pending_configuration_read> pending_configuration_reads;
     /// Next number for a probe or an order.
