Refuse a request at once when control grants its group's connections to other hosts

What callers saw: on the HTTP path with more entry hosts than connections, requests at a host without a connection waited until their deadline (6 s in the test) and were then refused with deadline_passed. Relays serve sessions only.

Change: the entry host remembers since when the grants allow it none. After 1 s, in which two renewals of the other hosts redistribute the shares, requests of the group are refused as not run with the reason no_connection_granted (503, Retry-After), those that wait as well; an earlier attempt that may have run goes on waiting.

Test: connection_share_fixture, six entry hosts before three connections. Before, host_without_connections_refuses_reads_ and_writes_at_once failed: no outcome within 10 ms, and deadline_passed after 6 s. A host that gets a share when another leaves, or while shares are redistributed, still serves.

--- a/src/routing/descriptions.h
+++ b/src/routing/descriptions.h
@@ -27,6 +27,7 @@
                    enumerator{"class_not_allowed", routing::refusal_reason::class_not_allowed},
                    enumerator{"deadline_passed", routing::refusal_reason::deadline_passed},
                    enumerator{"queue_full", routing::refusal_reason::queue_full},
+                   enumerator{"no_connection_granted", routing::refusal_reason::no_connection_granted},
                    enumerator{"session_position_lost", routing::refusal_reason::session_position_lost},
                    enumerator{"transaction_elsewhere", routing::refusal_reason::transaction_elsewhere},
                    enumerator{"transaction_ended", routing::refusal_reason::transaction_ended},
--- a/src/routing/internal/connection_pools.cpp
+++ b/src/routing/internal/connection_pools.cpp
@@ -107,7 +107,7 @@
         if (server.report.interface == protocol::server_interface::sessions) {
             continue;
         }
-        set_share(name, 0);
+        change_share(name, 0, std::nullopt);
         for (const connection_number connection : server.connections.busy) {
             close(name, connection);
         }
@@ -132,9 +132,21 @@
     if (current == nullptr) {
         return;
     }
-    if (current->connections.share != share) {
+    const auto no_share_since = current->connections.no_share_since;
+    change_share(server, share,
+                 share > 0 ? std::nullopt : std::optional(no_share_since.value_or(m_context.now)));
+}
+
+void connection_pools::change_share(const backend_server_name& server, std::uint32_t share,
+                                    std::optional<time_point> no_share_since)
+{
+    const server_state* current = m_context.state.servers.find(server);
+    const bool is_changed =
+        current->connections.share != share || current->connections.no_share_since != no_share_since;
+    if (is_changed) {
         server_state next = *current;
         next.connections.share = share;
+        next.connections.no_share_since = no_share_since;
         m_context.set_server(server, std::move(next));
     }
     apply_share(server);
--- a/src/routing/internal/connection_pools.h
+++ b/src/routing/internal/connection_pools.h
@@ -23,6 +23,7 @@
     void close_all();
     void close_idle(const backend_server_name& server);
 
+    /// Sets the share that a grant allows.
     void set_share(const backend_server_name& server, std::uint32_t share);
     /// Opens connections up to the share, or closes idle connections above it.
     void apply_share(const backend_server_name& server);
@@ -33,6 +34,9 @@
     void reset_peaks();
 
 private:
+    void change_share(const backend_server_name& server, std::uint32_t share,
+                      std::optional<time_point> no_share_since);
+
     event_context& m_context;
 };
 
--- a/src/routing/internal/reduce.cpp
+++ b/src/routing/internal/reduce.cpp
@@ -56,7 +56,11 @@
     {
     }
 
-    void receive(const host_name& from, const protocol::lease_grant& grant) { m_lease.handle(from, grant); }
+    void receive(const host_name& from, const protocol::lease_grant& grant)
+    {
+        m_lease.handle(from, grant);
+        m_requests.refuse_requests_without_connections();
+    }
     void receive(const host_name& from, const protocol::not_leader& answer) { m_lease.handle(from, answer); }
     void receive(const host_name& from, const protocol::view_update& update) { m_view.handle(from, update); }
     void receive(const host_name& from, const protocol::configuration_update& update)
--- a/src/routing/internal/request_processor.cpp
+++ b/src/routing/internal/request_processor.cpp
@@ -252,6 +252,11 @@
     if (group.queue.empty() && try_start(request)) {
         return;
     }
+    if (lacks_connections(request)) {
+        refuse(request, refusal_reason::no_connection_granted, "queue", "",
+               "all connections are granted to other entry hosts");
+        return;
+    }
     if (count >= request.settings.queue_limit) {
         refuse(request, refusal_reason::queue_full, "queue", "", "too many requests of the class wait");
         return;
@@ -276,6 +281,47 @@
     m_context.set_group(request.input.group, std::move(group));
 }
 
+/// True if control has for long granted every connection that could run the request to other entry hosts.
+/// Without a lease the shares are unknown.
+bool request_processor::lacks_connections(const request_state& request) const
+{
+    const group_state* group = m_context.state.groups.find(request.input.group);
+    if (group == nullptr || !m_context.has_lease() || request.may_have_run) {
+        return false;
+    }
+    bool is_any_known = false;
+    for (const backend_server_name& member : group->members) {
+        const server_state* server = m_context.state.servers.find(member);
+        const bool can_run = server != nullptr && (!is_write(request) || member == group->record.primary);
+        if (!can_run) {
+            continue;
+        }
+        is_any_known = true;
+        const auto& since = server->connections.no_share_since;
+        if (!since || m_context.now - *since < share_wait_limit) {
+            return false;
+        }
+    }
+    return is_any_known;
+}
+
+void request_processor::refuse_requests_without_connections()
+{
+    std::vector<request_number> queued;
+    for (const auto& [name, group] : m_context.state.groups) {
+        queued.insert(queued.end(), group.queue.begin(), group.queue.end());
+    }
+    for (const request_number number : queued) {
+        const request_state* request = m_context.state.requests.find(number);
+        if (request == nullptr || request->stage != request_stage::queued || !lacks_connections(*request)) {
+            continue;
+        }
+        const request_state refused = *request;
+        refuse(refused, refusal_reason::no_connection_granted, "queue", "",
+               "all connections are granted to other entry hosts");
+    }
+}
+
 void request_processor::dispatch(const group_name& group)
 {
     const group_state* current = m_context.state.groups.find(group);
--- a/src/routing/internal/request_processor.h
+++ b/src/routing/internal/request_processor.h
@@ -22,6 +22,8 @@
 
     /// Starts the queued requests of the group that can run now.
     void dispatch(const group_name& group);
+    /// Refuses the queued requests that wait for connections which control has granted to other hosts.
+    void refuse_requests_without_connections();
     /// Completes the writes whose log position a replica has reached.
     void confirm_replicated(const group_name& group);
     /// Asks the replicas for their log positions while writes of the group wait for replication.
@@ -48,6 +50,7 @@
 
     void enqueue(request_state request);
     void remove_from_queue(const request_state& request);
+    [[nodiscard]] bool lacks_connections(const request_state& request) const;
     bool try_start(const request_state& request);
     bool try_start_write(const request_state& request, const group_state& group);
     bool try_start_read(const request_state& request, const group_state& group);
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -33,6 +33,9 @@
 
 /// Interval between renewal requests while the lease is valid.
 inline constexpr milliseconds lease_renewal_interval{400};
+/// An entry host to which control grants no connection to a group for this long refuses the group's requests.
+/// Shares are redistributed with the lease renewals of the other hosts, which takes two of them.
+inline constexpr milliseconds share_wait_limit{1000};
 /// Interval between lease requests without a valid lease. The interval grows with the number of unanswered
 /// requests up to `max_lease_retry_interval`, since every entry host retries when all control hosts are down.
 inline constexpr milliseconds lease_retry_interval{150};
@@ -116,6 +119,8 @@
     class_not_allowed,
     deadline_passed,
     queue_full,
+    /// Control has granted all connections to the group's servers to other entry hosts.
+    no_connection_granted,
     session_position_lost,
     transaction_elsewhere,
     transaction_ended,
@@ -215,6 +220,8 @@
 {
     /// Number of connections that the lease allows this entry host.
     std::uint32_t share = 0;
+    /// Time of the first of the grants in a row that allow none.
+    std::optional<time_point> no_share_since;
     std::vector<connection_number> idle;
     std::set<connection_number> busy;
     std::set<connection_number> opening;
