Count a connection for each unheard entry host where an equal share is less than one

What callers saw: after an election of control, with more entry hosts than connections, servers refuse connections: the new leader grants connections that hosts it has not heard still hold.

Cause: the assumed share of an unheard host was the limit divided by the holders, in whole numbers: nothing for each where holders outnumber connections.

Change: at least one connection is assumed for each unheard host. A host that reports connections keeps them up to its target, as an earlier leader granted them within the limit; otherwise the higher estimate would take them away until all hosts are heard.

--- a/src/supervision/internal/connection_allocator.cpp
+++ b/src/supervision/internal/connection_allocator.cpp
@@ -101,8 +101,7 @@
                        : 0);
     const std::uint32_t holders = holder_count(report.group, request.entry);
     const std::uint32_t wanted = std::max(1U, value_or_zero(request.wanted_connections, report.name));
-    // The connections of a host that this leader has not heard are unknown; assume an equal share.
-    std::uint32_t held_by_others = unheard_holder_count(report.group, request.entry) * (limit / holders);
+    std::uint32_t held_by_others = 0;
     std::uint32_t wanted_by_all = wanted;
     std::uint32_t counted_holders = 1;
     const auto uses = m_context.state.connection_uses.find(report.name);
@@ -122,7 +121,16 @@
     const std::uint32_t spare = wanted_by_all < limit ? (limit - wanted_by_all) / holders : 0;
     const std::uint32_t target =
         wanted_by_all <= limit ? wanted + spare : std::max(1U, limit * wanted / wanted_by_all);
-    const std::uint32_t available = limit > held_by_others ? limit - held_by_others : 0;
+    const std::uint32_t left_by_others = limit > held_by_others ? limit - held_by_others : 0;
+    // The connections of a host that this leader has not heard are unknown; assume an equal share, which is
+    // one for as many hosts as there are connections. It takes nothing from a host that holds connections,
+    // since an earlier leader granted both within the limit.
+    const std::uint32_t held_by_unheard =
+        unheard_holder_count(report.group, request.entry) * std::max(1U, limit / holders);
+    const std::uint32_t held = value_or_zero(request.held_connections, report.name);
+    const std::uint32_t available =
+        std::max(left_by_others > held_by_unheard ? left_by_others - held_by_unheard : 0,
+                 std::min(held, left_by_others));
     return std::min(target, available);
 }
 
--- a/src/supervision/tests/connection_allocator_tests.cpp
+++ b/src/supervision/tests/connection_allocator_tests.cpp
@@ -17,7 +17,9 @@
     static constexpr std::uint32_t connection_limit = 22;
     static constexpr int host_count = 7;
 
-    connection_allocator_fixture()
+    explicit connection_allocator_fixture(
+        std::uint32_t connections = connection_limit,
+        protocol::server_interface interface = protocol::server_interface::sessions)
     {
         m_consensus.current_role = consensus::role::leader;
         m_consensus.term_start_index = m_consensus.commit_index = 1;
@@ -27,13 +29,13 @@
         }
         configuration::versioned_configuration configuration;
         configuration.version = 1;
-        configuration.content.groups[group_name{"orders"}].connections = connection_limit;
+        configuration.content.groups[group_name{"orders"}].connections = connections;
         m_directory.configuration = shared_value(std::move(configuration));
         protocol::server_report report;
         report.name = backend_server_name{"first"};
         report.group = group_name{"orders"};
         report.address = {"10.0.0.9", 9000};
-        report.interface = protocol::server_interface::sessions;
+        report.interface = interface;
         apply_event(server_report_received{report});
     }
 
@@ -57,10 +59,15 @@
     }
 
     /// Sends the first lease request of a new process, admits the process and returns the granted share.
-    std::uint32_t granted_share_of_new_process(int host)
+    std::uint32_t granted_share_of_new_process(int host) { return granted_share(key_of(host, "started"), 0); }
+
+    /// Sends the first lease request of a process that holds some connections, and returns the granted share.
+    std::uint32_t granted_share(const directory::entry_process_id& key, std::uint32_t held)
     {
-        const directory::entry_process_id key = key_of(host, "started");
         protocol::lease_request request;
+        if (held > 0) {
+            request.held_connections[backend_server_name{"first"}] = held;
+        }
         request.entry = key;
         request.zone = availability_zone{"z"};
         request.sequence = 1;
@@ -109,4 +116,32 @@
     EXPECT_LE(sum, connection_limit);
 }
 
+/// A leader is elected while three of seven entry hosts hold the three connections of a server.
+class scarce_connections_fixture : public connection_allocator_fixture
+{
+protected:
+    static constexpr std::uint32_t scarce_limit = 3;
+
+    scarce_connections_fixture()
+        : connection_allocator_fixture(scarce_limit, protocol::server_interface::http)
+    {
+    }
+};
+
+TEST_F(scarce_connections_fixture, new_leader_grants_no_connection_that_an_unheard_host_may_hold)
+{
+    for (int host = static_cast<int>(scarce_limit); host < host_count; ++host) {
+        EXPECT_EQ(granted_share(key_of(host, "ended"), 0), 0U) << "host " << host;
+    }
+}
+
+TEST_F(scarce_connections_fixture, holders_keep_their_connections_after_an_election)
+{
+    for (int host = 0; host < host_count; ++host) {
+        const bool is_holder = host < static_cast<int>(scarce_limit);
+        EXPECT_EQ(granted_share(key_of(host, "ended"), is_holder ? 1 : 0), is_holder ? 1U : 0U)
+            << "host " << host;
+    }
+}
+
 } // namespace hickorymount::supervision
