Let entry hosts keep their fair shares while all hold more connections than the limit

Cause: both sides of a cut hold connections within the limit; together they exceed it. The allocator then granted each host the limit less what the others held: nothing, so that every host closed all its connections and opened them again one renewal later.

Ruled out: hosts that are not holders (they relay, and their refusals say "relays busy").

Change: a host keeps what it holds up to its target. No host is raised beyond the limit by that, and the targets add up to the limit, except where hosts outnumber connections; there the strict rule stays, so that a lowered limit is obeyed.

Test: hosts_that_together_hold_more_than_the_limit_keep_their_fair_shares, seven hosts with 6 connections each before a limit of 22. Before, every one of them was granted 0. hosts_beyond_a_lowered_limit_give_their_connections_up guards the other side.

--- a/src/supervision/internal/connection_allocator.cpp
+++ b/src/supervision/internal/connection_allocator.cpp
@@ -123,15 +123,15 @@
         wanted_by_all <= limit ? wanted + spare : std::max(1U, limit * wanted / wanted_by_all);
     const std::uint32_t left_by_others = limit > held_by_others ? limit - held_by_others : 0;
     // The connections of a host that this leader has not heard are unknown; assume an equal share, which is
-    // one for as many hosts as there are connections. It takes nothing from a host that holds connections,
-    // since an earlier leader granted both within the limit.
+    // one for as many hosts as there are connections.
     const std::uint32_t held_by_unheard =
         unheard_holder_count(report.group, request.entry) * std::max(1U, limit / holders);
+    const std::uint32_t available = left_by_others > held_by_unheard ? left_by_others - held_by_unheard : 0;
+    // A host keeps connections up to its target although others hold too many: they give up what exceeds
+    // their own targets. Where hosts outnumber connections, the targets exceed the limit.
     const std::uint32_t held = value_or_zero(request.held_connections, report.name);
-    const std::uint32_t available =
-        std::max(left_by_others > held_by_unheard ? left_by_others - held_by_unheard : 0,
-                 std::min(held, left_by_others));
-    return std::min(target, available);
+    const std::uint32_t kept = holders <= limit ? held : std::min(held, left_by_others);
+    return std::min(target, std::max(available, kept));
 }
 
 bool connection_allocator::is_live(const entry_process_id& entry) const
--- a/src/supervision/tests/connection_allocator_tests.cpp
+++ b/src/supervision/tests/connection_allocator_tests.cpp
@@ -116,6 +116,19 @@
     EXPECT_LE(sum, connection_limit);
 }
 
+TEST_F(connection_allocator_fixture, hosts_that_together_hold_more_than_the_limit_keep_their_fair_shares)
+{
+    constexpr std::uint32_t held = 6;
+    for (int host = 0; host < host_count; ++host) {
+        granted_share(key_of(host, "ended"), held);
+    }
+    for (int host = 0; host < host_count; ++host) {
+        const std::uint32_t share = granted_share(key_of(host, "ended"), held);
+        EXPECT_GE(share, 2U) << "host " << host;
+        EXPECT_LE(share, connection_limit / host_count) << "host " << host;
+    }
+}
+
 /// A leader is elected while three of seven entry hosts hold the three connections of a server.
 class scarce_connections_fixture : public connection_allocator_fixture
 {
@@ -135,6 +148,19 @@
     }
 }
 
+TEST_F(scarce_connections_fixture, hosts_beyond_a_lowered_limit_give_their_connections_up)
+{
+    constexpr int hosts_with_a_connection = 5;
+    for (int host = 0; host < host_count; ++host) {
+        granted_share(key_of(host, "ended"), host < hosts_with_a_connection ? 1 : 0);
+    }
+    std::uint32_t sum = 0;
+    for (int host = 0; host < host_count; ++host) {
+        sum += granted_share(key_of(host, "ended"), host < hosts_with_a_connection ? 1 : 0);
+    }
+    EXPECT_LE(sum, scarce_limit);
+}
+
 TEST_F(scarce_connections_fixture, holders_keep_their_connections_after_an_election)
 {
     for (int host = 0; host < host_count; ++host) {
