Dismiss no entry host before its first lease, and grant none after its dismissal is proposed

Cause: an admitted host had no time of contact until its first grant. Once the leader has led for 5 s, the next timer, 25 ms later at most, took the host for silent and proposed its dismissal, if a majority had not confirmed the leader by then. A grant could still come in between: the dismissed host then held a lease that control had forgotten, so that a change of primary would not have waited for it.

Change: the admission counts as contact, and a process whose dismissal is proposed gets no lease.

Test: entry_admission_fixture, links with up to 40 ms of delay, hosts that start or come back from a cut 6 s after the election. Both tests failed before: the host was dismissed 35 to 80 ms after its admission. All 436 tests pass.

--- a/src/supervision/internal/lease_manager.cpp
+++ b/src/supervision/internal/lease_manager.cpp
@@ -139,6 +139,7 @@
     if (!m_context.state.entry_hosts.contains(admitted.entry)) {
         entry_status status;
         status.zone = admitted.zone;
+        status.admitted_at = m_context.now();
         status.relay_address =
             admitted.relay_address ? protocol::parse_endpoint(*admitted.relay_address) : std::nullopt;
         m_context.state.entry_hosts = std::move(m_context.state.entry_hosts).set(admitted.entry, status);
@@ -164,8 +165,11 @@
     std::vector<pending_lease_request> waiting;
     for (const pending_lease_request& pending : m_context.state.pending_lease_requests) {
         const entry_process_id& entry = pending.request.entry;
-        const bool is_admitted =
-            m_context.state.entry_hosts.contains(entry) && m_context.directory().entry_hosts.contains(entry);
+        // Control forgets the lease of a dismissed process, so none is granted once the dismissal is
+        // proposed.
+        const bool is_admitted = m_context.state.entry_hosts.contains(entry) &&
+                                 m_context.directory().entry_hosts.contains(entry) &&
+                                 !m_context.state.proposed_dismissals.contains(entry);
         const bool is_confirmed =
             consensus::is_leadership_confirmed_since(m_context.inputs.consensus, pending.after_round);
         if (is_admitted && is_confirmed && !is_lease_withheld(entry)) {
@@ -182,8 +186,9 @@
 void lease_manager::dismiss_expired_entries()
 {
     for (const auto& [entry, status] : m_context.state.entry_hosts) {
-        const bool is_gone = m_context.now() - status.lease_end > entry_host_dismissal_delay &&
-                             m_context.now() - status.last_request_at > entry_host_dismissal_delay;
+        const time_point last_contact =
+            std::max({status.admitted_at, status.lease_end, status.last_request_at});
+        const bool is_gone = m_context.now() - last_contact > entry_host_dismissal_delay;
         if (is_gone &&
             m_context.now() - m_context.state.leading_since > lease_duration + entry_host_dismissal_delay &&
             m_context.state.proposed_dismissals.insert(entry).second) {
--- a/src/supervision/types.h
+++ b/src/supervision/types.h
@@ -115,6 +115,8 @@
 struct entry_status
 {
     availability_zone zone;
+    /// Time at which this leader applied the process's admission.
+    time_point admitted_at{};
     /// Latest time at which a lease of the process can expire.
     time_point lease_end{};
     time_point last_request_at{};
