Start leading only when the directory reflects the entries of earlier leaders

What callers could see: after all control hosts had restarted, a change of primary did not wait for the leases that entry hosts still held, so that a replaced primary's commits could be acknowledged for up to 2 s.

Cause: a restarted control host that is elected applies its whole log when the first entry of its term is committed. Supervision took the role with the first of these entries, while the directory was almost empty, and read the admissions that followed as new ones, without a lease.

Change: the control reducer keeps the index that the directory reflects, and supervision leads from the start of its own term on.

Test: control_hosts_that_restart_together_know_every_lease_that_may_be_valid kills and restarts three control hosts while two entry hosts with leases are cut off. Before, the leader held a lease end of zero for both.

--- a/src/node/internal/control_reducer.cpp
+++ b/src/node/internal/control_reducer.cpp
@@ -165,6 +165,7 @@
 
 void control_reducer::carry_out(consensus::apply_entry&& effect)
 {
+    m_state.applied_index = effect.entry.index;
     const auto* command = std::get_if<directory::command>(&*effect.entry.content);
     if (command == nullptr) {
         return;
@@ -187,6 +188,7 @@
 void control_reducer::carry_out(consensus::restore_directory&& effect)
 {
     m_state.directory = effect.content->directory;
+    m_state.applied_index = effect.content->last_index;
     m_state.supervision.revision = std::max(m_state.supervision.revision, effect.content->last_index);
 }
 
@@ -282,7 +284,8 @@
 
 supervision::supervision_inputs control_reducer::supervision_inputs() const
 {
-    return {m_state.directory, m_state.consensus, m_now, m_wall};
+    return {m_state.directory, m_state.consensus, m_now, m_wall,
+            m_state.applied_index >= m_state.consensus.term_start_index};
 }
 
 } // namespace hickorymount::node::detail
--- a/src/node/tests/entry_admission_tests.cpp
+++ b/src/node/tests/entry_admission_tests.cpp
@@ -61,5 +61,25 @@
     }
 }
 
+TEST_F(entry_admission_fixture, control_hosts_that_restart_together_know_every_lease_that_may_be_valid)
+{
+    for (const std::string entry : {"entry-1", "entry-2"}) {
+        isolate(entry, "control-");
+    }
+    for (const std::string host : {"control-1", "control-2", "control-3"}) {
+        kill(host);
+        restart(host);
+    }
+    ASSERT_TRUE(advance_until(
+        [this] { return !leader().empty() && control_state_of(leader()).supervision.is_leading; }));
+    for (const std::string entry : {"entry-1", "entry-2"}) {
+        const routing::entry_state& state = entry_state_of(entry);
+        ASSERT_TRUE(state.lease.was_valid) << entry;
+        const auto* known = control_state_of(leader()).supervision.entry_hosts.find(state.self);
+        ASSERT_NE(known, nullptr) << entry;
+        EXPECT_GE(known->lease_end, state.lease.valid_until) << entry;
+    }
+}
+
 } // namespace
 } // namespace hickorymount::node
--- a/src/node/types.h
+++ b/src/node/types.h
@@ -30,6 +30,8 @@
 {
     consensus::consensus_state consensus;
     directory::directory_state directory;
+    /// Index of the last entry that `directory` reflects.
+    consensus::log_index applied_index = 0;
     supervision::supervision_state supervision;
     shared_map<consensus::log_index, pending_proposal> pending_proposals;
     time_point next_supervision_at{};
--- a/src/supervision/internal/reduce.cpp
+++ b/src/supervision/internal/reduce.cpp
@@ -43,7 +43,8 @@
     /// Starts or stops leading when the consensus role has changed since the last event.
     void update_leadership()
     {
-        const bool is_serving = consensus::is_ready_leader(m_context.inputs.consensus);
+        const bool is_serving =
+            consensus::is_ready_leader(m_context.inputs.consensus) && m_context.inputs.is_directory_current;
         const bool is_new_term =
             is_serving && m_context.state.leading_since != m_context.inputs.consensus.leading_since;
         if (m_context.state.is_leading && (!is_serving || is_new_term)) {
--- a/src/supervision/types.h
+++ b/src/supervision/types.h
@@ -347,6 +347,9 @@
     const consensus::consensus_state& consensus;
     time_point now{};
     unix_milliseconds wall_time{0};
+    /// The directory reflects all entries of earlier leaders. A host that has restarted applies them one by
+    /// one.
+    bool is_directory_current = true;
 };
 
 /// A message from an entry host or from another control host.
