--- a/src/routing/internal/request_processor.cpp
+++ b/src/routing/internal/request_processor.cpp
@@ -281,8 +281,8 @@
     m_context.set_group(request.input.group, std::move(group));
 }
 
-/// True if control has for long granted every connection that could run the request to other entry hosts.
-/// Without a lease the shares are unknown.
+/// True if control has granted every connection that could run the request to other entry hosts, for at least
+/// `share_wait_limit`. Without a lease the shares are unknown.
 bool request_processor::lacks_connections(const request_state& request) const
 {
     const group_state* group = m_context.state.groups.find(request.input.group);
--- a/src/supervision/internal/configuration_distributor.h
+++ b/src/supervision/internal/configuration_distributor.h
@@ -5,7 +5,7 @@
 namespace hickorymount::supervision::detail {
 
 /// Sends the newest configuration to the entry hosts: the changes to the version that each has reported, one
-/// update at a time, and at most half of the time that the link needs for them.
+/// update at a time, with pauses that leave half of a host's link to other messages.
 class configuration_distributor
 {
 public:
--- a/src/supervision/internal/lease_manager.cpp
+++ b/src/supervision/internal/lease_manager.cpp
@@ -84,7 +84,6 @@
     grants.push_back({request, m_context.inputs.consensus.heartbeat_round, m_context.now()});
 }
 
-/// Records what the entry host has applied, and which documents are no longer in transit.
 void lease_manager::record_applied(entry_status& status, const protocol::lease_request& request)
 {
     status.version = request.applied_version;
--- a/src/supervision/internal/lease_manager.h
+++ b/src/supervision/internal/lease_manager.h
@@ -46,6 +46,7 @@
 private:
     void mark_replaced_entries(const entry_process_id& newest);
     void grant_lease(const pending_lease_request& pending);
+    /// Records what the entry host has applied, and which documents are no longer in transit.
     void record_applied(entry_status& status, const protocol::lease_request& request);
     [[nodiscard]] bool is_view_in_transit(const entry_status& status) const;
     void send_view(const host_name& entry_host);
