--- a/src/supervision/internal/configuration_distributor.cpp
+++ b/src/supervision/internal/configuration_distributor.cpp
@@ -71,7 +71,7 @@
         base == 0 || recent == m_context.state.recent_configurations.end()
             ? shared_value<configuration::versioned_configuration>()
             : recent->second;
-    const shared_value created(
+    shared_value created(
         configuration::make_difference(*base_configuration, *m_context.directory().configuration));
     m_context.state.differences.insert_or_assign(base, created);
     return created;
