Let the soak's operator try every control host

Traced: no configuration had been accepted. The product redirects to the leader, but the soak's hosts have names that are not addresses.

The operator now goes on to the next host after a refusal, as the platform's operators do.

--- a/src/soak/internal/soak_run.cpp
+++ b/src/soak/internal/soak_run.cpp
@@ -126,8 +126,7 @@
         std::mt19937 random(m_options.seed + 1);
         std::uint64_t version = 1;
         while (!m_is_done) {
-            const auto& configured_host = m_options.control_hosts[random() % m_options.control_hosts.size()];
-            if (m_platform.send_configuration(configured_host, version)) {
+            if (send_configuration(version, random() % m_options.control_hosts.size())) {
                 const time_point now = millisecond_clock::now();
                 post([this, version, now] { m_checker.record_configuration_acknowledged(version, now); });
                 ++version;
@@ -141,6 +140,20 @@
         }
     }
 
+    /// Sends the configuration to the control hosts in turn until one accepts it. Their names are not
+    /// addresses here, so a redirect to the leader can't be followed.
+    bool send_configuration(std::uint64_t version, std::size_t first_host)
+    {
+        const std::size_t count = m_options.control_hosts.size();
+        for (std::size_t attempt = 0; attempt < count && !m_is_done; ++attempt) {
+            if (m_platform.send_configuration(m_options.control_hosts[(first_host + attempt) % count],
+                                              version)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     template <class Function>
     void post(Function task)
     {
