--- a/src/gateway/tests/caller_codec_tests.cpp
+++ b/src/gateway/tests/caller_codec_tests.cpp
@@ -194,6 +194,15 @@
     EXPECT_EQ(json::parse(unknown.body)["peer"], "orders-1");
 }
 
+TEST_F(outcome_fixture, refusal_without_a_granted_connection_tells_when_to_come_back)
+{
+    const http::response refused = encode_outcome(
+        routing::not_run{routing::refusal_reason::no_connection_granted, "queue", "", "none", {}});
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_EQ(json::parse(refused.body)["reason"], "no_connection_granted");
+    EXPECT_EQ(refused.headers.at("Retry-After"), "1");
+}
+
 TEST_F(outcome_fixture, answer_body_that_is_not_json_is_encoded_as_a_string)
 {
     routing::caller_response answer;
