Queue a statement once when the connection that it waits for is lost

What callers saw: an answer that no server gave.

Cause: a statement that the server refuses as busy inside an open transaction waits in the queue for its own connection. When that connection is lost before the retry, the statement was queued for another one a second time. One pass over the queue then started it twice on the new connection: BEGIN was sent twice, and the second response was taken for the statement's.

Test: statement_that_waits_on_a_lost_connection_is_prepared_once_on_the_next failed before with two statements sent. The soak's message now names both signatures.

--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -631,6 +631,8 @@
                   fmt::format("id={} database={} attempts={} waited_ms={} reason=\"{}\"", pending.request.id,
                               session.database, pending.attempts,
                               (m_context.now - pending.request.received_at).count(), reason));
+    // A statement that waited for its own connection is still in the queue.
+    remove_from_queue(number, pending.route.group);
     m_context.state.queues[pending.route.group].push_back(number);
 }
 
--- a/src/sessions/tests/session_tests.cpp
+++ b/src/sessions/tests/session_tests.cpp
@@ -540,4 +540,25 @@
     EXPECT_EQ(load.in_flight, 0U);
 }
 
+TEST_F(session_fixture, statement_that_waits_on_a_lost_connection_is_prepared_once_on_the_next)
+{
+    const session_number session = open("ledger");
+    submit(session, make_statement(statement_kind::begin));
+    next_response();
+    submit(session, make_statement(statement_kind::write, "WRITE 1 a"));
+    const send_statement refused = run_until_statement_sent(transaction_state::open);
+    respond_error(refused.connection, response_code::busy, transaction_state::open);
+    apply_event(connection_lost{refused.connection, "closed by the peer"});
+    advance_time(refusal_backoff);
+    open_connections();
+    const auto sent = take_effects<send_statement>();
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_EQ(sent.front().body.kind, statement_kind::begin);
+    respond_done(sent.front().connection, transaction_state::open);
+    const send_statement run = next_sent_statement();
+    EXPECT_EQ(run.body.text, "WRITE 1 a");
+    respond_done(run.connection, transaction_state::open);
+    EXPECT_EQ(next_response().detail, "signature");
+}
+
 } // namespace hickorymount::sessions
--- a/src/soak/internal/consistency_checker.cpp
+++ b/src/soak/internal/consistency_checker.cpp
@@ -111,7 +111,9 @@
     const auto served = m_served.find(id);
     if (served == m_served.end() || served->second.signature != answer.detail ||
         served->second.rows != answer.rows) {
-        report_violation("mixed", fmt::format("{} got an answer that no server gave", id));
+        report_violation(
+            "mixed", fmt::format("{} got an answer that no server gave: signature '{}', served as '{}'", id,
+                                 answer.detail, served == m_served.end() ? "" : served->second.signature));
     }
 }
 
