Let the cost of a session event not depend on how many statements wait

Cause: every line of a caller or server, and each timer, walked over all active sessions and all connections to find the next deadline (next_timeout), copied and checked all of them (check_timeouts), walked over all sessions for idle transactions, copied and sorted the group's queue and tried each statement in it, and looked for an idle connection among all connections.

Change: deadlines are in a heap and only those that are due are checked (check_schedule, next_check). Waiting statements stand in lanes sorted by arrival (statement_queue); a pass merges the lanes and leaves a lane as soon as one of its statements finds no connection (queue_cursor). Idle connections are listed by server, servers by group. Statements that need a primary from which this host is cut off are refused on arrival, and the waiting ones every 100 ms, instead of at some later timer.

Ruled out: a timer wheel; its slots would wake the thread without a due check.

--- /dev/null
+++ b/src/sessions/benchmarks/sessions_benchmark.cpp
@@ -0,0 +1,95 @@
+#include "sessions/reduce.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <benchmark/benchmark.h>
+
+namespace hickorymount::sessions {
+namespace {
+
+/// Measures the session reducer while statements wait for the only connection to a primary. The argument is
+/// the number of waiting statements.
+class session_benchmark : public benchmark::Fixture
+{
+public:
+    void SetUp(const benchmark::State& state) override
+    {
+        m_state = session_state{};
+        m_running = 0;
+        publish();
+        for (std::int64_t at = 0; at <= state.range(0); ++at) {
+            submit_on_new_session();
+        }
+    }
+
+protected:
+    void apply_event(event_payload payload)
+    {
+        transition next = reduce(std::move(m_state), {m_now, std::move(payload)});
+        m_state = std::move(next.state);
+        for (const effect& each : next.effects) {
+            if (const auto* opened = std::get_if<open_connection>(&each)) {
+                m_opening = opened->connection;
+            } else if (const auto* sent = std::get_if<send_statement>(&each)) {
+                m_running = sent->connection;
+            }
+        }
+    }
+
+    void publish()
+    {
+        traffic_view view;
+        view.lease_until = m_now + milliseconds{60'000};
+        const group_name group{"orders"};
+        view.groups[group] = {backend_server_name{"first"}, 3, true, false};
+        view.servers[backend_server_name{"first"}] = {
+            group, {"10.0.0.1", 9000}, availability_zone{"a"}, unix_milliseconds{1}, false, 1};
+        configuration::versioned_configuration configuration;
+        configuration.version = 1;
+        configuration::database_route route;
+        route.name = route.database = "ledger";
+        route.group = group;
+        route.statement_timeout = milliseconds{60'000};
+        configuration.content.database_routes.push_back(std::move(route));
+        view.configuration = shared_value(std::move(configuration));
+        apply_event(view_published{shared_value(std::move(view))});
+    }
+
+    void submit_on_new_session()
+    {
+        const session_number number = m_next_session++;
+        apply_event(session_requested{number, "ledger"});
+        statement body;
+        body.kind = statement_kind::write;
+        body.text = "WRITE 1 a";
+        apply_event(statement_received{number, "0123456789abcdef", std::move(body)});
+        if (m_running == 0) {
+            apply_event(connection_opened{m_opening});
+        }
+    }
+
+    time_point m_now{milliseconds{100'000}};
+    session_state m_state;
+    session_number m_next_session = 1;
+    connection_number m_opening = 0;
+    connection_number m_running = 0;
+};
+
+/// One statement arrives and one is answered.
+BENCHMARK_DEFINE_F(session_benchmark, statement_beside_waiting_ones)(benchmark::State& state)
+{
+    for (auto each : state) {
+        submit_on_new_session();
+        apply_event(response_received{m_running,
+                                      {{}, response_code::done, "s", transaction_state::none, std::nullopt}});
+    }
+    state.counters["per_event_ns"] =
+        benchmark::Counter(static_cast<double>(state.iterations()) * 3,
+                           benchmark::Counter::kIsRate | benchmark::Counter::kInvert);
+}
+BENCHMARK_REGISTER_F(session_benchmark, statement_beside_waiting_ones)->Arg(10)->Arg(100)->Arg(1000);
+
+} // namespace
+} // namespace hickorymount::sessions
--- a/src/sessions/internal/connection_pool.cpp
+++ b/src/sessions/internal/connection_pool.cpp
@@ -1,5 +1,7 @@
 #include "sessions/internal/connection_pool.h"
 
+#include "sessions/internal/next_check.h"
+
 #include <algorithm>
 
 #include <fmt/format.h>
@@ -49,11 +51,15 @@
 std::optional<connection_number> connection_pool::find_idle(const backend_server_name& server,
                                                             const caller_session& session) const
 {
+    const auto load = m_context.state.server_loads.find(server);
+    if (load == m_context.state.server_loads.end()) {
+        return std::nullopt;
+    }
     std::optional<connection_number> best;
     int best_mismatch = 0;
-    for (const auto& [number, connection] : m_context.state.connections) {
-        if (connection.server != server || connection.stage != connection_stage::idle ||
-            (connection.is_relay && connection.database != session.database)) {
+    for (const connection_number number : load->second.idle_connections) {
+        const server_connection& connection = m_context.state.connections.at(number);
+        if (connection.is_relay && connection.database != session.database) {
             continue;
         }
         const int found = variables_mismatch(connection, session);
@@ -61,6 +67,9 @@
             best = number;
             best_mismatch = found;
         }
+        if (found == 0) {
+            break;
+        }
     }
     return best;
 }
@@ -78,7 +87,7 @@
     connection.server = server;
     connection.group = known->group;
     connection.opened_at = m_context.now;
-    m_context.state.connections.emplace(number, std::move(connection));
+    schedule_check(number, m_context.state.connections.emplace(number, std::move(connection)).first->second);
     ++load.open_connections;
     ++load.opening_connections;
     m_context.emit(open_connection{number, known->group, server, known->address});
@@ -101,7 +110,7 @@
     connection.is_relay = true;
     connection.database = database;
     connection.opened_at = m_context.now;
-    m_context.state.connections.emplace(number, std::move(connection));
+    schedule_check(number, m_context.state.connections.emplace(number, std::move(connection)).first->second);
     ++load.open_connections;
     ++load.opening_connections;
     m_context.emit(open_connection{number, group, name, host.address, database});
@@ -111,7 +120,7 @@
 {
     server_connection& connection = m_context.state.connections.at(number);
     connection.holder = holder;
-    set_stage(connection, connection_stage::reserved);
+    set_stage(number, connection, connection_stage::reserved);
     server_load& load = m_context.state.server_loads[connection.server];
     ++load.connections_in_use;
     load.peak_connections_in_use = std::max(load.peak_connections_in_use, load.connections_in_use);
@@ -166,7 +175,7 @@
     server_connection& connection = m_context.state.connections.at(number);
     const group_view* group = m_context.group(connection.group);
     const bool is_primary = group != nullptr && group->primary == connection.server;
-    set_stage(connection, connection_stage::running);
+    set_stage(number, connection, connection_stage::running);
     connection.sent_at = m_context.now;
     connection.sent_in_term = is_primary && m_context.is_primary_usable(*group) ? group->term : 0;
     statement body = pending.request.body;
@@ -215,10 +224,10 @@
     }
     if (connection.is_in_transaction) {
         send_internal_statement(number, connection, {.kind = statement_kind::rollback}, {});
-        set_stage(connection, connection_stage::rolling_back);
+        set_stage(number, connection, connection_stage::rolling_back);
         return;
     }
-    set_stage(connection, connection_stage::idle);
+    set_stage(number, connection, connection_stage::idle);
     if (is_surplus(connection)) {
         close(number);
     }
@@ -229,6 +238,7 @@
     server_connection& connection = m_context.state.connections.at(number);
     --m_context.state.server_loads[connection.server].connections_in_use;
     connection.holder = 0;
+    schedule_check(number, connection);
 }
 
 void connection_pool::close(connection_number number)
@@ -246,6 +256,7 @@
     load.opening_connections -= connection.stage == connection_stage::opening ? 1 : 0;
     load.connections_in_use -= connection.holder != 0 ? 1 : 0;
     load.in_flight -= is_in_flight(connection.stage) ? 1 : 0;
+    load.idle_connections.erase(number);
     m_context.state.connections.erase(found);
 }
 
@@ -266,9 +277,33 @@
     }
 }
 
-void connection_pool::set_stage(server_connection& connection, connection_stage stage)
+void connection_pool::complete_opening(connection_number number)
+{
+    server_connection& connection = m_context.state.connections.at(number);
+    server_load& load = m_context.state.server_loads[connection.server];
+    --load.opening_connections;
+    load.unreachable_since.reset();
+    set_stage(number, connection, connection_stage::idle);
+}
+
+void connection_pool::schedule_check(connection_number number, server_connection& connection)
+{
+    const time_point due_at = next_connection_check(connection);
+    if (due_at < connection.next_check_at) {
+        connection.next_check_at = due_at;
+        m_context.state.checks.add({due_at, check_subject::connection, number});
+    }
+}
+
+void connection_pool::set_stage(connection_number number, server_connection& connection,
+                                connection_stage stage)
 {
     server_load& load = m_context.state.server_loads[connection.server];
+    if (stage == connection_stage::idle) {
+        load.idle_connections.insert(number);
+    } else if (connection.stage == connection_stage::idle) {
+        load.idle_connections.erase(number);
+    }
     load.in_flight += is_in_flight(stage) ? 1 : 0;
     load.in_flight -= is_in_flight(connection.stage) ? 1 : 0;
     connection.stage = stage;
@@ -290,9 +325,10 @@
                                               statement body,
                                               const std::optional<group_position>& minimum_position)
 {
-    set_stage(connection, connection_stage::preparing);
+    set_stage(number, connection, connection_stage::preparing);
     connection.sent_at = m_context.now;
     connection.sent_in_term = 0;
+    schedule_check(number, connection);
     connection.internal_statement = body;
     m_context.emit(send_statement{number, "", std::move(body), minimum_position});
 }
--- a/src/sessions/internal/connection_pool.h
+++ b/src/sessions/internal/connection_pool.h
@@ -24,8 +24,14 @@
     /// limits.
     void open_relay(const protocol::relay_host& host, const group_name& group, const std::string& database);
 
-    /// Changes the stage and keeps the server's `in_flight` count up to date. No other code sets a stage.
-    void set_stage(server_connection& connection, connection_stage stage);
+    /// Changes the stage, and keeps the server's `in_flight` count and its idle connections up to date. No
+    /// other code sets a stage.
+    void set_stage(connection_number number, server_connection& connection, connection_stage stage);
+    /// Marks a connection as open and idle.
+    void complete_opening(connection_number number);
+
+    /// Schedules the connection's next check, unless an earlier one is scheduled.
+    void schedule_check(connection_number number, server_connection& connection);
 
     /// Assigns an idle connection to a session.
     void acquire(connection_number number, session_number holder);
--- a/src/sessions/internal/event_context.h
+++ b/src/sessions/internal/event_context.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace hickorymount::sessions::detail {
 
@@ -41,6 +42,21 @@
         return found == state.view->servers.end() ? nullptr : &found->second;
     }
 
+    /// The servers of the group in the current view.
+    [[nodiscard]] const std::vector<backend_server_name>& servers_of(const group_name& name) const
+    {
+        static const std::vector<backend_server_name> none;
+        const auto found = state.group_servers.find(name);
+        return found == state.group_servers.end() ? none : found->second;
+    }
+
+    /// The number of the group's statements that wait for a connection.
+    [[nodiscard]] std::size_t queued_count(const group_name& name) const
+    {
+        const auto found = state.queues.find(name);
+        return found == state.queues.end() ? 0 : found->second.size();
+    }
+
     [[nodiscard]] const protocol::group_access* group_access(const group_name& name) const
     {
         const auto found = state.view->relay_plan->groups.find(name);
--- a/src/sessions/internal/reduce.cpp
+++ b/src/sessions/internal/reduce.cpp
@@ -53,10 +53,7 @@
         if (connection == nullptr || connection->stage != connection_stage::opening) {
             return;
         }
-        server_load& load = m_context.state.server_loads[connection->server];
-        --load.opening_connections;
-        load.unreachable_since.reset();
-        connection->stage = connection_stage::idle;
+        m_connections.complete_opening(opened.connection);
         m_dispatcher.dispatch(group_name{connection->group});
     }
 
@@ -113,7 +110,6 @@
     {
         m_dispatcher.check_timeouts();
         m_dispatcher.open_waiting_sessions();
-        m_dispatcher.dispatch_all();
     }
 
     void apply(const stop_requested& request)
@@ -139,6 +135,13 @@
 
     void update_servers(const traffic_view& before)
     {
+        const auto& groups = m_context.state.view->groups;
+        m_context.state.has_held_groups =
+            std::any_of(groups.begin(), groups.end(), [](const auto& each) { return each.second.is_held; });
+        m_context.state.group_servers.clear();
+        for (const auto& [name, server] : m_context.state.view->servers) {
+            m_context.state.group_servers[server.group].push_back(name);
+        }
         for (const auto& [name, server] : m_context.state.view->servers) {
             server_load& load = m_context.state.server_loads[name];
             if (!server.is_leaving) {
@@ -175,10 +178,7 @@
 
     void report_if_due()
     {
-        const bool is_held =
-            std::any_of(m_context.state.view->groups.begin(), m_context.state.view->groups.end(),
-                        [](const auto& each) { return each.second.is_held; });
-        if (is_held) {
+        if (m_context.state.has_held_groups) {
             report_changed_holds();
         }
         if (m_context.now >= m_context.state.next_report_at) {
@@ -216,9 +216,7 @@
                 continue;
             }
             const server_view* server = m_context.server(name);
-            const auto waiting =
-                server == nullptr ? m_context.state.queues.end() : m_context.state.queues.find(server->group);
-            const std::size_t queued = waiting == m_context.state.queues.end() ? 0 : waiting->second.size();
+            const std::size_t queued = server == nullptr ? 0 : m_context.queued_count(server->group);
             update.connection_usage_by_server[name] = {
                 load.open_connections, load.peak_connections_in_use + static_cast<std::uint32_t>(queued)};
             load.peak_connections_in_use = load.connections_in_use;
@@ -240,7 +238,7 @@
         return found;
     }
 
-    [[nodiscard]] time_point next_wake() const
+    [[nodiscard]] time_point next_wake()
     {
         time_point wake = std::min(m_dispatcher.next_timeout(), m_context.state.next_report_at);
         if (m_context.state.stopping_since && !m_context.state.is_stopped) {
--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -1,6 +1,8 @@
 #include "sessions/internal/statement_dispatcher.h"
 
+#include "sessions/internal/next_check.h"
 #include "sessions/internal/position_samples.h"
+#include "sessions/internal/queue_cursor.h"
 #include "sessions/internal/queue_order.h"
 #include "sessions/internal/read_ranking.h"
 #include "sessions/internal/relay_ranking.h"
@@ -26,11 +28,6 @@
            kind == statement_kind::deallocate;
 }
 
-milliseconds connect_timeout_of(const server_connection& connection)
-{
-    return connection.is_relay ? relay_connect_timeout : connect_timeout;
-}
-
 bool commits_writes(statement_scope scope)
 {
     return scope == statement_scope::single_write || scope == statement_scope::commit_of_writes;
@@ -260,46 +257,60 @@
     pending.retry_at = m_context.now;
     const group_name group = pending.route.group;
     session.pending = std::move(pending);
-    m_context.state.active_sessions.insert(number);
-    m_context.state.queues[group].push_back(number);
+    add_to_queue(number, session);
     dispatch(group);
+    if (m_context.queued_count(group) == 1) {
+        end_idle_transactions(group);
+    }
+    refuse_if_isolated(number, session);
 }
 
 void statement_dispatcher::dispatch(const group_name& group)
 {
     const auto found = m_context.state.queues.find(group);
-    if (found == m_context.state.queues.end() || found->second.empty()) {
+    if (found == m_context.state.queues.end()) {
         return;
     }
-    std::vector<queued_statement> queue;
-    for (const session_number number : found->second) {
-        const caller_session& session = m_context.state.sessions.at(number);
-        queue.push_back({number, session.pending->connection != 0, session.pending->route.priority,
-                         session.pending->request.received_at});
-    }
-    const auto oldest = std::min_element(queue.begin(), queue.end(),
-                                         [](const queued_statement& left, const queued_statement& right) {
-                                             return left.received_at < right.received_at;
-                                         });
-    const bool serves_newest = is_overloaded(m_context.now - oldest->received_at);
-    std::sort(queue.begin(), queue.end(), serves_newest ? precedes_in_overload : precedes);
-    for (const queued_statement& each : queue) {
-        caller_session& session = m_context.state.sessions.at(each.session);
-        if (session.pending->retry_at <= m_context.now && try_dispatch(each.session, session)) {
-            remove_from_queue(each.session, group);
+    queue_cursor cursor(found->second, is_overloaded(m_context.now - *found->second.oldest_arrival()));
+    std::vector<session_number> sent;
+    while (const std::optional<queue_place> place = cursor.next()) {
+        const session_number number = place->arrival.session;
+        caller_session& session = m_context.state.sessions.at(number);
+        if (session.pending->retry_at > m_context.now) {
+            continue;
+        }
+        if (try_dispatch(number, session)) {
+            sent.push_back(number);
+        } else if (holds_up_lane(session)) {
+            cursor.skip_lane();
         }
     }
+    for (const session_number number : sent) {
+        remove_from_queue(m_context.state.sessions.at(number));
+    }
+}
+
+/// True when none of the statements behind this one in its lane can be sent either.
+bool statement_dispatcher::holds_up_lane(const caller_session& session) const
+{
+    const pending_statement& pending = *session.pending;
+    return pending.tried_servers.empty() || (pending.needs_primary && !uses_relay(session));
 }
 
 void statement_dispatcher::dispatch_all()
+{
+    for (const group_name& group : queued_groups()) {
+        dispatch(group);
+    }
+}
+
+std::vector<group_name> statement_dispatcher::queued_groups() const
 {
     std::vector<group_name> groups;
     for (const auto& [group, waiting] : m_context.state.queues) {
         groups.push_back(group);
     }
-    for (const group_name& group : groups) {
-        dispatch(group);
-    }
+    return groups;
 }
 
 bool statement_dispatcher::try_dispatch(session_number number, caller_session& session)
@@ -361,7 +372,7 @@
             start_on_connection(*connection, number, session);
             return true;
         }
-        const std::size_t waiting = m_context.state.queues[pending.route.group].size();
+        const std::size_t waiting = m_context.queued_count(pending.route.group);
         if (m_context.state.server_loads[name].opening_connections < waiting) {
             m_connections.open_relay(host, pending.route.group, session.database);
         }
@@ -418,11 +429,11 @@
     }
     minimum_position = std::max(minimum_position, required_position(session));
     std::vector<read_candidate> servers;
-    for (const auto& [name, server] : m_context.state.view->servers) {
+    for (const backend_server_name& name : m_context.servers_of(group)) {
+        const server_view& server = *m_context.server(name);
         const bool is_primary = known != nullptr && known->primary == name;
         const bool is_usable = !is_primary || (m_context.is_primary_usable(*known) && !known->is_held);
-        if (server.group != group || server.is_leaving || !is_usable ||
-            pending.tried_servers.contains(name) || !has_capacity(name)) {
+        if (server.is_leaving || !is_usable || pending.tried_servers.contains(name) || !has_capacity(name)) {
             continue;
         }
         const server_load& load = m_context.state.server_loads[name];
@@ -464,6 +475,7 @@
     pending.stage = statement_stage::running;
     pending.sent_at = m_context.now;
     m_connections.send_pending(connection, pending);
+    schedule_check(m_context.connection(connection)->holder, session);
 }
 
 void statement_dispatcher::handle_internal_response(connection_number number,
@@ -546,7 +558,7 @@
     }
     update_concurrency_limit(connection, response.code);
     connection.is_in_transaction = response.state != transaction_state::none;
-    m_connections.set_stage(connection, connection_stage::reserved);
+    m_connections.set_stage(number, connection, connection_stage::reserved);
     const session_number holder = connection.holder;
     caller_session* session = holder == 0 ? nullptr : m_context.session(holder);
     if (session == nullptr || !session->pending) {
@@ -631,9 +643,7 @@
                   fmt::format("id={} database={} attempts={} waited_ms={} reason=\"{}\"", pending.request.id,
                               session.database, pending.attempts,
                               (m_context.now - pending.request.received_at).count(), reason));
-    // A statement that waited for its own connection is still in the queue.
-    remove_from_queue(number, pending.route.group);
-    m_context.state.queues[pending.route.group].push_back(number);
+    add_to_queue(number, session);
 }
 
 void statement_dispatcher::resolve(session_number number, caller_session& session,
@@ -664,7 +674,7 @@
     case response_action::retry_on_same_connection:
         pending.stage = statement_stage::queued;
         pending.retry_at = m_context.now + refusal_backoff;
-        m_context.state.queues[pending.route.group].push_back(number);
+        add_to_queue(number, session);
         return;
     case response_action::report_aborted: {
         const bool is_commit = pending.request.body.kind == statement_kind::commit;
@@ -799,9 +809,8 @@
                                       static_cast<int>(response.code), static_cast<int>(pending.stage),
                                       pending.attempts, took.count(), response.detail));
         }
-        remove_from_queue(number, pending.route.group);
+        remove_from_queue(session);
         session.pending.reset();
-        m_context.state.active_sessions.erase(number);
     }
     if (response.position) {
         session.last_position = response.position;
@@ -846,8 +855,7 @@
         return;
     }
     if (session->pending) {
-        remove_from_queue(number, session->pending->route.group);
-        m_context.state.active_sessions.erase(number);
+        remove_from_queue(*session);
     }
     const bool is_running = session->pending && session->pending->connection != 0;
     if (is_running && !session->transaction) {
@@ -859,61 +867,205 @@
     m_context.state.sessions.erase(number);
 }
 
-void statement_dispatcher::remove_from_queue(session_number number, const group_name& group)
+void statement_dispatcher::add_to_queue(session_number number, caller_session& session)
 {
-    auto& waiting = m_context.state.queues[group];
-    waiting.erase(std::remove(waiting.begin(), waiting.end(), number), waiting.end());
+    // A statement that waited for its own connection may still be in the queue.
+    remove_from_queue(session);
+    pending_statement& pending = *session.pending;
+    if (m_context.state.queues.empty()) {
+        m_context.state.next_queue_check_at = m_context.now + queue_check_interval;
+    }
+    pending.place = {
+        {pending.connection != 0, pending.route.priority, pending.needs_primary, session.database},
+        {pending.request.received_at, number}};
+    m_context.state.queues[pending.route.group].insert(*pending.place);
+    schedule_check(number, session);
+}
+
+void statement_dispatcher::remove_from_queue(caller_session& session)
+{
+    pending_statement& pending = *session.pending;
+    if (!pending.place) {
+        return;
+    }
+    const auto queue = m_context.state.queues.find(pending.route.group);
+    queue->second.erase(*pending.place);
+    if (queue->second.is_empty()) {
+        m_context.state.queues.erase(queue);
+    }
+    pending.place.reset();
+}
+
+void statement_dispatcher::schedule_check(session_number number, caller_session& session)
+{
+    const time_point due_at = next_check_of(session);
+    if (due_at < session.next_check_at) {
+        session.next_check_at = due_at;
+        m_context.state.checks.add({due_at, check_subject::session, number});
+    }
+}
+
+time_point statement_dispatcher::next_check_of(const caller_session& session) const
+{
+    if (!session.pending) {
+        return no_check;
+    }
+    const auto connection = m_context.state.connections.find(session.pending->connection);
+    const bool is_relayed = connection != m_context.state.connections.end() && connection->second.is_relay;
+    const server_load* relay =
+        is_relayed ? &m_context.state.server_loads.at(connection->second.server) : nullptr;
+    return next_statement_check(*session.pending, relay, m_context.now);
+}
+
+/// When the subject of the check has to be checked; `no_check` if it is gone, has been scheduled anew, or
+/// waits for nothing.
+time_point statement_dispatcher::required_at(const scheduled_check& check)
+{
+    if (check.subject == check_subject::session) {
+        const caller_session* session = m_context.session(check.number);
+        const bool is_current = session != nullptr && session->next_check_at == check.due_at;
+        return is_current ? next_check_of(*session) : no_check;
+    }
+    const server_connection* connection = m_context.connection(check.number);
+    const bool is_current = connection != nullptr && connection->next_check_at == check.due_at;
+    return is_current ? next_connection_check(*connection) : no_check;
+}
+
+/// Records that the check is no longer in the schedule.
+void statement_dispatcher::forget_check(const scheduled_check& check)
+{
+    if (check.subject == check_subject::session) {
+        caller_session* session = m_context.session(check.number);
+        if (session != nullptr && session->next_check_at == check.due_at) {
+            session->next_check_at = no_check;
+        }
+    } else if (server_connection* connection = m_context.connection(check.number);
+               connection != nullptr && connection->next_check_at == check.due_at) {
+        connection->next_check_at = no_check;
+    }
+}
+
+void statement_dispatcher::reschedule(const scheduled_check& check)
+{
+    if (check.subject == check_subject::session) {
+        if (caller_session* session = m_context.session(check.number)) {
+            schedule_check(check.number, *session);
+        }
+    } else if (server_connection* connection = m_context.connection(check.number)) {
+        m_connections.schedule_check(check.number, *connection);
+    }
 }
 
 void statement_dispatcher::check_timeouts()
 {
-    const std::set<session_number> active = m_context.state.active_sessions;
-    for (const session_number number : active) {
-        caller_session* session = m_context.session(number);
-        if (session != nullptr && session->pending) {
-            check_deadlines(number, *session);
+    std::vector<scheduled_check> due;
+    for (auto check = m_context.state.checks.earliest(); check && check->due_at <= m_context.now;
+         check = m_context.state.checks.earliest()) {
+        m_context.state.checks.remove_earliest();
+        if (required_at(*check) != no_check) {
+            due.push_back(*check);
         }
+        forget_check(*check);
+    }
+    std::set<group_name> retried;
+    for (const scheduled_check& check : due) {
+        if (check.subject == check_subject::connection) {
+            check_connection(check.number);
+        } else if (caller_session* session = m_context.session(check.number); session && session->pending) {
+            check_deadlines(check.number, *session);
+            const bool is_retried = session->pending && session->pending->stage == statement_stage::queued &&
+                                    session->pending->retry_at <= m_context.now;
+            if (is_retried) {
+                retried.insert(session->pending->route.group);
+            }
+        }
+        reschedule(check);
     }
-    end_idle_transactions();
-    std::vector<std::pair<connection_number, std::string>> unanswered;
-    for (const auto& [number, connection] : m_context.state.connections) {
-        const bool is_internal = connection.stage == connection_stage::preparing ||
-                                 connection.stage == connection_stage::rolling_back;
-        if (connection.stage == connection_stage::opening &&
-            m_context.now - connection.opened_at >= connect_timeout_of(connection)) {
-            unanswered.emplace_back(number, "not connected in time");
-        } else if (is_internal && m_context.now - connection.sent_at >= internal_statement_timeout) {
-            unanswered.emplace_back(number, "no answer to the proxy's own statement");
-        } else if (connection.stage == connection_stage::running && connection.holder == 0 &&
-                   m_context.now - connection.sent_at >= 2 * internal_statement_timeout) {
-            unanswered.emplace_back(number, "no answer after the caller had left");
+    for (const group_name& group : retried) {
+        dispatch(group);
+    }
+    if (m_context.now >= m_context.state.next_queue_check_at) {
+        check_queues();
+    }
+}
+
+void statement_dispatcher::check_connection(connection_number number)
+{
+    const server_connection* connection = m_context.connection(number);
+    const char* reason = connection == nullptr ? nullptr : overdue_reason(*connection, m_context.now);
+    if (reason != nullptr) {
+        m_context.emit(close_connection{number});
+        handle_connection_loss(number, reason);
+    }
+}
+
+void statement_dispatcher::check_queues()
+{
+    if (m_context.state.queues.empty()) {
+        return;
+    }
+    m_context.state.next_queue_check_at = m_context.now + queue_check_interval;
+    for (const group_name& group : queued_groups()) {
+        end_idle_transactions(group);
+        dispatch(group);
+        refuse_isolated(group);
+    }
+}
+
+/// Refuses the queued statements of the group that need its primary, if this host is cut off from it.
+void statement_dispatcher::refuse_isolated(const group_name& group)
+{
+    const auto queue = m_context.state.queues.find(group);
+    if (queue == m_context.state.queues.end() || !is_isolated(group)) {
+        return;
+    }
+    std::vector<session_number> waiting;
+    for (const auto& [lane, arrivals] : queue->second.lanes()) {
+        for (const statement_arrival& arrival : arrivals) {
+            waiting.push_back(arrival.session);
         }
     }
-    for (const auto& [number, reason] : unanswered) {
-        if (m_context.connection(number) != nullptr) {
-            m_context.emit(close_connection{number});
-            handle_connection_loss(number, reason);
+    for (const session_number number : waiting) {
+        if (caller_session* session = m_context.session(number)) {
+            refuse_if_isolated(number, *session);
         }
     }
 }
 
-/// Ends transactions whose callers are idle, because they hold connections, but only while other statements
-/// of the group wait for one.
-void statement_dispatcher::end_idle_transactions()
+void statement_dispatcher::refuse_if_isolated(session_number number, caller_session& session)
+{
+    const bool is_refused = session.pending && session.pending->stage == statement_stage::queued &&
+                            is_isolated(*session.pending) && !uses_relay(session);
+    if (is_refused) {
+        reply_with_code(number, session, response_code::busy,
+                        "this host is cut off from the primary or from control");
+    }
+}
+
+/// Ends the group's transactions whose callers are idle, because other statements wait for the connections
+/// that they hold.
+void statement_dispatcher::end_idle_transactions(const group_name& group)
 {
     const milliseconds limit = m_context.state.view->configuration->content.transaction_idle_timeout;
-    for (auto& [number, session] : m_context.state.sessions) {
-        const bool is_idle = session.transaction && session.transaction->connection != 0 &&
-                             !session.pending && m_context.now - session.transaction->last_used_at >= limit;
-        if (!is_idle || m_context.state.queues[session.transaction->route.group].empty()) {
+    std::vector<session_number> holders;
+    for (const auto& [number, connection] : m_context.state.connections) {
+        if (connection.stage == connection_stage::reserved && connection.group == group) {
+            holders.push_back(connection.holder);
+        }
+    }
+    for (const session_number number : holders) {
+        caller_session* session = m_context.session(number);
+        const bool is_idle = session != nullptr && session->transaction && !session->pending &&
+                             m_context.now - session->transaction->last_used_at >= limit;
+        if (!is_idle) {
             continue;
         }
         m_context.log(logging::log_level::information, "end_idle_transaction", "",
-                      fmt::format("database={} group={} idle_ms={}", session.database,
-                                  session.transaction->route.group.value,
-                                  (m_context.now - session.transaction->last_used_at).count()));
-        fail_transaction(session);
-        session.transaction->has_expired = true;
+                      fmt::format("database={} group={} idle_ms={}", session->database,
+                                  session->transaction->route.group.value,
+                                  (m_context.now - session->transaction->last_used_at).count()));
+        fail_transaction(*session);
+        session->transaction->has_expired = true;
     }
 }
 
@@ -926,11 +1078,6 @@
                         fmt::format("no server was free in time: {}", to_string(pending.waited_for)));
         return;
     }
-    if (pending.stage == statement_stage::queued && is_isolated(pending) && !uses_relay(session)) {
-        reply_with_code(number, session, response_code::busy,
-                        "this host is cut off from the primary or from control");
-        return;
-    }
     if (pending.stage != statement_stage::running) {
         return;
     }
@@ -1018,12 +1165,17 @@
     resolve(number, session, std::nullopt, "no answer in time");
 }
 
+bool statement_dispatcher::is_isolated(const pending_statement& pending) const
+{
+    return pending.needs_primary && pending.connection == 0 && is_isolated(pending.route.group);
+}
+
 /// True when this host can't reach the primary or has lost its lease for longer than a change of primary
 /// takes. Refusing the statement at once lets the caller try another host.
-bool statement_dispatcher::is_isolated(const pending_statement& pending) const
+bool statement_dispatcher::is_isolated(const group_name& name) const
 {
-    const group_view* group = m_context.group(pending.route.group);
-    if (!pending.needs_primary || pending.connection != 0 || group == nullptr) {
+    const group_view* group = m_context.group(name);
+    if (group == nullptr) {
         return false;
     }
     const bool has_lost_lease = m_context.now - m_context.state.view->lease_until >= isolation_delay;
@@ -1045,38 +1197,33 @@
     }
 }
 
-time_point statement_dispatcher::next_timeout() const
+time_point statement_dispatcher::next_timeout()
 {
+    discard_obsolete_checks();
     time_point next = m_context.now + max_check_interval;
-    for (const session_number number : m_context.state.active_sessions) {
-        const pending_statement& pending = *m_context.state.sessions.at(number).pending;
-        next = std::min(next, pending.stage == statement_stage::queued ? pending.deadline - send_margin
-                                                                       : pending.deadline);
-        if (pending.stage == statement_stage::queued && pending.retry_at > m_context.now) {
-            next = std::min(next, pending.retry_at);
-        }
-        if (pending.stage == statement_stage::running) {
-            const milliseconds unanswered_for = m_context.now - pending.sent_at;
-            for (const milliseconds limit : {read_retry_delay, primary_suspicion_timeout,
-                                             relay_silence_timeout, stalled_commit_timeout}) {
-                next = unanswered_for < limit ? std::min(next, pending.sent_at + limit) : next;
-            }
-        }
+    if (const std::optional<scheduled_check> check = m_context.state.checks.earliest()) {
+        next = std::min(next, check->due_at);
+    }
+    if (!m_context.state.queues.empty()) {
+        next = std::min(next, m_context.state.next_queue_check_at);
     }
     for (const auto& [number, opening] : m_context.state.opening_sessions) {
         next = std::min(next, opening.requested_at + session_open_timeout);
     }
-    for (const auto& [number, connection] : m_context.state.connections) {
-        if (connection.stage == connection_stage::opening) {
-            next = std::min(next, connection.opened_at + connect_timeout_of(connection));
-        } else if (connection.stage == connection_stage::preparing ||
-                   connection.stage == connection_stage::rolling_back) {
-            next = std::min(next, connection.sent_at + internal_statement_timeout);
-        }
-    }
     return next;
 }
 
+/// Removes the earliest checks for as long as they are not needed, or not yet.
+void statement_dispatcher::discard_obsolete_checks()
+{
+    for (auto check = m_context.state.checks.earliest(); check && required_at(*check) > check->due_at;
+         check = m_context.state.checks.earliest()) {
+        m_context.state.checks.remove_earliest();
+        forget_check(*check);
+        reschedule(*check);
+    }
+}
+
 void statement_dispatcher::close_idle_sessions(bool ends_transactions)
 {
     std::vector<session_number> ended;
@@ -1096,19 +1243,16 @@
 
 void statement_dispatcher::close_all_sessions()
 {
-    const std::set<session_number> active = m_context.state.active_sessions;
-    for (const session_number number : active) {
-        caller_session* session = m_context.session(number);
-        if (session != nullptr && session->pending && session->pending->stage == statement_stage::queued) {
-            session->pipelined_statements.clear();
-            reply_with_code(number, *session, response_code::busy, "the proxy stops");
-        }
-    }
     std::vector<session_number> all;
     for (const auto& [number, session] : m_context.state.sessions) {
         all.push_back(number);
     }
     for (const session_number number : all) {
+        caller_session& session = m_context.state.sessions.at(number);
+        if (session.pending && session.pending->stage == statement_stage::queued) {
+            session.pipelined_statements.clear();
+            reply_with_code(number, session, response_code::busy, "the proxy stops");
+        }
         m_context.emit(close_session{number});
         close(number);
     }
--- a/src/sessions/internal/statement_dispatcher.h
+++ b/src/sessions/internal/statement_dispatcher.h
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace hickorymount::sessions::detail {
 
@@ -40,7 +41,7 @@
     /// Refuses statements that can't be answered in time, and handles servers that do not respond.
     void check_timeouts();
     /// When `check_timeouts` has to be called next.
-    [[nodiscard]] time_point next_timeout() const;
+    [[nodiscard]] time_point next_timeout();
 
     /// Closes sessions without an open transaction or pending statement. If `ends_transactions` is set, idle
     /// transactions are aborted first.
@@ -55,6 +56,7 @@
     void roll_back_transaction(session_number number, caller_session& session);
     void enqueue(session_number number, caller_session& session, const received_statement& request);
 
+    [[nodiscard]] bool holds_up_lane(const caller_session& session) const;
     bool try_dispatch(session_number number, caller_session& session);
     [[nodiscard]] bool uses_relay(const caller_session& session) const;
     [[nodiscard]] std::vector<relay_candidate> find_relays(const caller_session& session) const;
@@ -81,8 +83,22 @@
     void reply_with_code(session_number number, caller_session& session, response_code code,
                          const std::string& detail);
     void handle_next(session_number number);
-    void remove_from_queue(session_number number, const group_name& group);
-    void end_idle_transactions();
+    void add_to_queue(session_number number, caller_session& session);
+    void remove_from_queue(caller_session& session);
+    [[nodiscard]] std::vector<group_name> queued_groups() const;
+    void check_queues();
+    void refuse_isolated(const group_name& group);
+    void refuse_if_isolated(session_number number, caller_session& session);
+
+    /// Schedules the session's next check, unless an earlier one is scheduled.
+    void schedule_check(session_number number, caller_session& session);
+    [[nodiscard]] time_point next_check_of(const caller_session& session) const;
+    time_point required_at(const scheduled_check& check);
+    void forget_check(const scheduled_check& check);
+    void reschedule(const scheduled_check& check);
+    void discard_obsolete_checks();
+    void check_connection(connection_number number);
+    void end_idle_transactions(const group_name& group);
     void check_deadlines(session_number number, caller_session& session);
     void abandon_unanswered(session_number number, caller_session& session);
     [[nodiscard]] bool has_capacity(const backend_server_name& server) const;
@@ -95,6 +111,7 @@
     void suspect_if_primary(const server_connection& connection, const std::string& reason,
                             bool are_commits_stalled = false);
     [[nodiscard]] bool is_isolated(const pending_statement& pending) const;
+    [[nodiscard]] bool is_isolated(const group_name& name) const;
 
     [[nodiscard]] statement_scope scope_of(const caller_session& session) const;
     [[nodiscard]] bool is_closed_to_new_work(const backend_server_name& server) const;
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -5,8 +5,10 @@
 #include "base/shared_value.h"
 #include "configuration/types.h"
 #include "logging/types.h"
+#include "sessions/check_schedule.h"
 #include "sessions/concurrency_limit.h"
 #include "sessions/statement.h"
+#include "sessions/statement_queue.h"
 #include "sessions/traffic_view.h"
 
 #include <cstdint>
@@ -23,7 +25,6 @@
 /// statements are retried, and which response the caller gets.
 namespace hickorymount::sessions {
 
-using session_number = std::uint64_t;
 using connection_number = std::uint64_t;
 
 /// Time limit for opening a connection to a backend server.
@@ -48,6 +49,9 @@
 inline constexpr milliseconds stop_margin{800};
 /// Interval between regular `report_to_control` effects.
 inline constexpr milliseconds report_interval{400};
+/// Interval between two checks of the statements that wait for a connection: for servers whose back-off has
+/// ended, and for primaries that have become unreachable.
+inline constexpr milliseconds queue_check_interval{100};
 /// A leaving primary gets no new statements after this; the new primary has taken over by then.
 inline constexpr milliseconds leaving_primary_timeout{5500};
 /// A session that waits for the first configuration is refused after this.
@@ -161,8 +165,8 @@
     /// Servers that refused the statement or did not answer it.
     std::set<backend_server_name> tried_servers;
     time_point sent_at{};
-    /// The statement was sent on a connection that was lost before the response.
-    bool may_have_run = false;
+    /// Where the statement waits while it is in the queue.
+    std::optional<queue_place> place;
     /// Set when the statement is refused in the queue.
     wait_cause waited_for = wait_cause::none;
 
@@ -183,6 +187,8 @@
     std::optional<group_position> last_position;
     /// Opened by another entry host, which relays statements of several callers over it, one at a time.
     bool is_relayed = false;
+    /// The check of the pending statement that is in the schedule.
+    time_point next_check_at = time_point::max();
 
     friend bool operator==(const caller_session&, const caller_session&) = default;
 };
@@ -221,6 +227,8 @@
     /// The group's term if the last statement was sent to the primary under a valid lease; otherwise zero.
     group_term sent_in_term = 0;
     time_point opened_at{};
+    /// The check of the connection that is in the schedule.
+    time_point next_check_at = time_point::max();
 
     friend bool operator==(const server_connection&, const server_connection&) = default;
 };
@@ -255,6 +263,7 @@
     std::uint32_t opening_connections = 0;
     std::uint32_t connections_in_use = 0;
     std::uint32_t peak_connections_in_use = 0;
+    std::set<connection_number> idle_connections;
     /// Unanswered statements, including the proxy's internal ones.
     std::uint32_t in_flight = 0;
     concurrency_limit limit;
@@ -297,13 +306,18 @@
     std::map<session_number, caller_session> sessions;
     /// Sessions that wait for the first configuration.
     std::map<session_number, opening_session> opening_sessions;
-    /// Sessions with a pending statement.
-    std::set<session_number> active_sessions;
     std::map<connection_number, server_connection> connections;
     std::map<backend_server_name, server_load> server_loads;
     std::map<group_name, std::deque<position_sample>> position_samples;
-    /// Sessions whose statement waits for a connection, by group.
-    std::map<group_name, std::vector<session_number>> queues;
+    /// Servers of the current view, by group.
+    std::map<group_name, std::vector<backend_server_name>> group_servers;
+    /// The current view holds back statements for some primary.
+    bool has_held_groups = false;
+    /// Statements that wait for a connection, by group; without empty queues.
+    std::map<group_name, statement_queue> queues;
+    time_point next_queue_check_at{};
+    /// Deadlines of statements and connections.
+    check_schedule checks;
     std::map<group_name, group_position> commit_positions;
     connection_number next_connection = 1;
     std::optional<time_point> stopping_since;
