--- a/src/consensus/internal/consensus_reducer.cpp
+++ b/src/consensus/internal/consensus_reducer.cpp
@@ -42,6 +42,16 @@
     return members;
 }
 
+/// True when a follower's response says all that an earlier one to the same leader does.
+bool is_newer_response(const message& content, const message& earlier)
+{
+    const auto* response = std::get_if<append_entries_response>(&content);
+    const auto* before = std::get_if<append_entries_response>(&earlier);
+    return response != nullptr && before != nullptr && response->is_accepted && before->is_accepted &&
+           response->term == before->term && response->match_index >= before->match_index &&
+           response->round >= before->round;
+}
+
 } // namespace
 
 consensus_reducer::consensus_reducer(consensus_state state, time_point now)
@@ -308,6 +318,10 @@
         const bool contains_snapshot_end = term_at(content.last_index) == content.last_term;
         m_state.latest_snapshot = request.content;
         m_state.log = contains_snapshot_end ? std::move(m_state.log) : shared_map<log_index, log_entry>{};
+        if (!contains_snapshot_end) {
+            // The entries of the dropped log count neither as durable nor as being made so.
+            limit_durable_index(content.last_index);
+        }
         m_state.commit_index = content.last_index;
         m_effects.emplace_back(restore_directory{m_state.latest_snapshot});
         drop_entries_up_to(content.last_index);
@@ -572,16 +586,21 @@
     for (log_index last = last_index(); last >= index; --last) {
         m_state.log = std::move(m_state.log).erase(last);
     }
-    m_state.durable_index = std::min(m_state.durable_index, index - 1);
-    for (pending_sync& each : m_state.pending_syncs) {
-        each.last_index = std::min(each.last_index, index - 1);
-    }
+    limit_durable_index(index - 1);
     m_changed_from = m_changed_from == 0 ? index : std::min(m_changed_from, index);
     if (m_state.membership_index >= index) {
         recompute_membership();
     }
 }
 
+void consensus_reducer::limit_durable_index(log_index last)
+{
+    m_state.durable_index = std::min(m_state.durable_index, last);
+    for (pending_sync& each : m_state.pending_syncs) {
+        each.last_index = std::min(each.last_index, last);
+    }
+}
+
 void consensus_reducer::set_membership(const membership& members, log_index index)
 {
     m_state.members = members;
@@ -713,6 +732,15 @@
         send_now(to, std::move(content));
         return;
     }
+    // While a disk refuses writes, each heartbeat is answered anew; only the last answer of a kind is of use.
+    const bool replaces_last = !m_state.deferred_messages.empty() &&
+                               is_newer_response(content, m_state.deferred_messages.back().content) &&
+                               m_state.deferred_messages.back().recipient == to &&
+                               m_state.deferred_messages.back().after_sync == m_state.last_sync;
+    if (replaces_last) {
+        m_state.deferred_messages.back().content = std::move(content);
+        return;
+    }
     m_state.deferred_messages.push_back({m_state.last_sync, to, std::move(content)});
 }
 
--- a/src/consensus/internal/consensus_reducer.h
+++ b/src/consensus/internal/consensus_reducer.h
@@ -52,6 +52,8 @@
     /// Returns the last index at which the log matches that of the leader.
     log_index append_received_entries(const append_entries_request& request);
     void truncate_from(log_index index);
+    /// Counts no entry after `last` as durable, or as being made durable.
+    void limit_durable_index(log_index last);
     void set_membership(const membership& members, log_index index);
     /// Takes the newest membership from the snapshot and the log.
     void recompute_membership();
