Start threads for blocking jobs when there are jobs, and few for HTTP beside sessions

Cause: an entry host that serves sessions had 38 threads: 24 of CivetWeb and 8 for administrative calls that it makes by its event loop anyway.

Change: worker_pool starts a thread when a job waits and no thread is free; beside sessions HTTP gets 3 workers (one kept-alive connection and two spare): readiness, status and metrics only.

Result: by the code, 8 threads an entry host (main, CivetWeb's master and 3 workers, control, links, traffic), to be counted on a running process; worker_pool_fixture has a row for none without jobs and one for the limit.

--- a/src/framework/runtime/tests/runtime_tests.cpp
+++ b/src/framework/runtime/tests/runtime_tests.cpp
@@ -1,5 +1,6 @@
 #include "runtime/control_thread.h"
 #include "runtime/pending_calls.h"
+#include "runtime/worker_pool.h"
 
 #include <algorithm>
 #include <condition_variable>
@@ -102,5 +103,54 @@
     EXPECT_EQ(m_calls.size(), 0U);
 }
 
+class worker_pool_fixture : public ::testing::Test
+{
+protected:
+    static constexpr unsigned max_threads = 3;
+
+    /// Posts jobs that all wait until `m_may_end` is set, and waits until `expected` of them run.
+    void run_blocked_jobs(int posted, int expected)
+    {
+        for (int at = 0; at < posted; ++at) {
+            m_pool.post([this] {
+                std::unique_lock lock(m_mutex);
+                ++m_running;
+                m_changed.notify_all();
+                m_changed.wait(lock, [this] { return m_may_end; });
+            });
+        }
+        std::unique_lock lock(m_mutex);
+        ASSERT_TRUE(
+            m_changed.wait_for(lock, std::chrono::seconds(10), [&] { return m_running == expected; }));
+    }
+
+    void end_jobs()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_may_end = true;
+        m_changed.notify_all();
+    }
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    int m_running = 0;
+    bool m_may_end = false;
+    worker_pool m_pool{max_threads};
+};
+
+TEST_F(worker_pool_fixture, pool_without_jobs_has_no_threads)
+{
+    EXPECT_EQ(m_pool.thread_count(), 0U);
+}
+
+TEST_F(worker_pool_fixture, blocked_jobs_get_a_thread_each_up_to_the_limit)
+{
+    run_blocked_jobs(2, 2);
+    EXPECT_EQ(m_pool.thread_count(), 2U);
+    run_blocked_jobs(3, max_threads);
+    EXPECT_EQ(m_pool.thread_count(), max_threads);
+    end_jobs();
+}
+
 } // namespace
 } // namespace hickorymount::runtime
--- a/src/gateway/internal/entry_service.cpp
+++ b/src/gateway/internal/entry_service.cpp
@@ -43,6 +43,9 @@
 constexpr unsigned administration_threads = 8;
 /// Threads beyond the number of kept-alive connections, so that a new caller always gets one.
 constexpr unsigned spare_caller_threads = 16;
+/// The same on a host whose callers use sessions: HTTP then carries only readiness probes, status and
+/// metrics.
+constexpr unsigned spare_probe_threads = 2;
 constexpr unsigned keep_alive_timeout_ms = 15'000;
 constexpr milliseconds probe_timeout{150};
 constexpr int probe_attempts = 2;
@@ -103,7 +106,8 @@
         options.address = m_settings.caller_address.address;
         options.port = m_settings.caller_address.port;
         options.max_kept_alive_connections = m_settings.max_caller_connections;
-        options.threads = m_settings.max_caller_connections + spare_caller_threads;
+        options.threads = m_settings.max_caller_connections +
+                          (m_sessions != nullptr ? spare_probe_threads : spare_caller_threads);
         options.keep_alive_timeout_ms = keep_alive_timeout_ms;
         options.additional_address = m_settings.metrics_address ? to_string(*m_settings.metrics_address) : "";
         BOOST_LEAF_ASSIGN(
