Let a control host outlive a disk that refuses writes

Cause: any failed write or sync ended the process; a disk that was full for 3 s ended it every 0.65 s, each time with a load of the log.

Change: the storage thread repeats a failed step every 100 ms until it succeeds. Until then nothing counts as synced, so the host neither votes nor acknowledges, and takes part again by itself. What a failed append or sync left in the file is cut off before the next append, which needs no space. Loading needs no space either: a torn tail that can't be cut off goes with the next append. A failed replacement removes its incomplete copy. The writes of one sync are one block, so that a loss of power can't keep a later record and lose an earlier one, which made the log unreadable. Loaded records are synced before they count as durable: a process that was killed may have written without a sync.

Ruled out: giving up leadership; a leader whose disk is full still commits by the other voters, and an election would stop changes for longer.

--- a/src/app/controld/main.cpp
+++ b/src/app/controld/main.cpp
@@ -10,7 +10,6 @@
 #include <cstdlib>
 
 #include <fmt/format.h>
-#include <unistd.h>
 
 using namespace hickorymount;
 
@@ -30,12 +29,9 @@
         return EXIT_SUCCESS;
     }
     const runtime::signal_waiter signal;
-    // After a failed write, the data on disk may differ from the state in memory, so the process exits at
-    // once.
     BOOST_LEAF_AUTO(service,
-                    gateway::start_control_service(
-                        host_settings, [] { _exit(EXIT_FAILURE); }, platform::make_control_http_extension(),
-                        platform::make_promotion_client(host_settings)));
+                    gateway::start_control_service(host_settings, platform::make_control_http_extension(),
+                                                   platform::make_promotion_client(host_settings)));
     app::reload_settings_until_stop(
         signal, settings_file, settings_text, settings::parse_control_settings,
         [&](const settings::control_settings& changed) { service->reload(changed); });
--- a/src/gateway/control_service.h
+++ b/src/gateway/control_service.h
@@ -5,7 +5,6 @@
 #include "settings/types.h"
 
 #include <cstdint>
-#include <functional>
 #include <memory>
 
 namespace hickorymount::gateway {
@@ -28,10 +27,11 @@
     virtual void reload(const settings::control_settings& changed) = 0;
 };
 
-/// Starts a control host. `on_disk_failure` is called once when a write or a sync fails; the process must
-/// then stop. `extension` and `promotions` may be null. Errors: the data folder or an address cannot be used.
+/// Starts a control host. While its disk refuses writes, the host neither votes nor acknowledges log entries;
+/// it repeats the writes and takes part again once they succeed. `extension` and `promotions` may be null.
+/// Errors: the data folder or an address cannot be used.
 result<std::unique_ptr<control_service>>
-start_control_service(const settings::control_settings& own, std::function<void()> on_disk_failure,
+start_control_service(const settings::control_settings& own,
                       std::unique_ptr<control_http_extension> extension = nullptr,
                       std::unique_ptr<promotion_client> promotions = nullptr);
 
--- a/src/gateway/internal/control_service.cpp
+++ b/src/gateway/internal/control_service.cpp
@@ -60,13 +60,12 @@
 class control_host_process final : public control_service, private control_operations
 {
 public:
-    control_host_process(settings::control_settings settings, std::function<void()> on_disk_failure,
+    control_host_process(settings::control_settings settings,
                          std::unique_ptr<control_http_extension> extension,
                          std::unique_ptr<promotion_client> promotions)
-        : m_settings(std::move(settings)), m_on_disk_failure(std::move(on_disk_failure)),
-          m_extension(std::move(extension)), m_promotions(std::move(promotions)),
-          m_promotion_workers(promotion_threads), m_log(m_settings.name.value, m_settings.log_level),
-          m_state(node::control_state{}),
+        : m_settings(std::move(settings)), m_extension(std::move(extension)),
+          m_promotions(std::move(promotions)), m_promotion_workers(promotion_threads),
+          m_log(m_settings.name.value, m_settings.log_level), m_state(node::control_state{}),
           m_control_thread([this](node::node_event event) { return handle_event(std::move(event)); },
                            [] { return event_now(node::control_timer_expired{}); })
     {
@@ -89,8 +88,12 @@
         const time_point started_at = millisecond_clock::now();
         BOOST_LEAF_AUTO(disk, storage::open_posix_disk(m_settings.data_folder));
         m_storage = std::make_unique<detail::storage_thread>(
-            std::move(disk), [this](consensus::sync_id id) { post(consensus::sync_completed{id}); },
-            [this](const failure& error) { handle_disk_failure(error); });
+            std::move(disk), detail::storage_thread::handlers{
+                                 [this](consensus::sync_id id) { post(consensus::sync_completed{id}); },
+                                 [this](const failure& error, std::uint64_t attempts) {
+                                     handle_disk_failure(error, attempts);
+                                 },
+                                 [this](std::uint64_t attempts) { handle_disk_recovery(attempts); }});
         const bool is_founder = m_settings.bootstraps_cluster && is_in_settings();
         BOOST_LEAF_AUTO(
             stored, m_storage->load(is_founder ? founder_identity(m_settings.name) : make_folder_identity()));
@@ -215,11 +218,20 @@
 
     void post(node::control_event_payload kind) { m_control_thread.post(event_now(std::move(kind))); }
 
-    void handle_disk_failure(const failure& error)
+    void handle_disk_failure(const failure& error, std::uint64_t attempts)
     {
-        m_log.write(
-            {logging::log_level::error, error.step, error.peer, error.reason + "; the process stops"});
-        m_on_disk_failure();
+        m_metrics.count("hickorymount_disk_failures_total", fmt::format("step=\"{}\"", error.step));
+        if (attempts == 1) {
+            m_log.write({logging::log_level::error, "disk_failing", error.peer,
+                         fmt::format("operation={} reason=\"{}\" retry_ms={}", error.step, error.reason,
+                                     detail::storage_retry_pause.count())});
+        }
+    }
+
+    void handle_disk_recovery(std::uint64_t attempts)
+    {
+        m_log.write({logging::log_level::information, "disk_recovered", m_settings.data_folder,
+                     fmt::format("failed_attempts={}", attempts)});
     }
 
     void receive(const std::string& peer, const std::string& bytes)
@@ -432,7 +444,6 @@
     }
 
     settings::control_settings m_settings;
-    std::function<void()> m_on_disk_failure;
     std::unique_ptr<control_http_extension> m_extension;
     std::unique_ptr<promotion_client> m_promotions;
     runtime::worker_pool m_promotion_workers;
@@ -463,12 +474,12 @@
 } // namespace
 
 result<std::unique_ptr<control_service>>
-start_control_service(const settings::control_settings& settings, std::function<void()> on_disk_failure,
+start_control_service(const settings::control_settings& settings,
                       std::unique_ptr<control_http_extension> extension,
                       std::unique_ptr<promotion_client> promotions)
 {
-    auto process = std::make_unique<control_host_process>(settings, std::move(on_disk_failure),
-                                                          std::move(extension), std::move(promotions));
+    auto process =
+        std::make_unique<control_host_process>(settings, std::move(extension), std::move(promotions));
     BOOST_LEAF_CHECK(process->start());
     return std::unique_ptr<control_service>(std::move(process));
 }
--- a/src/gateway/internal/storage_thread.cpp
+++ b/src/gateway/internal/storage_thread.cpp
@@ -13,10 +13,8 @@
 
 } // namespace
 
-storage_thread::storage_thread(std::unique_ptr<storage::disk> disk, synced_function on_synced,
-                               failed_function on_failed)
-    : m_disk(std::move(disk)), m_storage(*m_disk), m_on_synced(std::move(on_synced)),
-      m_on_failed(std::move(on_failed))
+storage_thread::storage_thread(std::unique_ptr<storage::disk> disk, handlers event_handlers)
+    : m_disk(std::move(disk)), m_storage(*m_disk), m_handlers(std::move(event_handlers))
 {
 }
 
@@ -66,38 +64,71 @@
             }
             batch.swap(m_writes);
         }
+        const consensus::sync_id last = sync_id_of(batch.back());
+        for (const step& each : steps_of(std::move(batch))) {
+            if (!complete(each)) {
+                return;
+            }
+        }
+        m_handlers.on_synced(last);
+    }
+}
+
+std::vector<storage_thread::step> storage_thread::steps_of(std::vector<storage_write> batch)
+{
+    std::vector<step> steps;
+    for (storage_write& write : batch) {
+        if (auto* content = std::get_if<consensus::persist_snapshot>(&write)) {
+            steps.emplace_back(std::move(*content));
+            continue;
+        }
+        if (steps.empty() || !std::holds_alternative<std::vector<consensus::persist_log>>(steps.back())) {
+            steps.emplace_back(std::vector<consensus::persist_log>{});
+        }
+        std::get<std::vector<consensus::persist_log>>(steps.back())
+            .push_back(std::move(std::get<consensus::persist_log>(write)));
+    }
+    return steps;
+}
+
+bool storage_thread::complete(const step& current)
+{
+    for (std::uint64_t attempts = 0;; ++attempts) {
         const bool is_written = handle_failure(
             [&]() -> result<bool> {
-                BOOST_LEAF_CHECK(write_batch(batch));
+                BOOST_LEAF_CHECK(write_step(current));
                 return true;
             },
             [&](const failure& error) {
-                m_on_failed(error);
+                m_handlers.on_failed(error, attempts + 1);
                 return false;
             });
-        if (!is_written) {
-            return;
+        if (is_written && attempts > 0) {
+            m_handlers.on_recovered(attempts);
+        }
+        if (is_written) {
+            return true;
+        }
+        if (!wait_to_retry()) {
+            return false;
         }
-        m_on_synced(sync_id_of(batch.back()));
     }
 }
 
-result<void> storage_thread::write_batch(const std::vector<storage_write>& batch)
+result<void> storage_thread::write_step(const step& current)
 {
-    bool has_unsynced = false;
-    for (const storage_write& write : batch) {
-        if (const auto* entries = std::get_if<consensus::persist_log>(&write)) {
-            BOOST_LEAF_CHECK(m_storage.append(*entries));
-            has_unsynced = true;
-        } else {
-            BOOST_LEAF_CHECK(m_storage.replace(std::get<consensus::persist_snapshot>(write)));
-            has_unsynced = false;
-        }
-    }
-    if (has_unsynced) {
-        BOOST_LEAF_CHECK(m_storage.sync());
+    if (const auto* content = std::get_if<consensus::persist_snapshot>(&current)) {
+        return m_storage.replace(*content);
     }
-    return {};
+    BOOST_LEAF_CHECK(m_storage.append(std::get<std::vector<consensus::persist_log>>(current)));
+    return m_storage.sync();
+}
+
+/// Returns false when the thread is to stop.
+bool storage_thread::wait_to_retry()
+{
+    std::unique_lock lock(m_mutex);
+    return !m_wakeup.wait_for(lock, storage_retry_pause, [this] { return m_is_stopping; });
 }
 
 } // namespace hickorymount::gateway::detail
--- a/src/storage/disk.h
+++ b/src/storage/disk.h
@@ -25,6 +25,9 @@
     /// Appends to the file and creates the file where needed. Not durable before `sync`.
     virtual result<void> append(const std::string& name, std::string_view bytes) = 0;
 
+    /// Cuts the file off after `bytes`. Not durable before `sync`. Takes no space on the disk.
+    virtual result<void> truncate(const std::string& name, std::uint64_t bytes) = 0;
+
     /// Makes all appended bytes and the directory entry of the file durable.
     virtual result<void> sync(const std::string& name) = 0;
 
--- a/src/storage/internal/log_storage.cpp
+++ b/src/storage/internal/log_storage.cpp
@@ -76,22 +76,48 @@
     return stored;
 }
 
-result<void> log_storage::append(const consensus::persist_log& write)
+result<void> log_storage::append(std::span<const consensus::persist_log> writes)
 {
-    return m_disk.append(
-        log_file_name, encode_record(log_record{write.persistent_state, write.truncate_from, write.entries}));
+    BOOST_LEAF_CHECK(remove_failed_records());
+    std::string bytes;
+    for (const consensus::persist_log& write : writes) {
+        bytes += encode_record(log_record{write.persistent_state, write.truncate_from, write.entries});
+    }
+    m_has_failed_records = true;
+    BOOST_LEAF_CHECK(m_disk.append(log_file_name, bytes));
+    m_has_failed_records = false;
+    m_appended_bytes += bytes.size();
+    return {};
 }
 
 result<void> log_storage::sync()
 {
-    return m_disk.sync(log_file_name);
+    m_has_failed_records = true;
+    BOOST_LEAF_CHECK(m_disk.sync(log_file_name));
+    m_has_failed_records = false;
+    m_synced_bytes = m_appended_bytes;
+    return {};
+}
+
+result<void> log_storage::remove_failed_records()
+{
+    if (m_has_failed_records) {
+        BOOST_LEAF_CHECK(m_disk.truncate(log_file_name, m_synced_bytes));
+        m_appended_bytes = m_synced_bytes;
+        m_has_failed_records = false;
+    }
+    return {};
 }
 
 result<void> log_storage::replace(const consensus::persist_snapshot& write)
 {
     BOOST_LEAF_CHECK(m_disk.replace(snapshot_file_name, encode_record(write.content)));
     const log_record remaining{write.persistent_state, write.content->last_index + 1, write.entries};
-    return m_disk.replace(log_file_name, encode_record(remaining));
+    const std::string bytes = encode_record(remaining);
+    BOOST_LEAF_CHECK(m_disk.replace(log_file_name, bytes));
+    m_appended_bytes = m_synced_bytes = bytes.size();
+    m_has_failed_records = false;
+    return {};
 }
 
 result<data_folder_id> log_storage::load_identity(const data_folder_id& fresh_identity)
@@ -129,22 +155,26 @@
 result<void> log_storage::load_log(consensus::stored_state& stored)
 {
     BOOST_LEAF_AUTO(bytes, m_disk.read(log_file_name));
+    m_appended_bytes = m_synced_bytes = 0;
+    m_has_failed_records = false;
     if (!bytes) {
         return {};
     }
     record_cursor cursor{*bytes, 0, log_file_name};
     for (;;) {
         BOOST_LEAF_AUTO(record_at_cursor, read_record(cursor));
-        if (record_at_cursor.status == record_read_status::torn) {
-            BOOST_LEAF_CHECK(
-                m_disk.replace(log_file_name, std::string_view(*bytes).substr(0, cursor.offset)));
-        }
         if (record_at_cursor.status != record_read_status::valid) {
             break;
         }
         BOOST_LEAF_AUTO(record, decode_record<log_record>(record_at_cursor.content, log_file_name));
         apply_log_record(stored, std::move(record));
     }
+    m_appended_bytes = m_synced_bytes = cursor.offset;
+    m_has_failed_records = cursor.offset < bytes->size();
+    // The records may have been written but not synced by a process that was killed.
+    BOOST_LEAF_CHECK(m_disk.sync(log_file_name));
+    handle_failure([&] { return remove_failed_records(); },
+                   [](const failure&) { /* The next append tries again. */ });
     return {};
 }
 
--- a/src/storage/internal/posix_disk.cpp
+++ b/src/storage/internal/posix_disk.cpp
@@ -101,6 +101,15 @@
         return write_all(descriptor, bytes, full_path(name));
     }
 
+    result<void> truncate(const std::string& name, std::uint64_t bytes) override
+    {
+        BOOST_LEAF_AUTO(descriptor, open_for_append(name));
+        if (::ftruncate(descriptor, static_cast<off_t>(bytes)) != 0) {
+            return fail_with_errno("truncate", full_path(name));
+        }
+        return {};
+    }
+
     result<void> sync(const std::string& name) override
     {
         BOOST_LEAF_AUTO(descriptor, open_for_append(name));
@@ -113,6 +122,20 @@
     result<void> replace(const std::string& name, std::string_view bytes) override
     {
         const std::string temporary_name = name + ".next";
+        result<void> replaced = replace_by(temporary_name, name, bytes);
+        if (!replaced) {
+            // An incomplete copy would take space that the next attempt needs.
+            ::unlinkat(m_folder.value(), temporary_name.c_str(), 0);
+        }
+        return replaced;
+    }
+
+private:
+    [[nodiscard]] std::string full_path(const std::string& name) const { return m_path + "/" + name; }
+
+    result<void> replace_by(const std::string& temporary_name, const std::string& name,
+                            std::string_view bytes)
+    {
         const file_descriptor file(::openat(m_folder.value(), temporary_name.c_str(),
                                             O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, file_mode));
         if (!file.is_open()) {
@@ -129,9 +152,6 @@
         return sync_folder();
     }
 
-private:
-    [[nodiscard]] std::string full_path(const std::string& name) const { return m_path + "/" + name; }
-
     result<void> sync_folder()
     {
         if (::fsync(m_folder.value()) != 0) {
--- a/src/storage/tests/log_storage_tests.cpp
+++ b/src/storage/tests/log_storage_tests.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 #include <stdlib.h>
@@ -24,6 +25,7 @@
 
     result<void> append(const std::string& name, std::string_view bytes) override
     {
+        ++appended_blocks;
         if (bytes.size() > free_bytes) {
             files[name].append(bytes.substr(0, free_bytes));
             return fail("write", name, "No space left on device");
@@ -32,6 +34,15 @@
         return {};
     }
 
+    result<void> truncate(const std::string& name, std::uint64_t bytes) override
+    {
+        if (is_truncation_failing) {
+            return fail("truncate", name, "Input/output error");
+        }
+        files[name].resize(bytes);
+        return {};
+    }
+
     result<void> sync(const std::string& name) override
     {
         if (is_sync_failing) {
@@ -51,7 +62,9 @@
 
     std::map<std::string, std::string> files;
     std::size_t free_bytes = SIZE_MAX;
+    int appended_blocks = 0;
     bool is_sync_failing = false;
+    bool is_truncation_failing = false;
     std::string failing_replacement;
 };
 
@@ -218,6 +231,74 @@
     EXPECT_EQ(load().entries.size(), 2U);
 }
 
+TEST_F(log_storage_fixture, records_appended_again_after_a_full_disk_are_loaded_once)
+{
+    load();
+    append(write(1, 2));
+    ASSERT_EQ(error_of([&] { return m_storage.sync(); }), "");
+    for (const std::size_t room : {0, 1, 10, 40}) {
+        m_disk.free_bytes = room;
+        EXPECT_NE(error_of([&] { return m_storage.append(write(3, 4)); }), "");
+    }
+    m_disk.free_bytes = SIZE_MAX;
+    append(write(3, 4));
+    ASSERT_EQ(error_of([&] { return m_storage.sync(); }), "");
+    append(write(5, 5));
+    EXPECT_EQ(load().entries.size(), 5U);
+}
+
+TEST_F(log_storage_fixture, records_appended_again_after_a_failed_sync_are_loaded_once)
+{
+    load();
+    append(write(1, 2));
+    ASSERT_EQ(error_of([&] { return m_storage.sync(); }), "");
+    const std::string synced_log = log();
+    append(write(3, 4));
+    m_disk.is_sync_failing = true;
+    EXPECT_NE(error_of([&] { return m_storage.sync(); }), "");
+    m_disk.is_sync_failing = false;
+    append(write(3, 4));
+    ASSERT_EQ(error_of([&] { return m_storage.sync(); }), "");
+    const std::string complete_log = log();
+    EXPECT_EQ(load().entries.size(), 4U);
+    log() = synced_log;
+    load();
+    append(write(3, 4));
+    EXPECT_EQ(log(), complete_log);
+}
+
+TEST_F(log_storage_fixture, torn_record_that_a_full_disk_keeps_from_being_removed_goes_with_the_next_append)
+{
+    load();
+    append(write(1, 2));
+    const std::string intact_log = log();
+    append(write(3, 4));
+    log().resize(log().size() - 1);
+    m_disk.is_truncation_failing = true;
+    EXPECT_EQ(load().entries.size(), 2U);
+    EXPECT_NE(error_of([&] { return m_storage.append(write(3, 3)); }), "");
+    m_disk.is_truncation_failing = false;
+    append(write(3, 5));
+    EXPECT_EQ(load().entries.size(), 5U);
+}
+
+TEST_F(log_storage_fixture, writes_of_one_append_reach_the_disk_as_one_block)
+{
+    load();
+    const std::vector<consensus::persist_log> writes{write(1, 2), write(3, 4), write(5, 6)};
+    EXPECT_EQ(error_of([&] { return m_storage.append(writes); }), "");
+    EXPECT_EQ(m_disk.appended_blocks, 1);
+    EXPECT_EQ(load().entries.size(), 6U);
+}
+
+TEST_F(log_storage_fixture, loaded_entries_are_synced_first)
+{
+    load();
+    append(write(1, 2));
+    m_disk.is_sync_failing = true;
+    EXPECT_NE(load_error().find("Input/output error"), std::string::npos);
+}
+
 TEST_F(log_storage_fixture, sync_when_the_disk_fails_is_an_error)
 {
     load();
