Do not copy the waiting lease requests at each event of the control leader

Cause: the leader of the large deployment could not keep up, and the leadership went round.

Change: the requests stand in the order of arrival, and so of the round that they wait for; the pass ends at the first one that no majority has confirmed.

Ruled out: longer election timeouts, which would have hidden it and lengthened each real failover.

--- a/src/supervision/internal/lease_manager.cpp
+++ b/src/supervision/internal/lease_manager.cpp
@@ -76,12 +76,14 @@
             update_relay_plan();
         }
     }
-    auto& grants = m_context.state.pending_lease_requests;
-    grants.erase(
-        std::remove_if(grants.begin(), grants.end(),
-                       [&](const pending_lease_request& pending) { return pending.request.entry == entry; }),
-        grants.end());
-    grants.push_back({request, m_context.inputs.consensus.heartbeat_round, m_context.now()});
+    auto& requests = m_context.state.pending_lease_requests;
+    const auto earlier =
+        std::find_if(requests.begin(), requests.end(),
+                     [&](const pending_lease_request& pending) { return pending.request.entry == entry; });
+    if (earlier != requests.end()) {
+        requests.erase(earlier);
+    }
+    requests.push_back({request, m_context.inputs.consensus.heartbeat_round, m_context.now()});
 }
 
 void lease_manager::record_applied(entry_status& status, const protocol::lease_request& request)
@@ -160,28 +162,36 @@
 
 bool lease_manager::answer_confirmed_requests()
 {
+    // The requests that no majority has confirmed yet are the last ones; they are not touched, because this
+    // runs at each event and there may be one of every entry host.
+    auto& requests = m_context.state.pending_lease_requests;
     bool has_granted = false;
-    std::vector<pending_lease_request> waiting;
-    for (const pending_lease_request& pending : m_context.state.pending_lease_requests) {
-        const entry_process_id& entry = pending.request.entry;
-        // Control forgets the lease of a dismissed process, so none is granted once the dismissal is
-        // proposed.
-        const bool is_admitted = m_context.state.entry_hosts.contains(entry) &&
-                                 m_context.directory().entry_hosts.contains(entry) &&
-                                 !m_context.state.proposed_dismissals.contains(entry);
-        const bool is_confirmed =
-            consensus::is_leadership_confirmed_since(m_context.inputs.consensus, pending.after_round);
-        if (is_admitted && is_confirmed && !is_lease_withheld(entry)) {
-            grant_lease(pending);
+    for (auto pending = requests.begin();
+         pending != requests.end() &&
+         consensus::is_leadership_confirmed_since(m_context.inputs.consensus, pending->after_round);) {
+        const bool is_grantable = may_be_granted(pending->request.entry);
+        if (is_grantable) {
+            grant_lease(*pending);
             has_granted = true;
-        } else if (m_context.now() - pending.received_at < pending_lease_request_timeout) {
-            waiting.push_back(pending);
         }
+        const bool is_settled =
+            is_grantable || m_context.now() - pending->received_at >= pending_lease_request_timeout;
+        pending = is_settled ? requests.erase(pending) : std::next(pending);
+    }
+    while (!requests.empty() &&
+           m_context.now() - requests.front().received_at >= pending_lease_request_timeout) {
+        requests.pop_front();
     }
-    m_context.state.pending_lease_requests = std::move(waiting);
     return has_granted;
 }
 
+bool lease_manager::may_be_granted(const entry_process_id& entry) const
+{
+    // Control forgets the lease of a dismissed process, so none is granted once the dismissal is proposed.
+    return m_context.state.entry_hosts.contains(entry) && m_context.directory().entry_hosts.contains(entry) &&
+           !m_context.state.proposed_dismissals.contains(entry) && !is_lease_withheld(entry);
+}
+
 void lease_manager::dismiss_expired_entries()
 {
     for (const auto& [entry, status] : m_context.state.entry_hosts) {
--- a/src/supervision/internal/lease_manager.h
+++ b/src/supervision/internal/lease_manager.h
@@ -45,6 +45,7 @@
 
 private:
     void mark_replaced_entries(const entry_process_id& newest);
+    [[nodiscard]] bool may_be_granted(const entry_process_id& entry) const;
     void grant_lease(const pending_lease_request& pending);
     /// Records what the entry host has applied, and which documents are no longer in transit.
     void record_applied(entry_status& status, const protocol::lease_request& request);
--- /dev/null
+++ b/src/supervision/tests/lease_request_tests.cpp
@@ -0,0 +1,132 @@
+#include "supervision/reduce.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace hickorymount::supervision {
+
+/// A leader that receives the lease requests of all entry hosts of a large deployment. A request waits for a
+/// heartbeat round that a majority confirms, and meanwhile other events arrive, each of which looks at the
+/// waiting requests.
+class lease_request_fixture : public ::testing::Test
+{
+protected:
+    static constexpr int hosts = 191;
+
+    lease_request_fixture()
+    {
+        m_consensus.current_role = consensus::role::leader;
+        m_consensus.term_start_index = m_consensus.commit_index = 1;
+        m_consensus.leading_since = m_now;
+        m_consensus.heartbeat_round = 1;
+        m_state.is_leading = true;
+        m_state.leading_since = m_now;
+        for (int at = 0; at < hosts; ++at) {
+            admit(entry(at));
+        }
+    }
+
+    static directory::entry_process_id entry(int at)
+    {
+        return {host_name{"entry-" + std::to_string(at)}, incarnation_id{"a"}};
+    }
+
+    void admit(const directory::entry_process_id& admitted)
+    {
+        m_directory.entry_hosts =
+            std::move(m_directory.entry_hosts).set(admitted, {availability_zone{"a"}, std::nullopt});
+        m_state.entry_hosts = std::move(m_state.entry_hosts).set(admitted, {});
+    }
+
+    /// Applies an event and returns the hosts that are granted a lease.
+    std::vector<host_name> granted_after(const supervision_event& event)
+    {
+        supervision_transition next =
+            reduce(std::move(m_state), event, {m_directory, m_consensus, m_now, unix_milliseconds{0}});
+        m_state = std::move(next.state);
+        std::vector<host_name> granted;
+        for (const supervision_effect& effect : next.effects) {
+            const auto* sent = std::get_if<send_to_entry_host>(&effect);
+            if (sent != nullptr && std::holds_alternative<protocol::lease_grant>(sent->content)) {
+                granted.push_back(sent->recipient);
+            }
+        }
+        return granted;
+    }
+
+    /// Returns the hosts that are granted a lease by the event.
+    std::vector<host_name> request(const directory::entry_process_id& requester)
+    {
+        protocol::lease_request content;
+        content.entry = requester;
+        return granted_after(message_received{requester.name, content});
+    }
+
+    void confirm_round() { m_consensus.confirmed_heartbeat_round = ++m_consensus.heartbeat_round; }
+
+    time_point m_now{milliseconds{10'000}};
+    consensus::consensus_state m_consensus;
+    directory::directory_state m_directory;
+    supervision_state m_state;
+};
+
+TEST_F(lease_request_fixture, requests_that_wait_are_not_copied_at_each_event)
+{
+    for (int at = 0; at < hosts; ++at) {
+        request(entry(at));
+    }
+    const pending_lease_request* first = &m_state.pending_lease_requests.front();
+    const pending_lease_request* last = &m_state.pending_lease_requests.back();
+    for (int at = 0; at < 10; ++at) {
+        granted_after(log_advanced{});
+    }
+    EXPECT_EQ(&m_state.pending_lease_requests.front(), first);
+    EXPECT_EQ(&m_state.pending_lease_requests.back(), last);
+}
+
+TEST_F(lease_request_fixture, confirmed_round_grants_all_requests_that_arrived_before_it)
+{
+    for (int at = 0; at < hosts; ++at) {
+        request(entry(at));
+    }
+    confirm_round();
+    EXPECT_EQ(request(entry(0)).size(), hosts - 1U);
+    EXPECT_EQ(m_state.pending_lease_requests.size(), 1U);
+    confirm_round();
+    EXPECT_EQ(granted_after(log_advanced{}), (std::vector<host_name>{entry(0).name}));
+}
+
+TEST_F(lease_request_fixture, request_that_can_not_be_granted_holds_up_no_other)
+{
+    request(entry(hosts));
+    request(entry(1));
+    request(entry(2));
+    confirm_round();
+    EXPECT_EQ(granted_after(log_advanced{}), (std::vector<host_name>{entry(1).name, entry(2).name}));
+    admit(entry(hosts));
+    EXPECT_EQ(granted_after(log_advanced{}), (std::vector<host_name>{entry(hosts).name}));
+}
+
+TEST_F(lease_request_fixture, request_without_a_confirmed_round_is_dropped_after_a_second)
+{
+    request(entry(1));
+    m_now += milliseconds{1000};
+    granted_after(log_advanced{});
+    EXPECT_TRUE(m_state.pending_lease_requests.empty());
+    confirm_round();
+    EXPECT_TRUE(granted_after(log_advanced{}).empty());
+}
+
+TEST_F(lease_request_fixture, newer_request_of_a_host_replaces_its_waiting_one)
+{
+    request(entry(1));
+    request(entry(2));
+    request(entry(1));
+    ASSERT_EQ(m_state.pending_lease_requests.size(), 2U);
+    EXPECT_EQ(m_state.pending_lease_requests.back().request.entry, entry(1));
+}
+
+} // namespace hickorymount::supervision
--- a/src/supervision/types.h
+++ b/src/supervision/types.h
@@ -9,6 +9,7 @@
 #include "protocol/types.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -308,7 +309,8 @@
     /// Entry hosts whose admission or dismissal is proposed and not committed yet.
     std::set<entry_process_id> proposed_admissions;
     std::set<entry_process_id> proposed_dismissals;
-    std::vector<pending_lease_request> pending_lease_requests;
+    /// In the order of their arrival, and so of `after_round`; one for each entry host's process.
+    std::deque<pending_lease_request> pending_lease_requests;
     /// The live entry hosts with a relay, and the configuration version, from which `connection_holders` was
     /// computed.
     std::vector<protocol::relay_host> relay_hosts;
