Answer a request with invalid UTF-8 instead of ending the process

Cause: a document with a byte that is no UTF-8 is rejected by the parser, whose message quotes what it read; the answer {"error": ...} could then not be written as JSON, and the exception left CivetWeb's C thread, which ended the control process. One heartbeat or configuration from another writer was enough.

--- a/src/framework/codec/internal/json_codec.cpp
+++ b/src/framework/codec/internal/json_codec.cpp
@@ -1,5 +1,7 @@
 #include "codec/json_codec.h"
 
+#include <stdexcept>
+
 namespace hickorymount::codec {
 
 namespace {
@@ -35,7 +37,10 @@
 
     bool string(string_t& text)
     {
-        json(text).dump(); // Throws on invalid UTF-8, which the CBOR reader does not check.
+        // The CBOR reader does not check this.
+        if (!is_utf8(text)) {
+            throw std::invalid_argument("a string is not UTF-8");
+        }
         return base::string(text);
     }
 
@@ -95,6 +100,21 @@
     }
 }
 
+std::string to_text(const json& document)
+{
+    return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+bool is_utf8(const std::string& text)
+{
+    try {
+        json(text).dump();
+        return true;
+    } catch (const json::exception&) {
+        return false;
+    }
+}
+
 std::string to_cbor(const json& document)
 {
     std::string bytes;
--- a/src/framework/codec/json_codec.h
+++ b/src/framework/codec/json_codec.h
@@ -44,6 +44,13 @@
 /// Encodes a document as CBOR.
 std::string to_cbor(const json& document);
 
+/// The document as JSON. Bytes that are not UTF-8, such as those of a malformed request quoted in an error,
+/// are replaced by U+FFFD.
+std::string to_text(const json& document);
+
+/// True when the text is valid UTF-8.
+bool is_utf8(const std::string& text);
+
 namespace detail {
 
 /// State of a decode operation: the path of the current member, and the first error.
--- a/src/framework/http/internal/server.cpp
+++ b/src/framework/http/internal/server.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <atomic>
+#include <exception>
 #include <utility>
 #include <vector>
 
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr std::size_t read_bytes = std::size_t{16} << 10;
+constexpr int internal_error = 500;
 
 class civetweb_server final : public server
 {
@@ -98,7 +100,7 @@
             incoming.headers.emplace(info.http_headers[index].name, info.http_headers[index].value);
         }
         read_body(connection, info, incoming);
-        response answer = m_on_request(incoming);
+        response answer = handle(incoming);
         const bool is_unread = incoming.is_body_too_large || incoming.is_body_truncated;
         answer.closes_connection = answer.closes_connection || is_unread ||
                                    m_open_connections > m_options.max_kept_alive_connections;
@@ -106,6 +108,20 @@
         return answer.status;
     }
 
+    /// An exception must not leave CivetWeb's thread, which would end the process.
+    response handle(const request& incoming) const
+    {
+        try {
+            return m_on_request(incoming);
+        } catch (const std::exception& error) {
+            response failed;
+            failed.status = internal_error;
+            failed.content_type = "text/plain";
+            failed.body = fmt::format("the request could not be handled: {}", error.what());
+            return failed;
+        }
+    }
+
     void read_body(mg_connection* connection, const mg_request_info& info, request& incoming) const
     {
         if (info.content_length > static_cast<long long>(m_options.max_body_bytes)) {
--- a/src/framework/http/tests/http_tests.cpp
+++ b/src/framework/http/tests/http_tests.cpp
@@ -4,7 +4,9 @@
 #include <condition_variable>
 #include <mutex>
 #include <set>
+#include <stdexcept>
 #include <string>
+#include <utility>
 
 #include <gtest/gtest.h>
 
@@ -101,6 +103,19 @@
     EXPECT_TRUE(outcome.status == call_status::response_lost || outcome.answer.status == 413);
 }
 
+TEST_F(http_fixture, handler_that_throws_is_answered_with_an_error_and_the_server_goes_on)
+{
+    bool throws = true;
+    start({}, [&](const request&) -> response {
+        if (std::exchange(throws, false)) {
+            throw std::runtime_error("unexpected");
+        }
+        return {};
+    });
+    EXPECT_EQ(call_once("127.0.0.1", m_server->port(), "GET", "/", "", timeout).answer.status, 500);
+    EXPECT_EQ(call_once("127.0.0.1", m_server->port(), "GET", "/", "", timeout).answer.status, 200);
+}
+
 TEST_F(http_fixture, response_with_truncated_body_is_lost)
 {
     start({}, [](const request&) {
--- a/src/gateway/internal/caller_codec.cpp
+++ b/src/gateway/internal/caller_codec.cpp
@@ -159,13 +159,13 @@
     const bool is_json = json::accept(answer.body);
     http::response response;
     response.body = fmt::format(R"({{"outcome":"answered","served_by":{},"role":"{}","repeated":{},)",
-                                json(answer.served_by.value).dump(),
+                                codec::to_text(answer.served_by.value),
                                 answer.role == protocol::server_role::primary ? "primary" : "replica",
                                 answer.is_repeated);
     if (answer.transaction) {
-        response.body += fmt::format(R"("transaction":{},)", json(answer.transaction->value).dump());
+        response.body += fmt::format(R"("transaction":{},)", codec::to_text(answer.transaction->value));
     }
-    response.body += fmt::format(R"("result":{}}})", is_json ? answer.body : json(answer.body).dump());
+    response.body += fmt::format(R"("result":{}}})", is_json ? answer.body : codec::to_text(answer.body));
     set_token(response, answer.token);
     return response;
 }
@@ -174,12 +174,11 @@
 {
     http::response response;
     response.status = status_of(refused.reason);
-    response.body = json{{"outcome", "not_run"},
-                         {"reason", std::string(routing::to_string(refused.reason))},
-                         {"step", refused.step},
-                         {"peer", refused.peer},
-                         {"detail", refused.detail}}
-                        .dump();
+    response.body = codec::to_text({{"outcome", "not_run"},
+                                    {"reason", std::string(routing::to_string(refused.reason))},
+                                    {"step", refused.step},
+                                    {"peer", refused.peer},
+                                    {"detail", refused.detail}});
     if (response.status == 503 || response.status == 429) {
         response.headers["Retry-After"] = "1";
     }
@@ -193,11 +192,10 @@
 {
     http::response response;
     response.status = 504;
-    response.body = json{{"outcome", "outcome_unknown"},
-                         {"step", unknown.step},
-                         {"peer", unknown.peer},
-                         {"detail", unknown.detail}}
-                        .dump();
+    response.body = codec::to_text({{"outcome", "outcome_unknown"},
+                                    {"step", unknown.step},
+                                    {"peer", unknown.peer},
+                                    {"detail", unknown.detail}});
     return response;
 }
 
@@ -242,12 +240,11 @@
 {
     http::response reply;
     reply.status = status;
-    reply.body = json{{"outcome", "not_run"},
-                      {"reason", "bad_request"},
-                      {"step", error.step},
-                      {"peer", error.peer},
-                      {"detail", error.reason}}
-                     .dump(-1, ' ', false, json::error_handler_t::replace);
+    reply.body = codec::to_text({{"outcome", "not_run"},
+                                 {"reason", "bad_request"},
+                                 {"step", error.step},
+                                 {"peer", error.peer},
+                                 {"detail", error.reason}});
     return reply;
 }
 
--- a/src/gateway/internal/control_service.cpp
+++ b/src/gateway/internal/control_service.cpp
@@ -48,7 +48,7 @@
 
 http::response json_response(int status, const codec::json& body)
 {
-    return detail::make_response(status, body.dump());
+    return detail::make_response(status, codec::to_text(body));
 }
 
 /// Identity of a founding host's data folder; derived from the name, so that founders need not exchange it.
--- a/src/gateway/internal/entry_status.cpp
+++ b/src/gateway/internal/entry_status.cpp
@@ -106,7 +106,7 @@
     for (const auto& [name, server] : state.servers) {
         document["backend_servers"][name.value] = server_document(server, now);
     }
-    return document.dump();
+    return codec::to_text(document);
 }
 
 } // namespace hickorymount::gateway::detail
