--- a/src/supervision/internal/reduce.cpp
+++ b/src/supervision/internal/reduce.cpp
@@ -117,17 +117,23 @@
 
     void receive(const host_name& from, const protocol::probe_response& report)
     {
-        m_failover.handle(from, report);
+        if (m_context.state.is_leading) {
+            m_failover.handle(from, report);
+        }
     }
 
     void receive(const host_name& from, const protocol::close_term_response& confirmation)
     {
-        m_failover.handle(from, confirmation);
+        if (m_context.state.is_leading) {
+            m_failover.handle(from, confirmation);
+        }
     }
 
     void receive(const host_name& from, const protocol::role_change_response& report)
     {
-        m_failover.handle(from, report);
+        if (m_context.state.is_leading) {
+            m_failover.handle(from, report);
+        }
     }
 
     void receive(const host_name& from, const protocol::claim_request& call)
@@ -260,7 +266,12 @@
     void apply(const configuration_change_requested& request) { m_operator_requests.handle(request); }
     void apply(const configuration_replacement_requested& request) { m_operator_requests.handle(request); }
     void apply(const primary_switch_requested& request) { m_operator_requests.handle(request); }
-    void apply(const promotion_response_received& answered) { m_failover.handle(answered); }
+    void apply(const promotion_response_received& answered)
+    {
+        if (m_context.state.is_leading) {
+            m_failover.handle(answered);
+        }
+    }
 
     void apply(const server_report_received& announced)
     {
--- a/src/supervision/tests/failover_manager_tests.cpp
+++ b/src/supervision/tests/failover_manager_tests.cpp
@@ -81,6 +81,13 @@
     EXPECT_EQ(proposed_openings_after({2, 112}), 1U);
 }
 
+TEST_F(session_promotion_fixture, host_that_does_not_lead_proposes_nothing_for_a_late_answer)
+{
+    m_consensus.current_role = consensus::role::follower;
+    EXPECT_EQ(proposed_openings_after({2, 112}), 0U);
+    EXPECT_EQ(proposed_openings_after({2, 112}), 0U);
+}
+
 /// A leader that has probed two replicas for their positions. One has answered and lacks acknowledged
 /// commits; naming it as the candidate would lose these commits.
 class session_collecting_fixture : public ::testing::Test
