Review case 1: a living primary is replaced by a replica that lacks acknowledged commits

One replica is shut down as planned while the other receives nothing for 6.5 s; the primary runs all the time. When the first has left, control promotes the second one.

--- a/review/stand_ins/database_group.cpp
+++ b/review/stand_ins/database_group.cpp
@@ -7,6 +7,8 @@
 //   clients            the clients start to write
 //   drain ID           the server reports that it is draining, and goes on serving
 //   deaf ID on|off     the server receives nothing from the primary
+//   leave ID           the server takes its leave of control and ends, as after a drain
+//   replace OLD NEW    a new server starts at the address of one that has left, with its log
 //   crash ID           the server's process ends; its log stays
 //   restart ID         it starts again with its log
 //   platform slow|fast while slow, the platform accepts no connection and its queue is full
@@ -30,6 +32,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <set>
 #include <sstream>
 #include <string>
@@ -53,7 +56,10 @@
 constexpr milliseconds heartbeat_interval{1200};
 constexpr milliseconds replication_lag{8};
 constexpr milliseconds promotion_delay{600};
-constexpr milliseconds write_interval{60};
+constexpr std::size_t client_count = 16;
+/// Pause of a client between two writes.
+constexpr milliseconds min_pause{100};
+constexpr milliseconds max_pause{700};
 constexpr int call_timeout_s = 1;
 constexpr int client_timeout_s = 3;
 
@@ -251,9 +257,7 @@
     void start()
     {
         for (auto& [id, each] : m_servers) {
-            open(*each);
-            std::thread([this, target = each.get()] { replicate(*target); }).detach();
-            std::thread([this, target = each.get()] { report(*target); }).detach();
+            start_server(*each);
         }
     }
 
@@ -285,6 +289,33 @@
         m_changed.notify_all();
     }
 
+    /// The end of a planned shutdown.
+    void leave(const std::string& id)
+    {
+        for (const address& control : m_control_hosts) {
+            if (send_call(control, "DELETE", id, "")) {
+                break;
+            }
+        }
+        crash(id);
+    }
+
+    void replace(const std::string& old_id, const std::string& new_id)
+    {
+        const std::lock_guard lock(m_mutex);
+        const server& old = *m_servers.at(old_id);
+        auto added = std::make_unique<server>();
+        added->id = new_id;
+        added->where = old.where;
+        added->zone = old.zone;
+        added->term = old.term;
+        added->log = old.log;
+        added->started_at_ms = unix_ms();
+        start_server(*m_servers.emplace(new_id, std::move(added)).first->second);
+        record("server " + new_id + " starts at the address of " + old_id + "; log " +
+               position(*m_servers.at(new_id)));
+    }
+
     void restart(const std::string& id)
     {
         const std::lock_guard lock(m_mutex);
@@ -334,6 +365,13 @@
     }
 
 private:
+    void start_server(server& target)
+    {
+        open(target);
+        std::thread([this, &target] { replicate(target); }).detach();
+        std::thread([this, &target] { report(target); }).detach();
+    }
+
     void open(server& target)
     {
         target.listener = listen_at(target.where, 64);
@@ -544,20 +582,21 @@
             due = clock_type::now() + heartbeat_interval;
             bool is_acknowledged = false;
             for (std::size_t tries = 0; tries < m_control_hosts.size() && !is_acknowledged; ++tries) {
-                is_acknowledged = send_report(m_control_hosts[control], target.id, body);
+                is_acknowledged = send_call(m_control_hosts[control], "PUT", target.id, body);
                 control = is_acknowledged ? control : (control + 1) % m_control_hosts.size();
             }
         }
     }
 
-    static bool send_report(const address& control, const std::string& id, const std::string& body)
+    static bool send_call(const address& control, const std::string& method, const std::string& id,
+                          const std::string& body)
     {
         const int descriptor = connect_to(control, call_timeout_s);
         if (descriptor < 0) {
             return false;
         }
         std::ostringstream text;
-        text << "PUT /-/instances/" << id << " HTTP/1.1\r\nHost: " << control.ip << ":" << control.port
+        text << method << " /-/instances/" << id << " HTTP/1.1\r\nHost: " << control.ip << ":" << control.port
              << "\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: " << body.size()
              << "\r\n\r\n"
              << body;
@@ -697,9 +736,10 @@
 class client
 {
 public:
-    client(database_group& group, std::vector<address> entry_hosts, std::string name, std::string database)
-        : m_group(group), m_entry_hosts(std::move(entry_hosts)), m_name(std::move(name)),
-          m_database(std::move(database))
+    client(database_group& group, std::vector<address> entry_hosts, std::size_t number, std::string database)
+        : m_group(group), m_entry_hosts(std::move(entry_hosts)), m_name("c" + std::to_string(number)),
+          m_database(std::move(database)), m_next_entry(number),
+          m_random(static_cast<std::minstd_rand::result_type>(number))
     {
     }
 
@@ -712,11 +752,17 @@
                 use(descriptor, is_stopping);
                 ::close(descriptor);
             }
-            std::this_thread::sleep_for(write_interval);
+            pause();
         }
     }
 
 private:
+    void pause()
+    {
+        std::uniform_int_distribution<std::int64_t> length(min_pause.count(), max_pause.count());
+        std::this_thread::sleep_for(milliseconds{length(m_random)});
+    }
+
     void use(int descriptor, const std::atomic<bool>& is_stopping)
     {
         line_reader reader(descriptor);
@@ -749,7 +795,7 @@
             if (outcome.starts_with("DONE")) {
                 m_group.acknowledge(id);
             }
-            std::this_thread::sleep_for(write_interval);
+            pause();
         }
         send_all(descriptor, "BYE\r\n");
     }
@@ -758,7 +804,8 @@
     std::vector<address> m_entry_hosts;
     std::string m_name;
     std::string m_database;
-    std::size_t m_next_entry = 0;
+    std::size_t m_next_entry;
+    std::minstd_rand m_random;
     std::uint64_t m_last_write = 0;
 };
 
@@ -799,16 +846,19 @@
         std::string setting;
         words >> order >> id >> setting;
         if (order == "clients") {
-            for (int number = 1; number <= 4; ++number) {
+            for (std::size_t number = 1; number <= client_count; ++number) {
                 clients.emplace_back([&, number] {
-                    client(group, parse_addresses(arguments[5]), "c" + std::to_string(number), arguments[2])
-                        .run(is_stopping);
+                    client(group, parse_addresses(arguments[5]), number, arguments[2]).run(is_stopping);
                 });
             }
         } else if (order == "drain") {
             group.drain(id);
         } else if (order == "deaf") {
             group.set_deaf(id, setting == "on");
+        } else if (order == "leave") {
+            group.leave(id);
+        } else if (order == "replace") {
+            group.replace(id, setting);
         } else if (order == "crash") {
             group.crash(id);
         } else if (order == "restart") {
