Let a living primary lead on when no replica holds all acknowledged commits

Cause: a change of primary because of waiting commits left the living primary out of the candidates, as if it were lost, and continue_when_positions_known() took the furthest candidate once all had answered, without a look at the position that the entry hosts had just reported as acknowledged. That position only lengthened the wait for a missing answer, and after 15 s it no longer counted at all.

Ruled out: a late or lost confirmation.

Change: the choice is one pure function, successor_choice.h. A server qualifies if its log reaches the acknowledged position, or if all replicas have answered and none is further; a replica that has left counts as unknown until a server starts at its address. The living primary is asked too and leads on if no replica qualifies. Replicas that were paused for their position are told to resume until an entry host reports success, as no promotion does it then. A pause between such changes no longer delays the change of a primary that is lost. A log line "choose_successor" names all positions that were known.

--- a/src/supervision/internal/failover_manager.cpp
+++ b/src/supervision/internal/failover_manager.cpp
@@ -68,13 +68,14 @@
                   [&](const auto& stall) { return m_context.now() - stall.second > stall_report_retention; });
     const std::size_t host_count = m_leases.hosts_connected_to(group).size();
     if (stall_reports.size() * 2 <= host_count || m_context.state.primary_changes.contains(group) ||
-        are_changes_paused(group)) {
+        are_changes_paused(group) || are_replacements_paused(group)) {
         return;
     }
-    pause_changes(group, stall_change_delay);
+    pause_replacements(group, stall_change_delay);
     primary_change change;
     change.term = record.term;
     change.reason = "commits wait for acknowledgement by replicas";
+    change.is_primary_candidate = change.replaces_primary = true;
     change.times.suspected = change.times.confirmed = m_context.now();
     stall_reports.clear();
     start_closing(group, std::move(change));
@@ -135,6 +136,10 @@
 
 void failover_manager::handle(const host_name& /*from*/, const protocol::role_change_response& report)
 {
+    if (report.kind == protocol::server_role_change::follow && report.is_done) {
+        m_context.state.pending_followers.erase(report.server);
+        return;
+    }
     const primary_change* change = m_context.state.primary_changes.find(report.group);
     const bool is_current = change != nullptr && change->stage == primary_change_stage::promoting &&
                             change->request_id == report.request_id &&
@@ -206,12 +211,42 @@
     m_context.state.primary_changes = std::move(m_context.state.primary_changes).erase(opened.group);
     const std::vector<host_name> live_hosts = m_leases.live_hosts();
     for (const auto& [name, status] : m_context.state.servers) {
-        if (status.report.group == opened.group && name != opened.primary && !live_hosts.empty()) {
+        if (status.report.group != opened.group || name == opened.primary) {
+            continue;
+        }
+        if (status.report.interface == protocol::server_interface::sessions) {
+            m_context.state.pending_followers.insert(name);
+        }
+        if (!live_hosts.empty()) {
             send_follow_order(live_hosts.front(), status.report, *record);
         }
     }
 }
 
+/// A replica that was paused for its position receives nothing before it is told to resume; without a
+/// promotion, which resumes all replicas, a lost order would leave it paused.
+void failover_manager::resend_follow_orders()
+{
+    const std::vector<host_name> live_hosts = m_leases.live_hosts();
+    const std::set<backend_server_name> pending = m_context.state.pending_followers;
+    for (const backend_server_name& name : pending) {
+        const server_status* status = m_context.state.servers.find(name);
+        const group_record* record =
+            status == nullptr ? nullptr : m_context.directory().groups.find(status->report.group);
+        if (record == nullptr || status->report.has_left || record->primary == name) {
+            m_context.state.pending_followers.erase(name);
+            continue;
+        }
+        const milliseconds since_sent = m_context.now() - status->follow_sent_at;
+        if (record->phase == group_phase::open && since_sent >= follow_order_retry_interval &&
+            !live_hosts.empty()) {
+            // Another entry host each time, since one may be unable to reach the server.
+            const host_name& entry_host = live_hosts[m_context.next_number() % live_hosts.size()];
+            send_follow_order(entry_host, status->report, *record);
+        }
+    }
+}
+
 void failover_manager::handle(const directory::close_term& closed)
 {
     const primary_change* change = m_context.state.primary_changes.find(closed.group);
@@ -267,6 +302,7 @@
     for (const auto& [group, change] : changes) {
         advance_change(group, change);
     }
+    resend_follow_orders();
 }
 
 void failover_manager::start_leading()
@@ -483,7 +519,8 @@
         start_confirming(group, record, "no report from the primary");
         return;
     }
-    if (primary == nullptr || !primary->report.is_leaving || are_changes_paused(group)) {
+    if (primary == nullptr || !primary->report.is_leaving || are_changes_paused(group) ||
+        are_replacements_paused(group)) {
         return;
     }
     const auto replicas = candidates(group, primary_change{});
@@ -586,7 +623,7 @@
     // Replicas with the session interface can be paused, so that the furthest one is known for certain; a
     // fixed target and the wait for it to catch up are not needed.
     change.target.reset();
-    change.is_primary_candidate = false;
+    change.is_primary_candidate = change.replaces_primary = true;
     change.times.confirmed = m_context.now();
     start_closing(group, std::move(change));
 }
@@ -635,39 +672,89 @@
 
 void failover_manager::continue_when_positions_known(const group_name& group, primary_change change)
 {
-    const auto expected = candidates(group, change);
-    std::vector<server_report> answered;
-    for (const server_report& candidate : expected) {
-        const auto found = change.positions.find(candidate.name);
-        const bool is_position_known = found != change.positions.end() && has_position(found->second);
-        if (is_position_known && !found->second.is_leaving) {
-            answered.push_back(found->second);
-        }
-    }
-    // The lost primary has restarted with all commits that it acknowledged.
-    const group_record* record = m_context.directory().groups.find(group);
-    const auto returned = record == nullptr ? change.positions.end() : change.positions.find(record->primary);
-    const bool is_primary_back = !change.is_primary_candidate && returned != change.positions.end() &&
-                                 has_position(returned->second) && !returned->second.is_leaving;
-    if (is_primary_back) {
-        answered.push_back(returned->second);
-    }
-    const bool is_complete = is_primary_back || answered.size() == expected.size();
-    const bool has_timed_out =
-        m_context.now() - change.stage_entered_at >= position_timeout(change, answered);
-    if (answered.empty() || (!is_complete && !has_timed_out)) {
+    const successor_question question = successor_question_of(group, change);
+    const std::optional<backend_server_name> successor = choose_successor(question);
+    if (!successor) {
         store_change(group, std::move(change));
         return;
     }
-    if (!is_complete) {
-        m_context.log(logging::log_level::warning, "collect_positions", group.value,
-                      fmt::format("answered={} asked={}", answered.size(), expected.size()));
+    log_choice(group, change, question, *successor);
+    const group_record* record = m_context.directory().groups.find(group);
+    if (change.replaces_primary && record != nullptr && record->primary == *successor) {
+        pause_replacements(group, planned_change_retry_delay);
     }
-    const auto furthest =
-        std::max_element(answered.begin(), answered.end(),
-                         [](const auto& left, const auto& right) { return left.position < right.position; });
     change.times.collected = m_context.now();
-    propose_candidate(group, std::move(change), furthest->name);
+    propose_candidate(group, std::move(change), *successor);
+}
+
+successor_question failover_manager::successor_question_of(const group_name& group,
+                                                           const primary_change& change) const
+{
+    successor_question question;
+    const group_record* record = m_context.directory().groups.find(group);
+    bool has_session_interface = false;
+    for (const auto& [name, status] : m_context.state.servers) {
+        const server_report& report = status.report;
+        if (report.group != group || is_succeeded(report)) {
+            continue;
+        }
+        server_log log;
+        log.name = name;
+        log.was_primary = record != nullptr && record->primary == name;
+        log.is_leaving = report.is_leaving;
+        log.has_left = report.has_left;
+        const auto answer = change.positions.find(name);
+        if (answer != change.positions.end() && has_position(answer->second)) {
+            log.position = answer->second.position;
+        }
+        has_session_interface =
+            has_session_interface || report.interface == protocol::server_interface::sessions;
+        question.servers.push_back(std::move(log));
+    }
+    question.expects_primary = change.is_primary_candidate;
+    question.replaces_primary = change.replaces_primary;
+    if (record != nullptr && record->phase == group_phase::promoting) {
+        question.named_candidate = record->candidate;
+    }
+    const milliseconds waited = m_context.now() - change.stage_entered_at;
+    if (has_session_interface) {
+        question.acknowledged = {change.acknowledged, change.have_all_confirmed};
+        question.has_waited = waited >= position_timeout_default;
+    } else {
+        question.has_waited = waited >= position_timeout_http();
+    }
+    return question;
+}
+
+/// True for a server that has left and whose address belongs to a newer one. The platform gives the log of a
+/// server that is replaced to the next one at its address.
+bool failover_manager::is_succeeded(const server_report& departed) const
+{
+    return departed.has_left &&
+           std::any_of(m_context.state.servers.begin(), m_context.state.servers.end(), [&](const auto& each) {
+               const server_report& report = each.second.report;
+               return report.name != departed.name && report.group == departed.group &&
+                      report.address == departed.address && report.started_at > departed.started_at;
+           });
+}
+
+void failover_manager::log_choice(const group_name& group, const primary_change& change,
+                                  const successor_question& question, const backend_server_name& successor)
+{
+    std::string positions;
+    for (const server_log& each : question.servers) {
+        positions += fmt::format(
+            "{}{}{}{}:{}", positions.empty() ? "" : ",", each.name.value, each.was_primary ? "*" : "",
+            each.has_left     ? "(left)"
+            : each.is_leaving ? "(leaving)"
+                              : "",
+            each.position ? fmt::format("{}.{}", each.position->term, each.position->position) : "-");
+    }
+    m_context.log(logging::log_level::information, "choose_successor", successor.value,
+                  fmt::format("group={} term={} acknowledged={}.{} known={} positions={}", group.value,
+                              change.term, question.acknowledged.position.term,
+                              question.acknowledged.position.position, question.acknowledged.is_known,
+                              positions));
 }
 
 void failover_manager::propose_candidate(const group_name& group, primary_change change,
@@ -929,6 +1016,19 @@
     return until != nullptr && *until > m_context.now();
 }
 
+/// Unlike `pause_changes`, does not delay the change of a primary that is lost.
+void failover_manager::pause_replacements(const group_name& group, milliseconds duration)
+{
+    m_context.state.replacement_paused_until =
+        std::move(m_context.state.replacement_paused_until).set(group, m_context.now() + duration);
+}
+
+bool failover_manager::are_replacements_paused(const group_name& group) const
+{
+    const time_point* until = m_context.state.replacement_paused_until.find(group);
+    return until != nullptr && *until > m_context.now();
+}
+
 std::vector<server_report> failover_manager::candidates(const group_name& group,
                                                         const primary_change& change) const
 {
@@ -943,19 +1043,8 @@
     return reports;
 }
 
-milliseconds failover_manager::position_timeout(const primary_change& change,
-                                                const std::vector<server_report>& answered) const
+milliseconds failover_manager::position_timeout_http() const
 {
-    const auto has_session_interface = [](const server_report& report) {
-        return report.interface == protocol::server_interface::sessions;
-    };
-    if (std::any_of(answered.begin(), answered.end(), has_session_interface)) {
-        const bool is_covered =
-            change.have_all_confirmed &&
-            std::any_of(answered.begin(), answered.end(),
-                        [&](const server_report& report) { return report.position >= change.acknowledged; });
-        return is_covered ? position_timeout_default : max_position_wait;
-    }
     const auto& classes = m_context.directory().configuration->content.classes;
     const bool needs_replica = std::any_of(classes.begin(), classes.end(), [](const auto& named_class) {
         return named_class.second.acknowledged_by == configuration::acknowledgement_level::replica;
--- a/src/supervision/internal/failover_manager.h
+++ b/src/supervision/internal/failover_manager.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "supervision/internal/lease_manager.h"
+#include "supervision/internal/successor_choice.h"
 #include "supervision/internal/supervision_context.h"
 
 #include <string>
@@ -48,6 +49,9 @@
     void send_follow_order(const host_name& entry_host, const protocol::server_report& follower,
                            const directory::group_record& record);
 
+    /// Sends the follow orders of the last change again where no entry host has reported success.
+    void resend_follow_orders();
+
     void check_group(const group_name& group, const directory::group_record& record);
     void record_stall(const host_name& from, const group_name& group, const directory::group_record& record);
     void start_confirming(const group_name& group, const directory::group_record& record,
@@ -61,8 +65,13 @@
     void finish_holding(const group_name& group, primary_change change);
     void start_collecting(const group_name& group, primary_change change);
     void request_positions(const group_name& group, primary_change change);
-    /// Names the furthest candidate when enough positions are known or the wait has timed out.
+    /// Names the successor once one is known to hold every acknowledged commit.
     void continue_when_positions_known(const group_name& group, primary_change change);
+    [[nodiscard]] successor_question successor_question_of(const group_name& group,
+                                                           const primary_change& change) const;
+    [[nodiscard]] bool is_succeeded(const protocol::server_report& departed) const;
+    void log_choice(const group_name& group, const primary_change& change, const successor_question& question,
+                    const backend_server_name& successor);
     void propose_candidate(const group_name& group, primary_change change,
                            const backend_server_name& candidate);
     void send_promotion(const group_name& group, primary_change change);
@@ -88,11 +97,12 @@
     void store_change(const group_name& group, primary_change change);
     void pause_changes(const group_name& group, milliseconds duration);
     [[nodiscard]] bool are_changes_paused(const group_name& group) const;
+    void pause_replacements(const group_name& group, milliseconds duration);
+    [[nodiscard]] bool are_replacements_paused(const group_name& group) const;
     [[nodiscard]] std::vector<protocol::server_report> candidates(const group_name& group,
                                                                   const primary_change& change) const;
-    /// Longest wait for the positions of candidates that have not answered.
-    [[nodiscard]] milliseconds position_timeout(const primary_change& change,
-                                                const std::vector<protocol::server_report>& answered) const;
+    /// Longest wait for the positions of servers with the HTTP interface.
+    [[nodiscard]] milliseconds position_timeout_http() const;
 
     supervision_context& m_context;
     const lease_manager& m_leases;
--- a/src/supervision/tests/failover_manager_tests.cpp
+++ b/src/supervision/tests/failover_manager_tests.cpp
@@ -171,7 +171,7 @@
     {
         const message_received probe_answer{
             host_name{"entry-1"},
-            protocol::probe_response{7, backend_server_name{name}, report_of(name, position)}};
+            protocol::probe_response{m_probe_id, backend_server_name{name}, report_of(name, position)}};
         for (const supervision_effect& effect : apply_event(probe_answer)) {
             const auto* proposed = std::get_if<propose_command>(&effect);
             const auto* named =
@@ -183,7 +183,23 @@
         return "";
     }
 
+    /// Advances the time and returns the number of follow orders sent to "third".
+    std::size_t follow_orders_after(milliseconds delay)
+    {
+        m_now += delay;
+        const auto effects = apply_event(timer_expired{});
+        return static_cast<std::size_t>(
+            std::count_if(effects.begin(), effects.end(), [](const supervision_effect& effect) {
+                const auto* sent = std::get_if<send_to_entry_host>(&effect);
+                const auto* order =
+                    sent == nullptr ? nullptr : std::get_if<protocol::role_change_request>(&sent->content);
+                return order != nullptr && order->kind == protocol::server_role_change::follow &&
+                       order->server.value == "third";
+            }));
+    }
+
     time_point m_now{milliseconds{10'000}};
+    std::uint64_t m_probe_id = 7;
     consensus::consensus_state m_consensus;
     directory::directory_state m_directory;
     supervision_state m_state;
@@ -223,4 +239,90 @@
     EXPECT_EQ(candidate_named_after("second", {1, 12}), "");
 }
 
+/// A leader whose primary "first" answers, while its commits wait for replicas. "second" has left with the
+/// commits that it received last, and "third" lacks them.
+class session_stall_fixture : public session_collecting_fixture
+{
+protected:
+    session_stall_fixture()
+    {
+        m_state.primary_changes = {};
+        server_status departed = *m_state.servers.find(backend_server_name{"second"});
+        departed.report.is_leaving = departed.report.has_left = true;
+        m_state.servers = std::move(m_state.servers).set(backend_server_name{"second"}, departed);
+        set_phase(directory::group_phase::open);
+    }
+
+    void set_phase(directory::group_phase phase)
+    {
+        directory::group_record record = *m_directory.groups.find(group_name{"orders"});
+        record.phase = phase;
+        record.last_candidate_term = 1;
+        m_directory.groups = std::move(m_directory.groups).set(group_name{"orders"}, record);
+    }
+
+    /// Lets all entry hosts report waiting commits, and confirm the end of the term.
+    void close_term_of_stalled_primary()
+    {
+        for (const char* name : {"entry-1", "entry-2", "entry-3", "entry-4"}) {
+            protocol::primary_suspicion suspicion;
+            suspicion.group = group_name{"orders"};
+            suspicion.term = 1;
+            suspicion.server = backend_server_name{"first"};
+            suspicion.are_commits_stalled = true;
+            apply_event(message_received{host_name{name}, suspicion});
+        }
+        set_phase(directory::group_phase::closed);
+        apply_event(command_applied{2, directory::close_term{group_name{"orders"}, 1}, {}, {}});
+        for (const char* name : {"entry-1", "entry-2", "entry-3", "entry-4"}) {
+            protocol::close_term_response confirmation;
+            confirmation.entry = {host_name{name}, incarnation_id{"a"}};
+            confirmation.group = group_name{"orders"};
+            confirmation.term = 1;
+            confirmation.acknowledged_position = acknowledged;
+            apply_event(message_received{host_name{name}, confirmation});
+        }
+        const primary_change* change = m_state.primary_changes.find(group_name{"orders"});
+        ASSERT_NE(change, nullptr);
+        ASSERT_EQ(change->stage, primary_change_stage::collecting_positions);
+        m_probe_id = change->probe_id;
+    }
+};
+
+// Guards against LOST of review/1: a living primary was replaced by a replica that lacks acknowledged
+// commits.
+TEST_F(session_stall_fixture, living_primary_is_not_replaced_by_a_replica_that_lacks_acknowledged_commits)
+{
+    close_term_of_stalled_primary();
+    EXPECT_EQ(candidate_named_after("third", {1, 12}), "");
+    EXPECT_EQ(candidate_named_after("first", {1, 64}), "first");
+}
+
+TEST_F(session_stall_fixture, living_primary_is_replaced_by_a_replica_with_all_acknowledged_commits)
+{
+    close_term_of_stalled_primary();
+    EXPECT_EQ(candidate_named_after("third", acknowledged), "third");
+}
+
+// A replica that was paused for its position, and is not resumed, receives nothing from a primary that leads
+// on without a promotion.
+TEST_F(session_stall_fixture, replica_is_told_to_follow_again_until_an_entry_host_reports_success)
+{
+    set_phase(directory::group_phase::open);
+    directory::group_record record = *m_directory.groups.find(group_name{"orders"});
+    record.term_starts.push_back({1, 0});
+    m_directory.groups = std::move(m_directory.groups).set(group_name{"orders"}, record);
+    apply_event(command_applied{2, directory::open_term{group_name{"orders"}, 1, record.primary, 0}, {}, {}});
+    EXPECT_EQ(follow_orders_after(follow_order_retry_interval), 1U);
+    protocol::role_change_response response;
+    response.group = group_name{"orders"};
+    response.server = backend_server_name{"third"};
+    response.kind = protocol::server_role_change::follow;
+    apply_event(message_received{host_name{"entry-1"}, response});
+    EXPECT_EQ(follow_orders_after(follow_order_retry_interval), 1U);
+    response.is_done = true;
+    apply_event(message_received{host_name{"entry-1"}, response});
+    EXPECT_EQ(follow_orders_after(follow_order_retry_interval), 0U);
+}
+
 } // namespace hickorymount::supervision
--- a/src/supervision/types.h
+++ b/src/supervision/types.h
@@ -35,7 +35,7 @@
 /// Shortest time between an abandoned check of a primary and the next one.
 inline constexpr milliseconds confirmation_retry_delay{100};
 inline constexpr milliseconds close_resend_interval{100};
-/// Longest wait for the positions of all replicas.
+/// Longest wait for the positions of further servers once one is known to hold all acknowledged commits.
 inline constexpr milliseconds position_timeout_default{300};
 /// Longest wait for the positions of all replicas where a class has its writes acknowledged by a replica.
 inline constexpr milliseconds position_timeout_replica_acknowledged{1000};
@@ -45,6 +45,8 @@
 inline constexpr milliseconds takeover_timeout{400};
 /// Shortest time between two follow orders for the same server.
 inline constexpr milliseconds follow_order_interval{200};
+/// A follow order after a change of primary is sent again after this while no success is reported.
+inline constexpr milliseconds follow_order_retry_interval{1000};
 /// Shortest time between two configurations sent to one entry host; versions in between are skipped.
 inline constexpr milliseconds configuration_send_interval{250};
 /// Shortest time between two relay plans. Each plan goes to every entry host, and hosts that start or stop
@@ -59,10 +61,6 @@
 /// `confirmation_timeout` for servers with the session interface, where a probe opens a connection first and
 /// that connection waits for a slot.
 inline constexpr milliseconds confirmation_timeout_sessions{1500};
-/// Longest wait until all candidates have answered or one of them has the acknowledged position. After this
-/// time the furthest candidate takes over, although a server that did not answer may hold newer commits:
-/// availability is preferred.
-inline constexpr milliseconds max_position_wait{15'000};
 /// Candidates with unknown positions are probed again after this; a probe waits 500 ms for its answer.
 inline constexpr milliseconds position_resend_interval{600};
 /// With positions still missing after this many rounds, the lost primary is probed too: it may have restarted
@@ -85,8 +83,8 @@
 inline constexpr milliseconds planned_change_retry_delay{5000};
 /// Time for which an entry host's report of waiting commits counts.
 inline constexpr milliseconds stall_report_retention{1500};
-/// No automatic change of primary starts in a group for this long after a change because of waiting commits:
-/// a new primary whose replicas receive nothing either is not replaced at once.
+/// No primary that still answers is replaced for this long after a change because of waiting commits: a new
+/// primary whose replicas receive nothing either is not replaced at once.
 inline constexpr milliseconds stall_change_delay{10'000};
 /// A silent entry host is dismissed this long after its lease expired.
 inline constexpr milliseconds entry_host_dismissal_delay{3000};
@@ -221,6 +219,8 @@
     std::string reason;
     /// The current primary is not known to be lost and remains a candidate.
     bool is_primary_candidate = false;
+    /// The change is meant to move the primary role away from a primary that still answers.
+    bool replaces_primary = false;
     /// The server that a planned change promotes; cleared when that server can't take over.
     std::optional<backend_server_name> target;
     time_point stage_entered_at{};
@@ -323,10 +323,14 @@
     std::map<group_name, std::vector<protocol::relay_host>> connection_holders;
     std::uint64_t holders_digest = 0;
     shared_map<group_name, primary_change> primary_changes;
+    /// Servers with the session interface that have not carried out the follow order of the last change.
+    std::set<backend_server_name> pending_followers;
     /// Time at which each entry host last reported that commits wait for the replicas.
     std::map<group_name, std::map<host_name, time_point>> stall_reports;
     /// Earliest time for the next automatic change of primary in each group.
     shared_map<group_name, time_point> paused_until;
+    /// Earliest time for the next change of a primary that still answers, in each group.
+    shared_map<group_name, time_point> replacement_paused_until;
     /// Servers whose newest report has not been sent to entry hosts.
     std::set<backend_server_name> unsent_reports;
     /// Highest configuration version that this leader has proposed.
