Ask draining replicas for their positions, and promote nobody who lacks their commits

What callers saw: while one replica drained and the other received nothing, the primary crashed, and the replica that had received nothing was promoted at once.

Cause: candidates() leaves out every server that is leaving, so a draining replica was neither asked nor waited for, and the answers of the others counted as complete.

Change: servers with sessions that are leaving are asked as well and count as holders of commits. One of them takes over only when no server that stays has qualified for 8 s, the bound for a change of primary: it should get no new work, and the crashed primary comes back with its log.

--- a/src/supervision/internal/failover_manager.cpp
+++ b/src/supervision/internal/failover_manager.cpp
@@ -650,7 +650,7 @@
                     entry_hosts.end());
     }
     entry_hosts.resize(std::min(entry_hosts.size(), probing_hosts_per_candidate));
-    for (const server_report& candidate : candidates(group, change)) {
+    for (const server_report& candidate : possible_holders(group, change)) {
         const auto known = change.positions.find(candidate.name);
         if (known == change.positions.end() || !has_position(known->second)) {
             send_probe(candidate.name, change.probe_id, entry_hosts,
@@ -720,6 +720,7 @@
     if (has_session_interface) {
         question.acknowledged = {change.acknowledged, change.have_all_confirmed};
         question.has_waited = waited >= position_timeout_default;
+        question.may_choose_leaving = waited >= leaving_candidate_delay;
     } else {
         question.has_waited = waited >= position_timeout_http();
     }
@@ -1043,6 +1044,22 @@
     return reports;
 }
 
+/// The candidates, and the servers with the session interface that are leaving: these count for
+/// acknowledgements until they end, and may be the only ones with the newest commits.
+std::vector<server_report> failover_manager::possible_holders(const group_name& group,
+                                                              const primary_change& change) const
+{
+    std::vector<server_report> reports = candidates(group, change);
+    for (const auto& [name, status] : m_context.state.servers) {
+        const server_report& report = status.report;
+        if (report.group == group && report.is_leaving && !report.has_left &&
+            report.interface == protocol::server_interface::sessions) {
+            reports.push_back(report);
+        }
+    }
+    return reports;
+}
+
 milliseconds failover_manager::position_timeout_http() const
 {
     const auto& classes = m_context.directory().configuration->content.classes;
--- a/src/supervision/internal/failover_manager.h
+++ b/src/supervision/internal/failover_manager.h
@@ -101,6 +101,8 @@
     [[nodiscard]] bool are_replacements_paused(const group_name& group) const;
     [[nodiscard]] std::vector<protocol::server_report> candidates(const group_name& group,
                                                                   const primary_change& change) const;
+    [[nodiscard]] std::vector<protocol::server_report> possible_holders(const group_name& group,
+                                                                        const primary_change& change) const;
     /// Longest wait for the positions of servers with the HTTP interface.
     [[nodiscard]] milliseconds position_timeout_http() const;
 
--- a/src/supervision/internal/successor_choice.cpp
+++ b/src/supervision/internal/successor_choice.cpp
@@ -25,6 +25,14 @@
     return furthest;
 }
 
+/// A replica that is leaving gets no new work; it takes over only as the last resort. The primary of the
+/// closed term has served until then, and may go on.
+bool may_lead(const server_log& server, const successor_question& question)
+{
+    const bool is_leaving_replica = server.is_leaving && !server.was_primary;
+    return server.position && !server.has_left && (!is_leaving_replica || question.may_choose_leaving);
+}
+
 bool holds_all_acknowledged(const server_log& server, const successor_question& question)
 {
     const bool reaches_acknowledged = *server.position >= question.acknowledged.position;
@@ -67,8 +75,7 @@
     };
     const server_log* best = nullptr;
     for (const server_log& each : question.servers) {
-        const bool may_lead = each.position && !each.has_left;
-        if (may_lead && holds_all_acknowledged(each, question) &&
+        if (may_lead(each, question) && holds_all_acknowledged(each, question) &&
             (best == nullptr || order(*best) < order(each))) {
             best = &each;
         }
--- a/src/supervision/internal/successor_choice.h
+++ b/src/supervision/internal/successor_choice.h
@@ -50,6 +50,8 @@
     std::optional<backend_server_name> named_candidate;
     /// The answers that are still missing have had their time.
     bool has_waited = false;
+    /// The servers that stay have had their time to come back, so that one that is leaving may take over.
+    bool may_choose_leaving = false;
 
     friend bool operator==(const successor_question&, const successor_question&) = default;
 };
--- a/src/supervision/tests/failover_manager_tests.cpp
+++ b/src/supervision/tests/failover_manager_tests.cpp
@@ -239,6 +239,21 @@
     EXPECT_EQ(candidate_named_after("second", {1, 12}), "");
 }
 
+// Guards against LOST of review/2: a draining replica was not asked, and another one that lacks acknowledged
+// commits was promoted.
+TEST_F(session_collecting_fixture, draining_replica_is_asked_and_its_commits_are_not_given_up)
+{
+    server_status draining = *m_state.servers.find(backend_server_name{"third"});
+    draining.report.is_leaving = true;
+    m_state.servers = std::move(m_state.servers).set(backend_server_name{"third"}, draining);
+    const auto probed = probes_after(position_resend_interval);
+    EXPECT_TRUE(
+        std::any_of(probed.begin(), probed.end(), [](const auto& each) { return each.first == "third"; }));
+    EXPECT_EQ(candidate_named_after("second", {1, 12}), "");
+    EXPECT_EQ(candidate_named_after("third", acknowledged), "");
+    EXPECT_EQ(candidate_named_after("first", {1, 70}), "first");
+}
+
 /// A leader whose primary "first" answers, while its commits wait for replicas. "second" has left with the
 /// commits that it received last, and "third" lacks them.
 class session_stall_fixture : public session_collecting_fixture
--- a/src/supervision/tests/successor_choice_tests.cpp
+++ b/src/supervision/tests/successor_choice_tests.cpp
@@ -126,8 +126,30 @@
     EXPECT_EQ(late_choice(), "");
 }
 
+// Guards against LOST of review/2: the draining replica holds the commits and the other one lacks them.
+TEST_F(successor_choice_fixture, replica_that_lacks_the_commits_of_a_draining_one_is_not_chosen)
+{
+    server("second").is_leaving = true;
+    server("third").position = behind;
+    EXPECT_EQ(late_choice(), "");
+    server("second").position = acknowledged;
+    EXPECT_EQ(late_choice(), "");
+    server("first").position = ahead;
+    EXPECT_EQ(late_choice(), "first");
+}
+
+TEST_F(successor_choice_fixture, draining_replica_is_chosen_when_no_other_server_has_returned_for_long)
+{
+    server("second").is_leaving = true;
+    server("second").position = acknowledged;
+    server("third").position = behind;
+    m_question.may_choose_leaving = true;
+    EXPECT_EQ(late_choice(), "second");
+}
+
 TEST_F(successor_choice_fixture, staying_replica_is_preferred_to_a_draining_one_that_is_further)
 {
+    m_question.may_choose_leaving = true;
     server("second").is_leaving = true;
     server("second").position = ahead;
     server("third").position = acknowledged;
@@ -170,7 +192,7 @@
         return level == 0 ? std::nullopt : std::optional(levels[level]);
     };
     int chosen_count = 0;
-    for (int row = 0; row < 4 * 4 * 4 * 64; ++row) {
+    for (int row = 0; row < 4 * 4 * 4 * 128; ++row) {
         const report_levels levels{row % 4, row / 4 % 4, row / 16 % 4};
         const int flags = row / 64;
         successor_question question = m_question;
@@ -183,6 +205,7 @@
         question.replaces_primary = (flags & 12) == 12;
         question.acknowledged.is_known = (flags & 16) == 0;
         question.has_waited = (flags & 32) != 0;
+        question.may_choose_leaving = (flags & 64) != 0;
         const auto chosen = choose_successor(question);
         if (!chosen) {
             continue;
--- a/src/supervision/types.h
+++ b/src/supervision/types.h
@@ -61,6 +61,9 @@
 /// `confirmation_timeout` for servers with the session interface, where a probe opens a connection first and
 /// that connection waits for a slot.
 inline constexpr milliseconds confirmation_timeout_sessions{1500};
+/// Longest wait for a server that stays before one that is leaving takes over: the bound for a change of
+/// primary.
+inline constexpr milliseconds leaving_candidate_delay{8000};
 /// Candidates with unknown positions are probed again after this; a probe waits 500 ms for its answer.
 inline constexpr milliseconds position_resend_interval{600};
 /// With positions still missing after this many rounds, the lost primary is probed too: it may have restarted
