Vote by term and log alone, and replace a voter in one joint change

Cause: the successor was made a fourth voter 2 s after the old host had gone, and before that one was removed. Three of four votes were needed and one voter was gone for good. The successor did not get the entry before it was killed; by its own log it was a learner, and handle(vote_request) answered no request for votes.

Change: a vote is given by term and log; a candidate counts only the voters of its own membership. A silent voter, and the earlier identity of a host with a lost disk, are replaced by a caught-up learner through a joint membership (Raft, section 6), so that no quorum grows by a host that may be lost. The plan is a pure function, membership_planner.h; majorities are counted in quorum.h. The final membership follows with the commit of the joint one.

control_fixture.one_disk_repaired_and_then_another_host_lost_keeps_the_state now waits until the repaired host is a voter of a membership that is not joint: with one change in place of two, it is listed one step earlier than before, while the outgoing voters still count. The leader is lost at the same moment as before: when it has appended, and not yet committed, the last change.

--- a/src/consensus/descriptions.h
+++ b/src/consensus/descriptions.h
@@ -21,7 +21,8 @@
     using type = consensus::membership;
     static constexpr std::string_view name = "membership";
     static constexpr auto members =
-        std::tuple{member{"voters", &type::voters}, member{"learners", &type::learners}};
+        std::tuple{member{"voters", &type::voters}, member{"learners", &type::learners},
+                   member{"outgoing_voters", &type::outgoing_voters}};
 };
 
 template <>
--- a/src/consensus/internal/consensus_reducer.cpp
+++ b/src/consensus/internal/consensus_reducer.cpp
@@ -1,5 +1,7 @@
 #include "consensus/internal/consensus_reducer.h"
 
+#include "consensus/internal/membership_planner.h"
+#include "consensus/internal/quorum.h"
 #include "consensus/reduce.h"
 
 #include <algorithm>
@@ -15,11 +17,6 @@
     return std::find(members.begin(), members.end(), host) != members.end();
 }
 
-bool contains_name(const std::vector<member>& members, const host_name& name)
-{
-    return std::any_of(members.begin(), members.end(), [&](const member& each) { return each.name == name; });
-}
-
 /// Counts only configuration sources; the other contents of an entry are small.
 std::size_t approximate_size_bytes(const log_entry& entry)
 {
@@ -29,12 +26,6 @@
     return replacement == nullptr ? 0 : replacement->content.source_document.size();
 }
 
-std::vector<member> remove_member(std::vector<member> members, const member& host)
-{
-    members.erase(std::remove(members.begin(), members.end(), host), members.end());
-    return members;
-}
-
 std::vector<member> remove_by_name(std::vector<member> members, const host_name& name)
 {
     const auto has_this_name = [&](const member& each) { return each.name == name; };
@@ -195,16 +186,21 @@
     return {std::move(m_state), std::move(m_effects), wake};
 }
 
+/// Grants a vote by term and log alone. The membership that this host knows may be older than the
+/// candidate's, which counts only the voters of its own (Ongaro's dissertation, section 4.2.2).
 void consensus_reducer::handle(const host_name& from, const vote_request& request)
 {
-    if (!is_voter(m_state.self)) {
+    if (m_state.members.voters.empty()) {
         return;
     }
-    if (!is_voter(request.candidate)) {
+    const bool is_disruptive = heard_leader_recently() && request.term > m_state.persistent_state.term;
+    const bool is_outdated_stranger =
+        !is_voter(request.candidate) && (is_disruptive || !is_candidate_log_up_to_date(request));
+    if (is_outdated_stranger) {
         send_hint(from);
         return;
     }
-    if (heard_leader_recently() && request.term > m_state.persistent_state.term) {
+    if (is_disruptive) {
         return;
     }
     if (request.is_pre_vote) {
@@ -244,7 +240,7 @@
     if (!contains(m_state.votes, answer.voter)) {
         m_state.votes.push_back(answer.voter);
     }
-    if (m_state.votes.size() < majority()) {
+    if (!has_quorum_of_votes()) {
         return;
     }
     if (answer.is_pre_vote) {
@@ -301,6 +297,14 @@
     }
     advance_confirmed_round();
     advance_commit();
+    const bool is_joint_committed =
+        m_state.members.outgoing_voters && m_state.membership_index <= m_state.commit_index;
+    if (is_joint_committed) {
+        // The outgoing voters may include a host that is lost, so that the others can't do without one more.
+        propose_membership_change();
+        start_heartbeat_round();
+        return;
+    }
     if (follower.next_index <= last_index()) {
         send_entries(follower, false);
     }
@@ -339,7 +343,8 @@
         send_hint(from);
         return;
     }
-    if (has_uncommitted_membership || request.joining.name != from || is_member(request.joining)) {
+    const bool is_changing = has_uncommitted_membership || m_state.members.outgoing_voters;
+    if (is_changing || request.joining.name != from || is_member(request.joining)) {
         return;
     }
     membership next = m_state.members;
@@ -397,12 +402,12 @@
         is_pre_vote ? m_state.persistent_state.term + 1 : m_state.persistent_state.term;
     const vote_request request{is_pre_vote, requested_term, m_state.self, last_index(),
                                term_at(last_index())};
-    for (const member& voter : m_state.members.voters) {
+    for (const member& voter : all_voters(m_state.members)) {
         if (voter != m_state.self) {
             send_after_sync(voter.name, request);
         }
     }
-    if (m_state.votes.size() < majority()) {
+    if (!has_quorum_of_votes()) {
         return;
     }
     if (is_pre_vote) {
@@ -464,12 +469,12 @@
 
 void consensus_reducer::check_quorum()
 {
-    std::size_t responsive_voters = is_voter(m_state.self) ? 1 : 0;
-    for (const auto& [name, follower] : m_state.followers) {
-        const bool has_responded = m_now - follower.last_response_at <= election_timeout_max;
-        responsive_voters += has_responded && is_voter(follower.peer) ? 1 : 0;
-    }
-    if (responsive_voters < majority()) {
+    const auto has_responded = [this](const member& voter) {
+        const follower_progress* follower = find_follower(voter);
+        return voter == m_state.self ||
+               (follower != nullptr && m_now - follower->last_response_at <= election_timeout_max);
+    };
+    if (!is_quorum(m_state.members, has_responded)) {
         step_down();
     }
 }
@@ -479,73 +484,19 @@
     if (m_state.membership_index > m_state.commit_index || !is_ready_leader(m_state)) {
         return;
     }
-    if (!promote_caught_up_learner()) {
-        remove_silent_voter();
-    }
-}
-
-bool consensus_reducer::is_caught_up(const member& learner) const
-{
-    const auto found = m_state.followers.find(learner.name);
-    return found != m_state.followers.end() && found->second.peer == learner &&
-           found->second.match_index >= m_state.commit_index &&
-           m_now - found->second.last_response_at <= election_timeout_max;
-}
-
-/// An even number of voters tolerates no more failures than one voter fewer, and a network split into halves
-/// leaves it without a majority. The last caught-up learner therefore stays a spare while every voter
-/// responds.
-bool consensus_reducer::is_spare(const member& learner) const
-{
-    const std::vector<member>& voters = m_state.members.voters;
-    const bool makes_even = voters.size() >= min_voters && voters.size() % 2 == 1;
-    if (!makes_even || contains_name(voters, learner.name)) {
-        return false;
+    std::vector<member_status> statuses{{m_state.self, true, milliseconds{0}}};
+    for (const auto& [name, follower] : m_state.followers) {
+        statuses.push_back({follower.peer, is_caught_up(follower), m_now - follower.last_response_at});
     }
-    const auto caught_up_learners = std::count_if(
-        m_state.members.learners.begin(), m_state.members.learners.end(),
-        [&](const member& each) { return !contains_name(voters, each.name) && is_caught_up(each); });
-    const bool are_all_voters_responsive =
-        std::none_of(m_state.followers.begin(), m_state.followers.end(), [&](const auto& each) {
-            return is_voter(each.second.peer) &&
-                   m_now - each.second.last_response_at >= spare_promotion_delay;
-        });
-    return caught_up_learners < 2 && are_all_voters_responsive;
-}
-
-bool consensus_reducer::promote_caught_up_learner()
-{
-    for (const member& learner : m_state.members.learners) {
-        if (!is_caught_up(learner) || is_spare(learner)) {
-            continue;
-        }
-        membership next = m_state.members;
-        if (contains_name(next.voters, learner.name)) {
-            next.voters = remove_by_name(std::move(next.voters), learner.name);
-        } else {
-            next.voters.push_back(learner);
-            next.learners = remove_member(std::move(next.learners), learner);
-        }
-        append_entry(next);
-        return true;
+    if (const auto next = plan_membership(m_state.members, statuses)) {
+        append_entry(*next);
     }
-    return false;
 }
 
-void consensus_reducer::remove_silent_voter()
+bool consensus_reducer::is_caught_up(const follower_progress& follower) const
 {
-    if (m_state.members.voters.size() <= min_voters) {
-        return;
-    }
-    for (const auto& [name, follower] : m_state.followers) {
-        const bool is_silent = m_now - follower.last_response_at >= voter_removal_delay;
-        if (is_silent && is_voter(follower.peer)) {
-            membership next = m_state.members;
-            next.voters = remove_member(std::move(next.voters), follower.peer);
-            append_entry(next);
-            return;
-        }
-    }
+    return follower.match_index >= m_state.commit_index &&
+           m_now - follower.last_response_at <= election_timeout_max;
 }
 
 void consensus_reducer::append_entry(const entry_content& content)
@@ -610,22 +561,20 @@
     }
     std::map<host_name, follower_progress> followers;
     const auto add_follower = [&](const member& host) {
-        const auto known = m_state.followers.find(host.name);
         if (host == m_state.self) {
             return;
         }
-        if (known != m_state.followers.end() && known->second.peer == host) {
-            followers.emplace(host.name, known->second);
-            return;
-        }
         follower_progress added;
         added.peer = host;
         added.next_index = last_index() + 1;
         added.last_response_at = m_now;
-        followers.insert_or_assign(host.name, added);
+        const follower_progress* known = find_follower(host);
+        followers.insert_or_assign(host.name, known == nullptr ? added : *known);
     };
-    // Learners come last: a learner that replaces a voter of the same name with a lost data folder gets the
-    // messages sent to that name.
+    // The newest identity of a host with a lost data folder comes last and gets the messages to its name.
+    if (members.outgoing_voters) {
+        std::for_each(members.outgoing_voters->begin(), members.outgoing_voters->end(), add_follower);
+    }
     std::for_each(members.voters.begin(), members.voters.end(), add_follower);
     std::for_each(members.learners.begin(), members.learners.end(), add_follower);
     m_state.followers = std::move(followers);
@@ -767,21 +716,11 @@
     if (m_state.current_role != role::leader) {
         return;
     }
-    std::vector<log_index> matches;
-    for (const member& voter : m_state.members.voters) {
-        if (voter == m_state.self) {
-            matches.push_back(m_state.durable_index);
-            continue;
-        }
-        const auto found = m_state.followers.find(voter.name);
-        const bool is_known = found != m_state.followers.end() && found->second.peer == voter;
-        matches.push_back(is_known ? found->second.match_index : 0);
-    }
-    if (matches.empty()) {
-        return;
-    }
-    std::sort(matches.begin(), matches.end(), std::greater<>());
-    const log_index majority_index = matches[majority() - 1];
+    const log_index majority_index = value_of_quorum(m_state.members, [this](const member& voter) {
+        const follower_progress* follower = find_follower(voter);
+        return voter == m_state.self ? m_state.durable_index
+                                     : (follower == nullptr ? log_index{0} : follower->match_index);
+    });
     if (majority_index > m_state.commit_index && term_at(majority_index) == m_state.persistent_state.term) {
         commit_to(majority_index);
     }
@@ -797,26 +736,17 @@
 
 void consensus_reducer::advance_confirmed_round()
 {
-    std::vector<round_number> rounds;
-    for (const member& voter : m_state.members.voters) {
-        if (voter == m_state.self) {
-            rounds.push_back(m_state.heartbeat_round);
-            continue;
-        }
-        const auto found = m_state.followers.find(voter.name);
-        const bool is_known = found != m_state.followers.end() && found->second.peer == voter;
-        rounds.push_back(is_known ? found->second.acknowledged_round : 0);
-    }
-    std::sort(rounds.begin(), rounds.end(), std::greater<>());
-    if (rounds.size() >= majority() && majority() > 0) {
-        m_state.confirmed_heartbeat_round =
-            std::max(m_state.confirmed_heartbeat_round, rounds[majority() - 1]);
-    }
+    const round_number confirmed = value_of_quorum(m_state.members, [this](const member& voter) {
+        const follower_progress* follower = find_follower(voter);
+        return voter == m_state.self ? m_state.heartbeat_round
+                                     : (follower == nullptr ? round_number{0} : follower->acknowledged_round);
+    });
+    m_state.confirmed_heartbeat_round = std::max(m_state.confirmed_heartbeat_round, confirmed);
 }
 
 bool consensus_reducer::is_voter(const member& host) const
 {
-    return contains(m_state.members.voters, host);
+    return detail::is_voter(m_state.members, host);
 }
 
 bool consensus_reducer::is_member(const member& host) const
@@ -824,9 +754,15 @@
     return is_voter(host) || contains(m_state.members.learners, host);
 }
 
-std::size_t consensus_reducer::majority() const
+bool consensus_reducer::has_quorum_of_votes() const
+{
+    return is_quorum(m_state.members, [this](const member& voter) { return contains(m_state.votes, voter); });
+}
+
+const follower_progress* consensus_reducer::find_follower(const member& host) const
 {
-    return m_state.members.voters.size() / 2 + 1;
+    const auto found = m_state.followers.find(host.name);
+    return found != m_state.followers.end() && found->second.peer == host ? &found->second : nullptr;
 }
 
 log_index consensus_reducer::last_index() const
--- a/src/consensus/internal/consensus_reducer.h
+++ b/src/consensus/internal/consensus_reducer.h
@@ -38,12 +38,9 @@
     bool accept_leader(const member& leader, log_term term);
     /// Steps down when a majority of the voters has not responded within the election timeout.
     void check_quorum();
-    /// Changes one member at a time, and only after the previous change has been committed.
+    /// Appends the next change of the membership, once the previous one has been committed.
     void propose_membership_change();
-    [[nodiscard]] bool is_caught_up(const member& learner) const;
-    [[nodiscard]] bool is_spare(const member& learner) const;
-    bool promote_caught_up_learner();
-    void remove_silent_voter();
+    [[nodiscard]] bool is_caught_up(const follower_progress& follower) const;
     void send_join_requests();
     void add_contacts(const std::vector<host_name>& hosts);
     void send_hint(const host_name& to);
@@ -77,7 +74,9 @@
 
     [[nodiscard]] bool is_voter(const member& host) const;
     [[nodiscard]] bool is_member(const member& host) const;
-    [[nodiscard]] std::size_t majority() const;
+    [[nodiscard]] bool has_quorum_of_votes() const;
+    /// The progress of this member; null if the host of that name has another identity.
+    [[nodiscard]] const follower_progress* find_follower(const member& host) const;
     [[nodiscard]] log_index last_index() const;
     [[nodiscard]] log_term term_at(log_index index) const;
     [[nodiscard]] bool is_candidate_log_up_to_date(const vote_request& request) const;
--- a/src/consensus/internal/reduce.cpp
+++ b/src/consensus/internal/reduce.cpp
@@ -1,6 +1,7 @@
 #include "consensus/reduce.h"
 
 #include "consensus/internal/consensus_reducer.h"
+#include "consensus/internal/quorum.h"
 
 #include <algorithm>
 #include <utility>
@@ -39,9 +40,7 @@
     if (state.current_role == role::leader) {
         return state.heartbeat_at;
     }
-    const auto& voters = state.members.voters;
-    const bool is_voter = std::find(voters.begin(), voters.end(), state.self) != voters.end();
-    if (!is_voter) {
+    if (!detail::is_voter(state.members, state.self)) {
         return state.join_at;
     }
     return state.is_excluded ? std::min(state.election_at, state.join_at) : state.election_at;
--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -15,7 +15,8 @@
 
 /// The replicated log of the control hosts. The protocol is Raft
 /// (Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm", 2014), with pre-vote,
-/// check-quorum, learners and single-server membership changes (Ongaro's dissertation, chapters 4 and 9).
+/// check-quorum, learners, and joint membership changes (the same paper, section 6; Ongaro's dissertation,
+/// chapters 4 and 9).
 namespace hickorymount::consensus {
 
 /// Position of an entry in the replicated log; the first entry has index 1.
@@ -39,8 +40,8 @@
 inline constexpr milliseconds snapshot_resend_interval{1000};
 /// A voter without a response for this long is removed while more than `min_voters` remain.
 inline constexpr milliseconds voter_removal_delay{4000};
-/// A voter without a response for this long is likely to be removed, so the spare learner is promoted.
-inline constexpr milliseconds spare_promotion_delay{2000};
+/// A voter without a response for this long is replaced by a learner that has caught up.
+inline constexpr milliseconds silent_voter_replacement_delay{2000};
 /// Fewer voters than this cannot tolerate the failure of one.
 inline constexpr std::size_t min_voters = 3;
 /// Number of hosts to which a host that is not a member sends join requests.
@@ -71,6 +72,9 @@
     std::vector<member> voters;
     /// Members that receive the log but do not vote.
     std::vector<member> learners;
+    /// The voters that `voters` replaces. While there are any, the membership is joint: each decision needs a
+    /// majority of both.
+    std::optional<std::vector<member>> outgoing_voters;
 
     friend bool operator==(const membership&, const membership&) = default;
 };
--- a/src/node/tests/control_tests.cpp
+++ b/src/node/tests/control_tests.cpp
@@ -235,8 +235,9 @@
     restart(lost);
     ASSERT_TRUE(advance_until([&] {
         const auto& self = control_state_of(lost).consensus.self;
-        const auto& voters = control_state_of(leader()).consensus.members.voters;
-        return std::find(voters.begin(), voters.end(), self) != voters.end();
+        const auto& members = control_state_of(leader()).consensus.members;
+        return !members.outgoing_voters &&
+               std::find(members.voters.begin(), members.voters.end(), self) != members.voters.end();
     }));
     const std::string second_lost = leader();
     kill(second_lost);
--- a/src/protocol/tests/message_codec_tests.cpp
+++ b/src/protocol/tests/message_codec_tests.cpp
@@ -37,8 +37,9 @@
     directory.claims = directory.claims.set({group_name{"orders"}, request_key{"1-a"}}, {});
     directory.groups = directory.groups.set(group_name{"orders"},
                                             {directory::group_phase::open, 2, {"orders-1"}, 2, {}, {{2, 9}}});
-    consensus::snapshot snapshot{7, 3, {{{host_name{"control-1"}, data_folder_id{"f"}}}, {}}, directory};
     const consensus::member self{host_name{"control-1"}, data_folder_id{"f"}};
+    const consensus::membership members{{self}, {}, std::vector<consensus::member>{self}};
+    consensus::snapshot snapshot{7, 3, members, directory};
     const consensus::log_entry entry{
         4, 2,
         shared_value<consensus::entry_content>(consensus::entry_content(directory::command(
