Let a control host that stops hand its place to a learner first

Cause: a host that stops told nobody. It kept its place among the voters for 2 s, and counted for 4 s, so that one more lost disk, which the deployment must bear, left one of three voters, or two of four.

Change: on SIGTERM a control host asks the leader for its replacement, and the leader replaces it in one joint change when a learner has caught up; a leader that stops replaces itself and then steps down. The process waits for that, 1.5 s at most. Without a learner it stops at once and keeps its place, so that a restart costs none.

Evidence: membership_fixture.control_leads_again_when_a_host_is_lost_after_a_planned_replacement (all hosts, kill and lost disk, every 50 ms after the departure) and .control_leads_again_when_a_host_is_killed_at_any_moment_of_a_hand_over (every 10 ms).

--- a/src/consensus/descriptions.h
+++ b/src/consensus/descriptions.h
@@ -141,6 +141,21 @@
     static constexpr auto members = std::tuple{member{"voters", &type::voters}};
 };
 
+template <>
+struct description<consensus::leave_request>
+{
+    using type = consensus::leave_request;
+    static constexpr std::string_view name = "leave_request";
+    static constexpr auto members = std::tuple{member{"leaving", &type::leaving}};
+};
+
+template <>
+struct description<consensus::departure_requested>
+{
+    static constexpr std::string_view name = "departure_requested";
+    static constexpr auto members = std::tuple{};
+};
+
 template <>
 struct description<consensus::persist_log>
 {
--- a/src/consensus/internal/consensus_reducer.cpp
+++ b/src/consensus/internal/consensus_reducer.cpp
@@ -134,6 +134,7 @@
 {
     if (m_state.current_role == role::leader) {
         check_quorum();
+        step_down_if_replaced();
         if (m_state.current_role == role::leader && m_now >= m_state.heartbeat_at) {
             propose_membership_change();
             start_heartbeat_round();
@@ -143,12 +144,41 @@
     if (is_voter(m_state.self) && m_now >= m_state.election_at) {
         start_election(true);
     }
+    if (m_state.is_leaving) {
+        m_state.join_at = m_now + join_retry_interval;
+        if (is_voter(m_state.self) && m_now >= m_state.leave_at) {
+            send_leave_requests();
+        }
+        return;
+    }
     const bool should_request_admission = !is_voter(m_state.self) || m_state.is_excluded;
     if (should_request_admission && m_now >= m_state.join_at) {
         send_join_requests();
     }
 }
 
+void consensus_reducer::apply(const departure_requested& /*event*/)
+{
+    m_state.is_leaving = true;
+    if (m_state.current_role == role::leader) {
+        propose_membership_change();
+        start_heartbeat_round();
+    } else if (is_voter(m_state.self)) {
+        send_leave_requests();
+    }
+}
+
+/// Asks every voter, since the leader may have just changed.
+void consensus_reducer::send_leave_requests()
+{
+    m_state.leave_at = m_now + leave_retry_interval;
+    for (const member& voter : all_voters(m_state.members)) {
+        if (voter != m_state.self) {
+            send_now(voter.name, leave_request{m_state.self});
+        }
+    }
+}
+
 void consensus_reducer::send_join_requests()
 {
     m_state.join_at = m_now + join_retry_interval;
@@ -363,6 +393,23 @@
     add_contacts(hint.voters);
 }
 
+void consensus_reducer::handle(const host_name& from, const leave_request& request)
+{
+    if (m_state.current_role != role::leader || request.leaving.name != from) {
+        return;
+    }
+    if (!is_voter(request.leaving)) {
+        // The host gets no entries any more; the hint tells it that its place is taken.
+        if (m_state.membership_index <= m_state.commit_index) {
+            send_hint(from);
+        }
+        return;
+    }
+    m_state.leave_requested_at[request.leaving] = m_now;
+    propose_membership_change();
+    start_heartbeat_round();
+}
+
 /// Puts new contacts first and drops the oldest ones beyond `max_contacts`.
 void consensus_reducer::add_contacts(const std::vector<host_name>& hosts)
 {
@@ -435,6 +482,7 @@
     m_state.current_role = role::follower;
     m_state.votes.clear();
     m_state.followers.clear();
+    m_state.leave_requested_at.clear();
     m_state.leader.reset();
     reset_election_timer();
 }
@@ -479,14 +527,27 @@
     }
 }
 
+/// A leader that is about to stop commits the membership without itself, and then leads no longer.
+void consensus_reducer::step_down_if_replaced()
+{
+    const bool is_replaced = !is_voter(m_state.self) && m_state.membership_index <= m_state.commit_index;
+    if (m_state.current_role == role::leader && is_replaced) {
+        step_down();
+    }
+}
+
 void consensus_reducer::propose_membership_change()
 {
     if (m_state.membership_index > m_state.commit_index || !is_ready_leader(m_state)) {
         return;
     }
-    std::vector<member_status> statuses{{m_state.self, true, milliseconds{0}}};
+    std::vector<member_status> statuses{{m_state.self, true, milliseconds{0}, m_state.is_leaving}};
     for (const auto& [name, follower] : m_state.followers) {
-        statuses.push_back({follower.peer, is_caught_up(follower), m_now - follower.last_response_at});
+        const auto leaving = m_state.leave_requested_at.find(follower.peer);
+        const bool is_leaving =
+            leaving != m_state.leave_requested_at.end() && m_now - leaving->second <= leave_request_lifetime;
+        statuses.push_back(
+            {follower.peer, is_caught_up(follower), m_now - follower.last_response_at, is_leaving});
     }
     if (const auto next = plan_membership(m_state.members, statuses)) {
         append_entry(*next);
--- a/src/consensus/internal/consensus_reducer.h
+++ b/src/consensus/internal/consensus_reducer.h
@@ -18,6 +18,7 @@
     void apply(const timer_expired& event);
     void apply(const compaction_requested& event);
     void apply(const contacts_changed& event);
+    void apply(const departure_requested& event);
 
     transition finish();
 
@@ -29,6 +30,7 @@
     void handle(const host_name& from, const install_snapshot_request& request);
     void handle(const host_name& from, const join_request& request);
     void handle(const host_name& from, const member_hint& hint);
+    void handle(const host_name& from, const leave_request& request);
 
     /// With `is_pre_vote`, asks for votes in the next term without entering it.
     void start_election(bool is_pre_vote);
@@ -38,10 +40,12 @@
     bool accept_leader(const member& leader, log_term term);
     /// Steps down when a majority of the voters has not responded within the election timeout.
     void check_quorum();
+    void step_down_if_replaced();
     /// Appends the next change of the membership, once the previous one has been committed.
     void propose_membership_change();
     [[nodiscard]] bool is_caught_up(const follower_progress& follower) const;
     void send_join_requests();
+    void send_leave_requests();
     void add_contacts(const std::vector<host_name>& hosts);
     void send_hint(const host_name& to);
 
--- a/src/consensus/internal/membership_planner.cpp
+++ b/src/consensus/internal/membership_planner.cpp
@@ -19,7 +19,7 @@
     std::copy_if(current.learners.begin(), current.learners.end(), std::back_inserter(learners),
                  [&](const member& each) {
                      const member_status* status = find_status(statuses, each);
-                     return status != nullptr && status->is_caught_up;
+                     return status != nullptr && status->is_caught_up && !status->is_leaving;
                  });
     return learners;
 }
@@ -31,6 +31,15 @@
     return found == members.end() ? nullptr : &*found;
 }
 
+const member* find_leaving_voter(const membership& current, const std::vector<member_status>& statuses)
+{
+    const auto found = std::find_if(current.voters.begin(), current.voters.end(), [&](const member& each) {
+        const member_status* status = find_status(statuses, each);
+        return status != nullptr && status->is_leaving;
+    });
+    return found == current.voters.end() ? nullptr : &*found;
+}
+
 /// The voter without a response for the longest time, if that is at least `limit`.
 const member* find_silent_voter(const membership& current, const std::vector<member_status>& statuses,
                                 milliseconds limit)
@@ -92,6 +101,10 @@
         }
         spares.push_back(learner);
     }
+    const member* leaving = find_leaving_voter(current, statuses);
+    if (leaving != nullptr && !spares.empty()) {
+        return replace_voter(current, member{*leaving}, spares.front());
+    }
     const member* silent = find_silent_voter(current, statuses, silent_voter_replacement_delay);
     if (silent != nullptr && !spares.empty()) {
         return replace_voter(current, member{*silent}, spares.front());
--- a/src/consensus/internal/membership_planner.h
+++ b/src/consensus/internal/membership_planner.h
@@ -15,6 +15,8 @@
     bool is_caught_up = false;
     /// Time since the last response; zero for the leader.
     milliseconds silent_for{0};
+    /// The host is about to stop.
+    bool is_leaving = false;
 
     friend bool operator==(const member_status&, const member_status&) = default;
 };
--- a/src/consensus/internal/reduce.cpp
+++ b/src/consensus/internal/reduce.cpp
@@ -35,6 +35,25 @@
     return std::max(state.log.begin()->first + state.log.size() - 1, state.latest_snapshot->last_index);
 }
 
+bool has_place_to_hand_over(const consensus_state& state)
+{
+    const membership& members = state.members;
+    if (state.is_excluded) {
+        return false;
+    }
+    if (!detail::is_voter(members, state.self)) {
+        // The entry without this host may still be lost with this host.
+        return state.membership_index > state.commit_index;
+    }
+    const std::vector<member> voters = detail::all_voters(members);
+    const bool has_spare =
+        std::any_of(members.learners.begin(), members.learners.end(), [&](const member& learner) {
+            return std::none_of(voters.begin(), voters.end(),
+                                [&](const member& voter) { return voter.name == learner.name; });
+        });
+    return has_spare || members.outgoing_voters;
+}
+
 time_point next_timer_at(const consensus_state& state)
 {
     if (state.current_role == role::leader) {
@@ -43,7 +62,8 @@
     if (!detail::is_voter(state.members, state.self)) {
         return state.join_at;
     }
-    return state.is_excluded ? std::min(state.election_at, state.join_at) : state.election_at;
+    const time_point due = state.is_excluded ? std::min(state.election_at, state.join_at) : state.election_at;
+    return state.is_leaving ? std::min(due, state.leave_at) : due;
 }
 
 } // namespace hickorymount::consensus
--- a/src/consensus/reduce.h
+++ b/src/consensus/reduce.h
@@ -18,6 +18,10 @@
 /// Index of the last entry in the log, or of the snapshot when the log is empty.
 log_index last_index(const consensus_state& state);
 
+/// True if a host that is about to stop would leave its place empty although a learner could take it. It then
+/// does better to wait a moment.
+bool has_place_to_hand_over(const consensus_state& state);
+
 /// When the next `timer_expired` is due.
 time_point next_timer_at(const consensus_state& state);
 
--- a/src/consensus/tests/membership_planner_tests.cpp
+++ b/src/consensus/tests/membership_planner_tests.cpp
@@ -73,6 +73,23 @@
     EXPECT_FALSE(next->outgoing_voters);
 }
 
+TEST_F(membership_planner_fixture, leaving_voter_is_replaced_at_once)
+{
+    set_members({host("a"), host("b"), host("c")}, {host("d")});
+    status_of(host("a")).is_leaving = true;
+    const auto next = plan();
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->voters, (std::vector<member>{host("d"), host("b"), host("c")}));
+    EXPECT_EQ(next->outgoing_voters, m_members.voters);
+}
+
+TEST_F(membership_planner_fixture, leaving_voter_keeps_its_place_without_a_spare)
+{
+    set_members({host("a"), host("b"), host("c")}, {});
+    status_of(host("a")).is_leaving = true;
+    EXPECT_FALSE(plan());
+}
+
 TEST_F(membership_planner_fixture, silent_voter_keeps_its_place_while_no_learner_has_caught_up)
 {
     set_members({host("a"), host("b"), host("c")}, {host("d")});
--- a/src/consensus/tests/membership_tests.cpp
+++ b/src/consensus/tests/membership_tests.cpp
@@ -14,6 +14,8 @@
 /// Longest time between the departure of a host and the loss of another one.
 constexpr milliseconds longest_gap{5000};
 constexpr milliseconds gap_step{50};
+/// The longest time that a host which stops as planned waits for its replacement.
+constexpr milliseconds longest_departure{1500};
 /// A silent host is replaced within this time: the delay, an election, and two log entries.
 constexpr milliseconds replacement_time =
     silent_voter_replacement_delay + 2 * election_timeout_max + 4 * heartbeat_interval;
@@ -76,6 +78,21 @@
         m_cluster.advance(schedule.loses_disk ? catch_up_time : milliseconds{0});
     }
 
+    /// Returns false if the host did not hand over its place in time.
+    bool stop_as_planned(const std::string& name)
+    {
+        m_cluster.apply_event(name, departure_requested{});
+        for (milliseconds waited{0}; has_place_to_hand_over(m_cluster.state_of(name));
+             waited += simulated_cluster::step_duration) {
+            if (waited >= longest_departure) {
+                return false;
+            }
+            m_cluster.advance(simulated_cluster::step_duration);
+        }
+        m_cluster.kill(name);
+        return true;
+    }
+
     /// Checks that control leads, commits, and has its full number of voters within the bound.
     void expect_recovery()
     {
@@ -117,6 +134,62 @@
     }
 }
 
+// Guards against CONFIG of review/4: a host that stopped as planned kept its place, and one lost disk later
+// no leader could be elected.
+TEST_F(membership_fixture, control_leads_again_when_a_host_is_lost_after_a_planned_replacement)
+{
+    for (const bool loses_disk : {false, true}) {
+        for (const loss_schedule& schedule : all_schedules(milliseconds{0}, gap_step, loses_disk)) {
+            SCOPED_TRACE(describe(schedule));
+            start_cluster();
+            ASSERT_TRUE(stop_as_planned(schedule.gone));
+            lose_and_return(schedule);
+            expect_recovery();
+            EXPECT_EQ(m_cluster.voters().count(schedule.gone), 0U);
+        }
+    }
+}
+
+TEST_F(membership_fixture, control_leads_again_when_a_host_is_killed_at_any_moment_of_a_hand_over)
+{
+    for (milliseconds moment{0}; moment <= milliseconds{300}; moment += simulated_cluster::step_duration) {
+        for (const loss_schedule& schedule : all_schedules(longest_gap, gap_step, false)) {
+            SCOPED_TRACE(describe(schedule) + ", killed after " + std::to_string(moment.count()) + " ms");
+            start_cluster();
+            m_cluster.apply_event(schedule.gone, departure_requested{});
+            m_cluster.advance(moment);
+            m_cluster.kill(schedule.lost);
+            m_cluster.advance(longest_departure);
+            m_cluster.kill(schedule.gone);
+            m_cluster.advance(down_time);
+            m_cluster.restart(schedule.lost);
+            expect_recovery();
+        }
+    }
+}
+
+TEST_F(membership_fixture, host_that_was_replaced_and_starts_again_becomes_the_spare)
+{
+    ASSERT_TRUE(stop_as_planned("a"));
+    m_cluster.advance(join_time);
+    EXPECT_EQ(m_cluster.voters(), (std::set<std::string>{"b", "c", "d"}));
+    m_cluster.restart("a");
+    expect_recovery();
+    EXPECT_EQ(m_cluster.voters(), (std::set<std::string>{"b", "c", "d"}));
+    EXPECT_EQ(m_cluster.state_of(*m_cluster.leader()).members.learners.size(), 1U);
+}
+
+TEST_F(membership_fixture, host_that_stops_without_a_spare_does_not_wait_and_keeps_its_place)
+{
+    m_cluster = simulated_cluster{};
+    m_cluster.start_founders({"a", "b", "c"});
+    m_cluster.advance(join_time);
+    m_cluster.apply_event("a", departure_requested{});
+    EXPECT_FALSE(has_place_to_hand_over(m_cluster.state_of("a")));
+    m_cluster.advance(join_time);
+    EXPECT_EQ(m_cluster.voters(), (std::set<std::string>{"a", "b", "c"}));
+}
+
 TEST_F(membership_fixture, spare_stays_a_learner_while_all_voters_respond)
 {
     EXPECT_EQ(m_cluster.voters(), (std::set<std::string>{"a", "b", "c"}));
--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -44,6 +44,10 @@
 inline constexpr milliseconds silent_voter_replacement_delay{2000};
 /// Fewer voters than this cannot tolerate the failure of one.
 inline constexpr std::size_t min_voters = 3;
+/// Time between two leave requests of a host that is about to stop.
+inline constexpr milliseconds leave_retry_interval{100};
+/// A leave request counts for this long; the host repeats it as long as it runs.
+inline constexpr milliseconds leave_request_lifetime{500};
 /// Number of hosts to which a host that is not a member sends join requests.
 inline constexpr std::size_t max_contacts = 16;
 inline constexpr std::size_t max_entries_per_message = 128;
@@ -214,8 +218,17 @@
     friend bool operator==(const member_hint&, const member_hint&) = default;
 };
 
+/// Asks the leader for a replacement. Sent by a voter that is about to stop, as long as it is a voter and a
+/// learner could take its place.
+struct leave_request
+{
+    member leaving;
+
+    friend bool operator==(const leave_request&, const leave_request&) = default;
+};
+
 using message = std::variant<vote_request, vote_response, append_entries_request, append_entries_response,
-                             install_snapshot_request, join_request, member_hint>;
+                             install_snapshot_request, join_request, member_hint, leave_request>;
 
 /// The Raft role of a control host.
 enum class role
@@ -273,6 +286,8 @@
     /// True when a member has reported that this host is not a member. The host then asks for admission
     /// although its own log lists it as a voter.
     bool is_excluded = false;
+    /// The process is about to stop. It does not ask for admission any more.
+    bool is_leaving = false;
     hard_state persistent_state;
     shared_value<snapshot> latest_snapshot;
     shared_map<log_index, log_entry> log;
@@ -289,11 +304,14 @@
     time_point election_at{};
     time_point heartbeat_at{};
     time_point join_at{};
+    time_point leave_at{};
     time_point leading_since{};
     /// Voters that granted this host a vote or pre-vote in the current election.
     std::vector<member> votes;
     /// Empty unless this host is the leader.
     std::map<host_name, follower_progress> followers;
+    /// Time at which each member last asked this leader for a replacement.
+    std::map<member, time_point> leave_requested_at;
     /// The last heartbeat round that this host began.
     round_number heartbeat_round = 0;
     /// The last round that a majority of the voters acknowledged.
@@ -379,8 +397,15 @@
     friend bool operator==(const contacts_changed&, const contacts_changed&) = default;
 };
 
-using event_payload = std::variant<started, cluster_formation_requested, message_received, entries_proposed,
-                                   sync_completed, timer_expired, compaction_requested, contacts_changed>;
+/// The process is about to stop; a learner that has caught up shall take its place before.
+struct departure_requested
+{
+    friend bool operator==(const departure_requested&, const departure_requested&) = default;
+};
+
+using event_payload =
+    std::variant<started, cluster_formation_requested, message_received, entries_proposed, sync_completed,
+                 timer_expired, compaction_requested, contacts_changed, departure_requested>;
 
 /// An event with the time at which it is processed.
 struct event
--- a/src/gateway/internal/control_service.cpp
+++ b/src/gateway/internal/control_service.cpp
@@ -2,6 +2,7 @@
 
 #include "codec/json_codec.h"
 #include "consensus/descriptions.h"
+#include "consensus/reduce.h"
 #include "gateway/internal/entry_status.h"
 #include "gateway/internal/link_metrics.h"
 #include "gateway/internal/storage_thread.h"
@@ -22,6 +23,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <condition_variable>
 #include <mutex>
 #include <random>
 #include <set>
@@ -39,6 +41,9 @@
 /// Clients of `control_http_extension` try the next host after a second.
 constexpr milliseconds pages_timeout{1500};
 constexpr unsigned promotion_threads = 2;
+/// Longest time for which a host that stops waits for another one to take its place. Far below the time that
+/// a process gets to stop.
+constexpr milliseconds departure_timeout{1500};
 
 data_folder_id make_folder_identity()
 {
@@ -115,6 +120,7 @@
             http::start_server(options, [this](const http::request& request) { return serve(request); }, {}));
         m_storage->start();
         m_control_thread.start();
+        m_is_started = true;
         std::random_device random;
         const std::size_t entries = stored.entries.size();
         post(node::control_started{m_settings.name, contacts_of(m_settings), std::move(stored), random()});
@@ -146,6 +152,9 @@
         if (std::exchange(m_is_stopped, true)) {
             return;
         }
+        if (m_is_started) {
+            hand_over_place();
+        }
         if (m_server != nullptr) {
             m_server->stop();
         }
@@ -158,6 +167,29 @@
     }
 
 private:
+    /// Waits until a learner has taken this host's place among the voters, if there is one.
+    void hand_over_place()
+    {
+        const time_point started_at = millisecond_clock::now();
+        post(consensus::departure_requested{});
+        std::unique_lock lock(m_departure_mutex);
+        const bool is_handed_over =
+            m_departure_changed.wait_for(lock, departure_timeout, [this] { return m_may_depart; });
+        m_log.write({logging::log_level::information, "depart", "",
+                     fmt::format("complete={} took_ms={}", is_handed_over,
+                                 (millisecond_clock::now() - started_at).count())});
+    }
+
+    void update_departure(const consensus::consensus_state& consensus_state)
+    {
+        if (!consensus_state.is_leaving) {
+            return;
+        }
+        const std::lock_guard lock(m_departure_mutex);
+        m_may_depart = !consensus::has_place_to_hand_over(consensus_state);
+        m_departure_changed.notify_all();
+    }
+
     static std::vector<host_name> contacts_of(const settings::control_settings& settings)
     {
         std::vector<host_name> contacts;
@@ -264,6 +296,7 @@
         connect_to_members(consensus_state);
         m_knows_leader = consensus_state.leader.has_value();
         update_other_leader(consensus_state.leader);
+        update_departure(consensus_state);
         return transition.next_timer_at;
     }
 
@@ -464,7 +497,11 @@
     node::node_state m_state;
     data_folder_id m_identity;
     runtime::pending_calls<supervision::operator_response> m_operator_requests;
+    bool m_is_started = false;
     bool m_is_stopped = false;
+    std::mutex m_departure_mutex;
+    std::condition_variable m_departure_changed;
+    bool m_may_depart = false;
     std::unique_ptr<http::server> m_server;
     std::unique_ptr<link::peer_transport> m_transport;
     std::unique_ptr<detail::storage_thread> m_storage;
--- a/src/node/internal/control_reducer.cpp
+++ b/src/node/internal/control_reducer.cpp
@@ -56,6 +56,11 @@
     run_consensus(event);
 }
 
+void control_reducer::apply(const consensus::departure_requested& event)
+{
+    run_consensus(event);
+}
+
 void control_reducer::apply(const consensus::sync_completed& event)
 {
     run_consensus(event);
--- a/src/node/internal/control_reducer.h
+++ b/src/node/internal/control_reducer.h
@@ -18,6 +18,7 @@
     void apply(const peer_message_received& event);
     void apply(const consensus::cluster_formation_requested& event);
     void apply(const consensus::contacts_changed& event);
+    void apply(const consensus::departure_requested& event);
     void apply(const consensus::sync_completed& event);
     void apply(const control_timer_expired& event);
     void apply(const supervision::configuration_change_requested& event);
--- a/src/node/types.h
+++ b/src/node/types.h
@@ -76,8 +76,8 @@
 /// Any event of a control host.
 using control_event_payload =
     std::variant<control_started, peer_message_received, consensus::cluster_formation_requested,
-                 consensus::contacts_changed, consensus::sync_completed, control_timer_expired,
-                 supervision::configuration_change_requested,
+                 consensus::contacts_changed, consensus::departure_requested, consensus::sync_completed,
+                 control_timer_expired, supervision::configuration_change_requested,
                  supervision::configuration_replacement_requested, supervision::primary_switch_requested,
                  supervision::status_requested, supervision::configuration_requested,
                  supervision::server_report_received, supervision::promotion_response_received>;
--- a/src/protocol/tests/message_codec_tests.cpp
+++ b/src/protocol/tests/message_codec_tests.cpp
@@ -61,6 +61,7 @@
         consensus::install_snapshot_request{3, self, shared_value(snapshot), 18},
         consensus::join_request{self},
         consensus::member_hint{{{"control-1"}}},
+        consensus::leave_request{{host_name{"control-1"}, data_folder_id{"i"}}},
         lease_request{{host_name{"entry-1"}, incarnation_id{"i"}},
                       {"casa-a"},
                       5,
--- a/src/protocol/types.h
+++ b/src/protocol/types.h
@@ -361,8 +361,8 @@
 using message =
     std::variant<consensus::vote_request, consensus::vote_response, consensus::append_entries_request,
                  consensus::append_entries_response, consensus::install_snapshot_request,
-                 consensus::join_request, consensus::member_hint, lease_request, lease_release, lease_grant,
-                 not_leader, view_update, server_reports, primary_suspicion, probe_request, probe_response,
+                 consensus::join_request, consensus::member_hint, consensus::leave_request, lease_request,
+                 lease_release, lease_grant, not_leader, view_update, server_reports, primary_suspicion, probe_request, probe_response,
                  close_term_request, close_term_response, resume_term_request, role_change_request,
                  role_change_response, claim_request, claim_response, configuration_update>;
 
