Count an entry host that ended without a report as one that may have acknowledged more

Cause, by reading: the acknowledged position of a change came only from entry hosts that held a lease when the change began. One whose lease had ended before, that had returned it, that restarted, or that was dismissed under the previous leader was not asked, and the position of the others passed for complete.

Change: a process returns its lease with the newest position that it acknowledged in each group, once its traffic thread has ended all sessions; the directory keeps it for the open term. A process that is dismissed without that is counted, and as long as it is, no server is chosen by the acknowledged position alone. The primary bounds it: its position, asked after the dismissal, is beyond every commit of that process. Entry hosts without a lease are asked while positions are collected, and their late confirmation counts.

Evidence: session_collecting_fixture.replica_is_not_named_by_the_acknowledgements_of_some_entry_hosts, .commits_of_a_dismissed_entry_host_count_as_unknown_…, .entry_host_that_returns_its_lease_…, .primary_is_asked_for_a_bound_…. They use fields that the code before lacks, so they could not run on it.

--- a/src/directory/descriptions.h
+++ b/src/directory/descriptions.h
@@ -170,7 +170,28 @@
 {
     using type = directory::dismiss_entry_host;
     static constexpr std::string_view name = "dismiss_entry_host";
-    static constexpr auto members = std::tuple{member{"entry", &type::entry}};
+    static constexpr auto members =
+        std::tuple{member{"entry", &type::entry}, member{"acknowledged", &type::acknowledged}};
+};
+
+template <>
+struct description<directory::bound_departed_commits>
+{
+    using type = directory::bound_departed_commits;
+    static constexpr std::string_view name = "bound_departed_commits";
+    static constexpr auto members =
+        std::tuple{member{"group", &type::group}, member{"term", &type::term},
+                   member{"position", &type::position}, member{"unreported", &type::unreported}};
+};
+
+template <>
+struct description<directory::departed_commits>
+{
+    using type = directory::departed_commits;
+    static constexpr std::string_view name = "departed_commits";
+    static constexpr auto members =
+        std::tuple{member{"position", &type::position}, member{"unreported", &type::unreported},
+                   member{"bounded", &type::bounded}};
 };
 
 template <>
@@ -262,6 +283,7 @@
         member{"entry_hosts", &type::entry_hosts},
         member{"claims", &type::claims},
         member{"servers", &type::servers},
+        member{"departed", &type::departed},
     };
 };
 
--- a/src/directory/internal/reduce.cpp
+++ b/src/directory/internal/reduce.cpp
@@ -1,5 +1,6 @@
 #include "directory/reduce.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace hickorymount::directory {
@@ -69,7 +70,38 @@
 
 directory_transition apply(directory_state state, const dismiss_entry_host& dismissed)
 {
+    if (!state.entry_hosts.contains(dismissed.entry)) {
+        return without_result(std::move(state));
+    }
     state.entry_hosts = std::move(state.entry_hosts).erase(dismissed.entry);
+    const shared_map<group_name, group_record> groups = state.groups;
+    for (const auto& [name, record] : groups) {
+        const departed_commits* known = state.departed.find(name);
+        departed_commits commits = known == nullptr ? departed_commits{} : *known;
+        if (!dismissed.acknowledged) {
+            ++commits.unreported;
+        } else if (const auto own = dismissed.acknowledged->find(name);
+                   own != dismissed.acknowledged->end()) {
+            commits.position = std::max(commits.position, own->second);
+        } else {
+            continue;
+        }
+        state.departed = std::move(state.departed).set(name, commits);
+    }
+    return without_result(std::move(state));
+}
+
+directory_transition apply(directory_state state, const bound_departed_commits& bound)
+{
+    const group_record* record = state.groups.find(bound.group);
+    const departed_commits* known = state.departed.find(bound.group);
+    if (record == nullptr || record->term != bound.term || known == nullptr) {
+        return without_result(std::move(state));
+    }
+    departed_commits commits = *known;
+    commits.position = std::max(commits.position, bound.position);
+    commits.bounded = std::max(commits.bounded, bound.unreported);
+    state.departed = std::move(state.departed).set(bound.group, commits);
     return without_result(std::move(state));
 }
 
@@ -94,6 +126,8 @@
         record.term_starts.erase(record.term_starts.begin());
     }
     state.groups = std::move(state.groups).set(opened.group, std::move(record));
+    // The new primary's log contains all commits acknowledged in earlier terms.
+    state.departed = std::move(state.departed).erase(opened.group);
     return without_result(std::move(state));
 }
 
--- a/src/directory/types.h
+++ b/src/directory/types.h
@@ -8,6 +8,7 @@
 #include "session_token/types.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -17,6 +18,7 @@
 namespace hickorymount::directory {
 
 using configuration::configuration_version;
+using session_token::group_position;
 using session_token::group_term;
 using session_token::log_position;
 
@@ -183,6 +185,25 @@
     friend bool operator==(const unregister_server&, const unregister_server&) = default;
 };
 
+/// What is known of the commits that dismissed processes of entry hosts acknowledged in a term.
+struct departed_commits
+{
+    /// No commit of the processes that are accounted for is beyond this position.
+    group_position position;
+    /// Number of processes that were dismissed without a report.
+    std::uint64_t unreported = 0;
+    /// Number of these that a later position of the primary accounts for.
+    std::uint64_t bounded = 0;
+
+    friend bool operator==(const departed_commits&, const departed_commits&) = default;
+};
+
+/// True if `position` covers the commits of all dismissed processes.
+inline bool is_complete(const departed_commits& commits)
+{
+    return commits.unreported == commits.bounded;
+}
+
 /// Adds the record of an entry host's process, which is required for its first lease.
 struct admit_entry_host
 {
@@ -197,10 +218,24 @@
 struct dismiss_entry_host
 {
     entry_process_id entry;
+    /// Newest position whose commit the process has acknowledged, by group; empty if the process has not
+    /// reported it.
+    std::optional<std::map<group_name, group_position>> acknowledged{};
 
     friend bool operator==(const dismiss_entry_host&, const dismiss_entry_host&) = default;
 };
 
+/// Records a position that no commit acknowledged by the first `unreported` dismissed processes exceeds.
+struct bound_departed_commits
+{
+    group_name group;
+    group_term term = 0;
+    group_position position;
+    std::uint64_t unreported = 0;
+
+    friend bool operator==(const bound_departed_commits&, const bound_departed_commits&) = default;
+};
+
 /// Opens a term with its primary and start position.
 struct open_term
 {
@@ -271,9 +306,10 @@
 };
 
 /// The commands of the replicated log.
-using command = std::variant<change_configuration, admit_entry_host, dismiss_entry_host, open_term,
-                             close_term, name_candidate, create_claim, record_answer, withdraw_claim,
-                             expire_claims, replace_configuration, register_server, unregister_server>;
+using command =
+    std::variant<change_configuration, admit_entry_host, dismiss_entry_host, open_term, close_term,
+                 name_candidate, create_claim, record_answer, withdraw_claim, expire_claims,
+                 replace_configuration, register_server, unregister_server, bound_departed_commits>;
 
 /// The replicated state. All control hosts that have applied the same commands hold equal values.
 struct directory_state
@@ -288,6 +324,8 @@
     shared_map<entry_process_id, entry_record> entry_hosts;
     shared_map<claim_key, claim_record> claims;
     shared_map<backend_server_name, server_record> servers;
+    /// By group, for the group's open term.
+    shared_map<group_name, departed_commits> departed;
 
     friend bool operator==(const directory_state&, const directory_state&) = default;
 };
--- a/src/gateway/internal/entry_service.cpp
+++ b/src/gateway/internal/entry_service.cpp
@@ -187,12 +187,13 @@
     {
         post(routing::shutdown_started{});
         m_sessions->drain(m_settings.shutdown_timeout);
+        bool are_commits_final = false;
         {
             std::unique_lock lock(m_drained_mutex);
-            m_drained_changed.wait_for(lock, m_settings.shutdown_timeout,
-                                       [this] { return m_has_stopped_sessions; });
+            are_commits_final = m_drained_changed.wait_for(lock, m_settings.shutdown_timeout,
+                                                           [this] { return m_has_stopped_sessions; });
         }
-        post(routing::drain_requested{});
+        post(routing::drain_requested{are_commits_final});
         std::unique_lock lock(m_drained_mutex);
         m_drained_changed.wait_for(lock, lease_return_time, [this] { return m_is_drained; });
         m_log.write(
--- a/src/protocol/descriptions.h
+++ b/src/protocol/descriptions.h
@@ -112,7 +112,8 @@
 {
     using type = protocol::lease_release;
     static constexpr std::string_view name = "lease_return";
-    static constexpr auto members = std::tuple{member{"entry", &type::entry}};
+    static constexpr auto members =
+        std::tuple{member{"entry", &type::entry}, member{"acknowledged", &type::acknowledged}};
 };
 
 template <>
--- a/src/protocol/tests/message_codec_tests.cpp
+++ b/src/protocol/tests/message_codec_tests.cpp
@@ -74,7 +74,7 @@
                       12,
                       true,
                       4},
-        lease_release{{host_name{"entry-1"}, incarnation_id{"i"}}},
+        lease_release{{host_name{"entry-1"}, incarnation_id{"i"}}, {{{group_name{"orders"}, {2, 9}}}}},
         lease_grant{{host_name{"entry-1"}, incarnation_id{"i"}},
                     5,
                     milliseconds{2000},
--- a/src/protocol/types.h
+++ b/src/protocol/types.h
@@ -156,6 +156,8 @@
 struct lease_release
 {
     entry_process_id entry;
+    /// Newest position whose commit the process has acknowledged, by group. Empty if it may acknowledge more.
+    std::optional<std::map<group_name, group_position>> acknowledged;
 
     friend bool operator==(const lease_release&, const lease_release&) = default;
 };
@@ -362,8 +364,9 @@
     std::variant<consensus::vote_request, consensus::vote_response, consensus::append_entries_request,
                  consensus::append_entries_response, consensus::install_snapshot_request,
                  consensus::join_request, consensus::member_hint, consensus::leave_request, lease_request,
-                 lease_release, lease_grant, not_leader, view_update, server_reports, primary_suspicion, probe_request, probe_response,
-                 close_term_request, close_term_response, resume_term_request, role_change_request,
-                 role_change_response, claim_request, claim_response, configuration_update>;
+                 lease_release, lease_grant, not_leader, view_update, server_reports, primary_suspicion,
+                 probe_request, probe_response, close_term_request, close_term_response, resume_term_request,
+                 role_change_request, role_change_response, claim_request, claim_response,
+                 configuration_update>;
 
 } // namespace hickorymount::protocol
--- a/src/routing/descriptions.h
+++ b/src/routing/descriptions.h
@@ -307,8 +307,9 @@
 template <>
 struct description<routing::drain_requested>
 {
+    using type = routing::drain_requested;
     static constexpr std::string_view name = "drain_asked";
-    static constexpr auto members = std::tuple{};
+    static constexpr auto members = std::tuple{member{"commits_final", &type::are_commits_final}};
 };
 
 template <>
--- a/src/routing/internal/lease_client.cpp
+++ b/src/routing/internal/lease_client.cpp
@@ -178,7 +178,11 @@
     m_context.state.lease.valid_until = {};
     m_context.state.lease.was_valid = false;
     m_connections.close_all();
-    m_context.send_to_leader(protocol::lease_release{m_context.state.self});
+    protocol::lease_release returned{m_context.state.self, std::nullopt};
+    if (m_context.state.are_commits_final) {
+        returned.acknowledged = m_context.state.session_commits;
+    }
+    m_context.send_to_leader(std::move(returned));
 }
 
 void lease_client::queue_report(const protocol::server_report& report)
--- a/src/routing/internal/reduce.cpp
+++ b/src/routing/internal/reduce.cpp
@@ -201,7 +201,11 @@
         m_lease.renew();
     }
 
-    void apply(const drain_requested& /*asked*/) { m_context.state.is_draining = true; }
+    void apply(const drain_requested& asked)
+    {
+        m_context.state.is_draining = true;
+        m_context.state.are_commits_final = asked.are_commits_final;
+    }
 
     void run_due_timers()
     {
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -418,6 +418,8 @@
     std::int64_t retry_budget = max_retry_budget;
     /// New requests are refused; the ones in flight run to their end.
     bool is_draining = false;
+    /// No further commit of a session is acknowledged.
+    bool are_commits_final = true;
     bool is_drained = false;
 
     friend bool operator==(const entry_state&, const entry_state&) = default;
@@ -615,6 +617,9 @@
 /// Event: the entry host is to refuse new requests and complete the ones in flight.
 struct drain_requested
 {
+    /// The traffic thread has no session left and has reported all commits that it acknowledged.
+    bool are_commits_final = true;
+
     friend bool operator==(const drain_requested&, const drain_requested&) = default;
 };
 
--- a/src/sessions/internal/reduce.cpp
+++ b/src/sessions/internal/reduce.cpp
@@ -172,6 +172,8 @@
         }
         if (since >= balancer_delay && m_context.state.sessions.empty()) {
             m_context.state.is_stopped = true;
+            // The positions in this report are final, and go to control with the lease.
+            report();
             m_context.emit(report_stopped{});
         }
     }
--- a/src/supervision/internal/failover_manager.cpp
+++ b/src/supervision/internal/failover_manager.cpp
@@ -85,6 +85,7 @@
 {
     if (report.report && report.report->name == report.server) {
         adopt_first_primary(*report.report);
+        record_commit_bound(report);
     }
     for (const auto& [group, change] : m_context.state.primary_changes) {
         if (change.probe_id != report.probe_id) {
@@ -123,12 +124,19 @@
     if (change == nullptr || change->term != confirmation.term) {
         return;
     }
+    primary_change next = *change;
+    if (change->stage == primary_change_stage::collecting_positions && !confirmation.finish_in_flight) {
+        next.silent_entries.erase(confirmation.entry);
+        next.acknowledged = std::max(next.acknowledged, confirmation.acknowledged_position);
+        continue_when_positions_known(confirmation.group, std::move(next));
+        return;
+    }
     const primary_change_stage expected =
         confirmation.finish_in_flight ? primary_change_stage::holding : primary_change_stage::revoking;
     if (change->stage != expected) {
         return;
     }
-    primary_change next = *change;
+    next.silent_entries.erase(confirmation.entry);
     next.unconfirmed_entries.erase(confirmation.entry);
     next.acknowledged = std::max(next.acknowledged, confirmation.acknowledged_position);
     continue_when_confirmed(confirmation.group, std::move(next));
@@ -255,6 +263,23 @@
     }
 }
 
+/// A process that has reported its commits with its lease counts as confirmed.
+void failover_manager::handle(const directory::dismiss_entry_host& dismissed)
+{
+    if (!dismissed.acknowledged) {
+        return;
+    }
+    const shared_map<group_name, primary_change> changes = m_context.state.primary_changes;
+    for (const auto& [group, change] : changes) {
+        primary_change next = change;
+        const bool is_awaited = next.unconfirmed_entries.erase(dismissed.entry) > 0 ||
+                                next.silent_entries.erase(dismissed.entry) > 0;
+        if (is_awaited) {
+            store_change(group, std::move(next));
+        }
+    }
+}
+
 void failover_manager::handle(const directory::name_candidate& named)
 {
     const primary_change* change = m_context.state.primary_changes.find(named.group);
@@ -303,6 +328,43 @@
         advance_change(group, change);
     }
     resend_follow_orders();
+    probe_for_commit_bounds();
+}
+
+/// A process that ended without a report has acknowledged no commit beyond the position that its primary has
+/// now.
+void failover_manager::probe_for_commit_bounds()
+{
+    for (const auto& [group, departed] : m_context.directory().departed) {
+        const group_record* record = m_context.directory().groups.find(group);
+        commit_bound_probe& probe = m_context.state.commit_bound_probes[group];
+        const bool is_due = !directory::is_complete(departed) && record != nullptr &&
+                            record->phase == group_phase::open &&
+                            m_context.now() - probe.sent_at >= commit_bound_probe_interval;
+        const std::vector<host_name> hosts =
+            is_due ? m_leases.hosts_connected_to(group) : std::vector<host_name>{};
+        if (hosts.empty() || !uses_session_interface(record->primary)) {
+            continue;
+        }
+        probe = {m_context.next_number(), record->term, departed.unreported, m_context.now()};
+        send_probe(record->primary, probe.probe_id, {hosts[probe.probe_id % hosts.size()]});
+    }
+}
+
+void failover_manager::record_commit_bound(const protocol::probe_response& report)
+{
+    for (const auto& [group, probe] : m_context.state.commit_bound_probes) {
+        const group_record* record = m_context.directory().groups.find(group);
+        const bool is_answer = probe.probe_id == report.probe_id && record != nullptr &&
+                               record->phase == group_phase::open && record->term == probe.term &&
+                               record->primary == report.server;
+        if (is_answer && report.report && report.report->role == server_role::primary &&
+            has_position(*report.report)) {
+            m_context.propose(directory::bound_departed_commits{group, probe.term, report.report->position,
+                                                                probe.unreported});
+            return;
+        }
+    }
 }
 
 void failover_manager::start_leading()
@@ -582,6 +644,7 @@
 void failover_manager::start_revoking(const group_name& group, primary_change change)
 {
     change.unconfirmed_entries = m_leases.leased_entries();
+    change.silent_entries = m_leases.expired_entries();
     change.last_request_sent_at = m_context.now();
     const protocol::close_term_request order{group, change.term, false};
     set_stage(group, std::move(change), primary_change_stage::revoking);
@@ -592,10 +655,13 @@
 void failover_manager::continue_when_confirmed(const group_name& group, primary_change change)
 {
     const std::set<entry_process_id> leased_entries = m_leases.leased_entries();
-    const std::size_t expired = std::erase_if(change.unconfirmed_entries, [&](const entry_process_id& entry) {
-        return !leased_entries.contains(entry);
+    std::erase_if(change.unconfirmed_entries, [&](const entry_process_id& entry) {
+        const bool has_expired = !leased_entries.contains(entry);
+        if (has_expired) {
+            change.silent_entries.insert(entry);
+        }
+        return has_expired;
     });
-    change.have_all_confirmed = change.have_all_confirmed && expired == 0;
     if (!change.unconfirmed_entries.empty()) {
         store_change(group, std::move(change));
         return;
@@ -662,6 +728,9 @@
     if (may_have_returned) {
         send_probe(record->primary, change.probe_id, entry_hosts);
     }
+    for (const entry_process_id& entry : change.silent_entries) {
+        m_context.send(entry.name, protocol::close_term_request{group, change.term, false});
+    }
     if (change.positions.empty()) {
         change.stage_entered_at = m_context.now();
     }
@@ -718,7 +787,7 @@
     }
     const milliseconds waited = m_context.now() - change.stage_entered_at;
     if (has_session_interface) {
-        question.acknowledged = {change.acknowledged, change.have_all_confirmed};
+        question.acknowledged = acknowledged_in(group, change);
         question.has_waited = waited >= position_timeout_default;
         question.may_choose_leaving = waited >= leaving_candidate_delay;
     } else {
@@ -727,6 +796,17 @@
     return question;
 }
 
+acknowledged_commits failover_manager::acknowledged_in(const group_name& group,
+                                                       const primary_change& change) const
+{
+    acknowledged_commits known{change.acknowledged, change.silent_entries.empty()};
+    if (const directory::departed_commits* departed = m_context.directory().departed.find(group)) {
+        known.position = std::max(known.position, departed->position);
+        known.is_known = known.is_known && directory::is_complete(*departed);
+    }
+    return known;
+}
+
 /// True for a server that has left and whose address belongs to a newer one. The platform gives the log of a
 /// server that is replaced to the next one at its address.
 bool failover_manager::is_succeeded(const server_report& departed) const
--- a/src/supervision/internal/failover_manager.h
+++ b/src/supervision/internal/failover_manager.h
@@ -25,6 +25,7 @@
     void handle(const directory::open_term& opened);
     void handle(const directory::close_term& closed);
     void handle(const directory::name_candidate& named);
+    void handle(const directory::dismiss_entry_host& dismissed);
 
     /// Starts a planned change. Returns false when the group or the target does not permit one now.
     bool start_planned(const group_name& group, const backend_server_name& target, const std::string& reason);
@@ -49,6 +50,8 @@
     void send_follow_order(const host_name& entry_host, const protocol::server_report& follower,
                            const directory::group_record& record);
 
+    void probe_for_commit_bounds();
+    void record_commit_bound(const protocol::probe_response& report);
     /// Sends the follow orders of the last change again where no entry host has reported success.
     void resend_follow_orders();
 
@@ -69,6 +72,8 @@
     void continue_when_positions_known(const group_name& group, primary_change change);
     [[nodiscard]] successor_question successor_question_of(const group_name& group,
                                                            const primary_change& change) const;
+    [[nodiscard]] acknowledged_commits acknowledged_in(const group_name& group,
+                                                       const primary_change& change) const;
     [[nodiscard]] bool is_succeeded(const protocol::server_report& departed) const;
     void log_choice(const group_name& group, const primary_change& change, const successor_question& question,
                     const backend_server_name& successor);
--- a/src/supervision/internal/lease_manager.cpp
+++ b/src/supervision/internal/lease_manager.cpp
@@ -130,7 +130,7 @@
 {
     if (m_context.directory().entry_hosts.contains(returned.entry) &&
         m_context.state.proposed_dismissals.insert(returned.entry).second) {
-        m_context.propose(directory::dismiss_entry_host{returned.entry});
+        m_context.propose(directory::dismiss_entry_host{returned.entry, returned.acknowledged});
     }
 }
 
@@ -217,6 +217,17 @@
     return keys;
 }
 
+std::set<entry_process_id> lease_manager::expired_entries() const
+{
+    std::set<entry_process_id> expired;
+    for (const auto& [entry, status] : m_context.state.entry_hosts) {
+        if (status.lease_end > time_point{} && status.lease_end <= m_context.now()) {
+            expired.insert(entry);
+        }
+    }
+    return expired;
+}
+
 std::vector<host_name> lease_manager::live_hosts() const
 {
     std::vector<std::pair<time_point, host_name>> recently_heard;
--- a/src/supervision/internal/lease_manager.h
+++ b/src/supervision/internal/lease_manager.h
@@ -35,6 +35,9 @@
     /// Processes that may currently hold a lease.
     [[nodiscard]] std::set<entry_process_id> leased_entries() const;
 
+    /// Processes that may have held a lease and hold none now.
+    [[nodiscard]] std::set<entry_process_id> expired_entries() const;
+
     /// Entry hosts with a lease that have sent a lease request to this leader, most recent first.
     [[nodiscard]] std::vector<host_name> live_hosts() const;
 
--- a/src/supervision/internal/reduce.cpp
+++ b/src/supervision/internal/reduce.cpp
@@ -231,6 +231,7 @@
     {
         if (m_context.state.is_leading) {
             m_leases.handle(command);
+            m_failover.handle(command);
         }
     }
 
--- a/src/supervision/tests/failover_manager_tests.cpp
+++ b/src/supervision/tests/failover_manager_tests.cpp
@@ -1,6 +1,9 @@
+#include "directory/reduce.h"
 #include "supervision/reduce.h"
 
 #include <algorithm>
+#include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -172,7 +175,13 @@
         const message_received probe_answer{
             host_name{"entry-1"},
             protocol::probe_response{m_probe_id, backend_server_name{name}, report_of(name, position)}};
-        for (const supervision_effect& effect : apply_event(probe_answer)) {
+        return named_candidate(apply_event(probe_answer));
+    }
+
+    /// The candidate that the effects name; empty without one.
+    static std::string named_candidate(const std::vector<supervision_effect>& effects)
+    {
+        for (const supervision_effect& effect : effects) {
             const auto* proposed = std::get_if<propose_command>(&effect);
             const auto* named =
                 proposed == nullptr ? nullptr : std::get_if<directory::name_candidate>(&proposed->command);
@@ -183,6 +192,13 @@
         return "";
     }
 
+    void mark_entry_silent(const std::string& name)
+    {
+        primary_change change = *m_state.primary_changes.find(group_name{"orders"});
+        change.silent_entries.insert({host_name{name}, incarnation_id{"a"}});
+        m_state.primary_changes = std::move(m_state.primary_changes).set(group_name{"orders"}, change);
+    }
+
     /// Advances the time and returns the number of follow orders sent to "third".
     std::size_t follow_orders_after(milliseconds delay)
     {
@@ -254,6 +270,83 @@
     EXPECT_EQ(candidate_named_after("first", {1, 70}), "first");
 }
 
+// An entry host may have acknowledged commits and lost its lease before the change began, or before the
+// present leader learned of it: the position that the others report is then too low.
+TEST_F(session_collecting_fixture, replica_is_not_named_by_the_acknowledgements_of_some_entry_hosts)
+{
+    mark_entry_silent("entry-4");
+    m_now += position_timeout_default;
+    EXPECT_EQ(candidate_named_after("second", {1, 70}), "");
+    protocol::close_term_response confirmation;
+    confirmation.entry = {host_name{"entry-4"}, incarnation_id{"a"}};
+    confirmation.group = group_name{"orders"};
+    confirmation.term = 1;
+    confirmation.acknowledged_position = {1, 68};
+    EXPECT_EQ(named_candidate(apply_event(message_received{host_name{"entry-4"}, confirmation})), "second");
+}
+
+TEST_F(session_collecting_fixture,
+       commits_of_a_dismissed_entry_host_count_as_unknown_until_the_primary_bounds_them)
+{
+    m_directory.departed =
+        std::move(m_directory.departed).set(group_name{"orders"}, directory::departed_commits{{1, 5}, 2, 1});
+    m_now += position_timeout_default;
+    EXPECT_EQ(candidate_named_after("second", {1, 70}), "");
+    m_directory.departed =
+        std::move(m_directory.departed).set(group_name{"orders"}, directory::departed_commits{{1, 65}, 2, 2});
+    EXPECT_EQ(candidate_named_after("second", {1, 64}), "");
+    EXPECT_EQ(candidate_named_after("second", {1, 65}), "second");
+}
+
+TEST_F(session_collecting_fixture, entry_host_that_returns_its_lease_with_its_commits_counts_as_confirmed)
+{
+    mark_entry_silent("entry-4");
+    const directory::dismiss_entry_host dismissed{
+        {host_name{"entry-4"}, incarnation_id{"a"}},
+        std::map<group_name, session_token::group_position>{{group_name{"orders"}, {1, 66}}}};
+    m_directory.entry_hosts = std::move(m_directory.entry_hosts).set(dismissed.entry, {});
+    m_directory = directory::reduce(m_directory, dismissed).state;
+    apply_event(command_applied{2, dismissed, {}, {}});
+    m_now += position_timeout_default;
+    EXPECT_EQ(candidate_named_after("second", {1, 65}), "");
+    EXPECT_EQ(candidate_named_after("second", {1, 66}), "second");
+}
+
+TEST_F(session_collecting_fixture, primary_is_asked_for_a_bound_after_an_entry_host_ended_without_a_report)
+{
+    m_state.primary_changes = {};
+    directory::group_record record = *m_directory.groups.find(group_name{"orders"});
+    record.phase = directory::group_phase::open;
+    m_directory.groups = std::move(m_directory.groups).set(group_name{"orders"}, record);
+    server_status primary = *m_state.servers.find(backend_server_name{"first"});
+    primary.report.report_interval = 10 * commit_bound_probe_interval;
+    m_state.servers = std::move(m_state.servers).set(backend_server_name{"first"}, primary);
+    const entry_process_id ended{host_name{"entry-9"}, incarnation_id{"a"}};
+    m_directory.entry_hosts = std::move(m_directory.entry_hosts).set(ended, {});
+    m_directory = directory::reduce(m_directory, directory::dismiss_entry_host{ended, std::nullopt}).state;
+    ASSERT_FALSE(directory::is_complete(*m_directory.departed.find(group_name{"orders"})));
+    const auto probed = probes_after(commit_bound_probe_interval);
+    ASSERT_EQ(probed.size(), 1U);
+    EXPECT_EQ(probed.begin()->first, "first");
+    protocol::server_report answer = report_of("first", {1, 90});
+    answer.role = protocol::server_role::primary;
+    const std::uint64_t probe_id = m_state.commit_bound_probes.at(group_name{"orders"}).probe_id;
+    std::optional<directory::bound_departed_commits> bound;
+    for (const supervision_effect& effect : apply_event(message_received{
+             host_name{"entry-1"}, protocol::probe_response{probe_id, answer.name, answer}})) {
+        if (const auto* proposed = std::get_if<propose_command>(&effect)) {
+            if (const auto* command = std::get_if<directory::bound_departed_commits>(&proposed->command)) {
+                bound = *command;
+            }
+        }
+    }
+    ASSERT_TRUE(bound);
+    m_directory = directory::reduce(m_directory, *bound).state;
+    const directory::departed_commits& commits = *m_directory.departed.find(group_name{"orders"});
+    EXPECT_TRUE(directory::is_complete(commits));
+    EXPECT_EQ(commits.position, (session_token::group_position{1, 90}));
+}
+
 /// A leader whose primary "first" answers, while its commits wait for replicas. "second" has left with the
 /// commits that it received last, and "third" lacks them.
 class session_stall_fixture : public session_collecting_fixture
--- a/src/supervision/types.h
+++ b/src/supervision/types.h
@@ -95,6 +95,8 @@
 inline constexpr milliseconds in_force_timeout{5000};
 /// Interval between commands that remove expired claims.
 inline constexpr milliseconds claim_expiry_interval{60'000};
+/// A probe for a bound of departed commits is repeated after this.
+inline constexpr milliseconds commit_bound_probe_interval{1000};
 /// Number of entry hosts that probe each candidate at once.
 inline constexpr std::size_t probing_hosts_per_candidate = 3;
 /// Connections to each server that are reserved for probes and orders; small limits reserve fewer.
@@ -239,9 +241,9 @@
     std::set<entry_process_id> unconfirmed_entries;
     /// Newest position that a confirming entry host has acknowledged to a caller.
     session_token::group_position acknowledged;
-    /// False after a lease expired before its entry host confirmed the close request. `acknowledged` may then
-    /// be too low.
-    bool have_all_confirmed = true;
+    /// Entry hosts without a lease that have not confirmed the close request. While there are any,
+    /// `acknowledged` may be too low.
+    std::set<entry_process_id> silent_entries;
     /// Newest report of each probed server.
     std::map<backend_server_name, protocol::server_report> positions;
     /// Number of times that the candidates were probed for their positions.
@@ -268,6 +270,18 @@
     friend bool operator==(const claim_sender&, const claim_sender&) = default;
 };
 
+/// A probe of a primary for a position that bounds the commits of dismissed entry hosts.
+struct commit_bound_probe
+{
+    std::uint64_t probe_id = 0;
+    protocol::group_term term = 0;
+    /// `directory::departed_commits::unreported` when the probe was sent.
+    std::uint64_t unreported = 0;
+    time_point sent_at{};
+
+    friend bool operator==(const commit_bound_probe&, const commit_bound_probe&) = default;
+};
+
 /// An operator who waits for the result of a proposed configuration.
 struct operator_sender
 {
@@ -334,6 +348,8 @@
     shared_map<group_name, time_point> paused_until;
     /// Earliest time for the next change of a primary that still answers, in each group.
     shared_map<group_name, time_point> replacement_paused_until;
+    /// The latest probe for a bound of departed commits, by group.
+    std::map<group_name, commit_bound_probe> commit_bound_probes;
     /// Servers whose newest report has not been sent to entry hosts.
     std::set<backend_server_name> unsent_reports;
     /// Highest configuration version that this leader has proposed.
