Refuse an odd entry of another writer, and skip a stored one

Reported by other operators: another writer left an entry that was very deeply nested, or had a number too large or a port out of range, and the machines that read the list ended or stopped following it.

Seen here: the new tests on the code before. Refused were deep nesting, numbers no integer holds, negative ones, port 65,536 and bytes that are no UTF-8. Of 18 odd entries in a list between control and entry hosts, 8 made the reader drop the whole list, and 10 were taken as they were, numbers out of range cut to their low bits. No process ended.

A reader of a list skips entries that it can't read or use, logs skip_report, follows the rest, and does not take that list for complete. Servers stored in the directory are checked in the same way by a new leader. The codec refuses numbers out of range everywhere.

--- a/src/framework/codec/json_codec.h
+++ b/src/framework/codec/json_codec.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <string_view>
 #include <type_traits>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -367,6 +368,11 @@
             return state.fail_expected("a number that is not negative");
         }
     }
+    const bool is_in_range = source.is_number_unsigned() ? std::in_range<T>(source.get<std::uint64_t>())
+                                                         : std::in_range<T>(source.get<std::int64_t>());
+    if (!is_in_range) {
+        return state.fail_expected("a number in the range of its type");
+    }
     target = source.get<T>();
     return true;
 }
--- a/src/gateway/internal/entry_service.cpp
+++ b/src/gateway/internal/entry_service.cpp
@@ -491,6 +491,9 @@
                 BOOST_LEAF_AUTO(
                     document, codec::parse_json(request.body, codec::caller_input_limits, "backend server"));
                 BOOST_LEAF_AUTO(report, codec::decode<protocol::server_report>(document, "backend server"));
+                if (const std::string error = protocol::report_error(report); !error.empty()) {
+                    return fail("decode", "backend server", error);
+                }
                 post(routing::server_report_received{std::move(report)});
                 return detail::make_response(200, "{}");
             },
--- a/src/protocol/tests/message_codec_tests.cpp
+++ b/src/protocol/tests/message_codec_tests.cpp
@@ -2,6 +2,8 @@
 #include "protocol/descriptions.h"
 #include "protocol/message_codec.h"
 
+#include <functional>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -46,6 +48,7 @@
             directory::open_term{group_name{"orders"}, 2, backend_server_name{"orders-1"}, 8})))};
     server_report report;
     report.name = backend_server_name{"orders-1"};
+    report.group = group_name{"orders"};
     report.address = {"127.0.0.1", 80};
     configuration::configuration_difference difference;
     difference.base_version = 3;
@@ -197,4 +200,83 @@
     [](const auto& info) { return info.param.name; });
 
 } // namespace
+/// A list of reports with one entry that no decoder of this version would have let in.
+class stored_report_fixture : public ::testing::Test
+{
+protected:
+    static server_report report_of(const std::string& name)
+    {
+        server_report report;
+        report.name = backend_server_name{name};
+        report.group = group_name{"orders"};
+        report.zone = availability_zone{"oslo-b"};
+        report.address = {"10.0.0.1", 8080};
+        report.started_at = unix_milliseconds{1'700'000'000'000};
+        report.interface = server_interface::sessions;
+        return report;
+    }
+
+    /// Sends the list as a peer does, after `change` to the encoded odd entry.
+    static result<message> receive(const std::function<void(codec::json&)>& change)
+    {
+        server_reports list;
+        list.reports = {report_of("first"), report_of("odd"), report_of("third")};
+        list.is_complete = true;
+        codec::json document = codec::encode(message(list));
+        change(document["server_reports"]["reports"][1]);
+        return decode(codec::to_cbor(document), "peer");
+    }
+};
+
+// Guards against a stored odd entry that stops a reader from following the rest of the list.
+TEST_F(stored_report_fixture, odd_entry_is_skipped_and_the_others_are_followed)
+{
+    codec::json deep = codec::json::array();
+    for (int depth = 0; depth < 16; ++depth) {
+        deep = codec::json::array({deep});
+    }
+    const std::vector<std::function<void(codec::json&)>> changes = {
+        [&](codec::json& entry) { entry["zone"] = deep; },
+        [](codec::json& entry) { entry["address"]["port"] = 0; },
+        [](codec::json& entry) { entry["address"]["port"] = 65'536; },
+        [](codec::json& entry) { entry["address"]["port"] = -1; },
+        [](codec::json& entry) { entry["address"]["address"] = ""; },
+        [](codec::json& entry) { entry["sequence"] = std::numeric_limits<std::uint64_t>::max(); },
+        [](codec::json& entry) { entry["sequence"] = 1e300; },
+        [](codec::json& entry) { entry["started_at"] = std::numeric_limits<std::uint64_t>::max(); },
+        [](codec::json& entry) { entry["started_at"] = std::numeric_limits<std::int64_t>::max(); },
+        [](codec::json& entry) { entry["started_at"] = -1; },
+        [](codec::json& entry) { entry["name"] = ""; },
+        [](codec::json& entry) { entry["name"] = "a\r\nBYE"; },
+        [](codec::json& entry) { entry["name"] = std::string(100'000, 'x'); },
+        [](codec::json& entry) { entry["group"] = nullptr; },
+        [](codec::json& entry) { entry["role"] = "observer"; },
+        [](codec::json& entry) { entry.erase("at"); },
+        [](codec::json& entry) { entry = codec::json::array(); },
+        [](codec::json& entry) { entry = 5; }};
+    for (std::size_t row = 0; row < changes.size(); ++row) {
+        const bool is_followed = handle_failure(
+            [&]() -> result<bool> {
+                BOOST_LEAF_AUTO(received, receive(changes[row]));
+                const auto& list = std::get<server_reports>(received);
+                EXPECT_EQ(list.reports, (std::vector<server_report>{report_of("first"), report_of("third")}));
+                EXPECT_EQ(list.skipped.size(), 1U);
+                EXPECT_FALSE(list.is_complete);
+                return true;
+            },
+            [](const failure&) { return false; });
+        EXPECT_TRUE(is_followed) << "row " << row;
+    }
+}
+
+TEST_F(stored_report_fixture, last_report_with_nothing_but_a_name_is_followed)
+{
+    server_report last;
+    last.name = backend_server_name{"second"};
+    last.is_leaving = last.has_left = true;
+    EXPECT_EQ(report_error(last), "");
+    last.name.value = "a b";
+    EXPECT_NE(report_error(last), "");
+}
+
 } // namespace hickorymount::protocol
--- a/src/protocol/types.h
+++ b/src/protocol/types.h
@@ -84,6 +84,17 @@
     friend bool operator==(const server_report&, const server_report&) = default;
 };
 
+/// Longest name of a server, a group or an availability zone in a report.
+inline constexpr std::size_t max_report_name_bytes = 256;
+/// Latest start time in a report: the end of the year 9999.
+inline constexpr unix_milliseconds max_started_at{253'402'300'799'999};
+/// Highest sequence number in a report; the largest that a double holds exactly.
+inline constexpr std::uint64_t max_report_sequence = (std::uint64_t{1} << 53) - 1;
+
+/// Why the report names no server that can be used: the field and what was expected. Empty for a valid
+/// report. The last report of a server may have nothing but its name.
+std::string report_error(const server_report& report);
+
 /// Hash of the fields of a server that entry hosts need for sessions. Adding the hashes of all servers gives
 /// a digest that does not depend on their order. Zero for servers that are gone or have no sessions.
 std::uint64_t session_server_hash(const server_report& report);
@@ -219,6 +230,9 @@
     std::vector<server_report> reports;
     /// The list contains every server with sessions.
     bool is_complete = false;
+    /// Errors of the entries that the receiver has skipped; not sent. A list with such entries does not count
+    /// as complete.
+    std::vector<std::string> skipped{};
 
     friend bool operator==(const server_reports&, const server_reports&) = default;
 };
--- a/src/routing/internal/view_tracker.cpp
+++ b/src/routing/internal/view_tracker.cpp
@@ -134,8 +134,11 @@
     m_requests.dispatch(order.group);
 }
 
-void view_tracker::handle(const host_name& /*from*/, const protocol::server_reports& forwarded)
+void view_tracker::handle(const host_name& from, const protocol::server_reports& forwarded)
 {
+    for (const std::string& error : forwarded.skipped) {
+        m_context.log(logging::log_level::warning, "skip_report", from.value, "reason=\"" + error + "\"");
+    }
     for (const protocol::server_report& report : forwarded.reports) {
         apply_report(report);
     }
--- a/src/supervision/internal/failover_manager.cpp
+++ b/src/supervision/internal/failover_manager.cpp
@@ -40,6 +40,9 @@
 
 void failover_manager::handle(const host_name& from, const protocol::server_reports& reports)
 {
+    for (const std::string& error : reports.skipped) {
+        m_context.log(logging::log_level::warning, "skip_report", from.value, "reason=\"" + error + "\"");
+    }
     for (const server_report& report : reports.reports) {
         process_report(from, report);
     }
@@ -372,15 +375,16 @@
     for (const auto& [name, record] : m_context.directory().servers) {
         const auto address = protocol::parse_endpoint(record.address);
         const directory::group_record* group = m_context.directory().groups.find(record.group);
-        if (!address) {
-            continue;
-        }
         server_status status;
+        status.report.address = address.value_or(protocol::endpoint{});
         status.report.name = name;
         status.report.group = record.group;
         status.report.zone = record.zone;
-        status.report.address = *address;
         status.report.started_at = record.started_at;
+        if (const std::string error = protocol::report_error(status.report); !error.empty()) {
+            m_context.log(logging::log_level::warning, "skip_report", name.value, "reason=\"" + error + "\"");
+            continue;
+        }
         status.report.interface = protocol::server_interface::sessions;
         status.report.report_interval = record.report_interval;
         const bool is_primary = group != nullptr && group->primary == name;
