Send an order to promote only while no other leader can have been elected

Cause: the order's time limit was compared before the connection was opened, which could take 10 s. By reading, also: a leader that wakes handles waiting messages before it notices that no majority has answered, and could make a new order with a new limit.

While the leader's position is in doubt no order is made; it is tried again at the next check.

--- a/src/consensus/internal/consensus_reducer.cpp
+++ b/src/consensus/internal/consensus_reducer.cpp
@@ -470,6 +470,8 @@
     m_state.leader = m_state.self.name;
     m_state.leading_since = m_now;
     m_state.confirmed_heartbeat_round = m_state.heartbeat_round;
+    m_state.confirmed_round_began_at = time_point{};
+    m_state.round_began_at.clear();
     m_state.followers.clear();
     set_membership(m_state.members, m_state.membership_index);
     m_state.term_start_index = last_index() + 1;
@@ -679,6 +681,7 @@
 {
     m_state.heartbeat_at = m_now + heartbeat_interval;
     ++m_state.heartbeat_round;
+    m_state.round_began_at[m_state.heartbeat_round] = m_now;
     persist();
     for (auto& [name, follower] : m_state.followers) {
         send_entries(follower, true);
@@ -802,7 +805,13 @@
         return voter == m_state.self ? m_state.heartbeat_round
                                      : (follower == nullptr ? round_number{0} : follower->acknowledged_round);
     });
-    m_state.confirmed_heartbeat_round = std::max(m_state.confirmed_heartbeat_round, confirmed);
+    if (confirmed <= m_state.confirmed_heartbeat_round) {
+        return;
+    }
+    m_state.confirmed_heartbeat_round = confirmed;
+    m_state.confirmed_round_began_at = m_state.round_began_at[confirmed];
+    m_state.round_began_at.erase(m_state.round_began_at.begin(),
+                                 m_state.round_began_at.upper_bound(confirmed));
 }
 
 bool consensus_reducer::is_voter(const member& host) const
--- a/src/consensus/internal/reduce.cpp
+++ b/src/consensus/internal/reduce.cpp
@@ -26,6 +26,13 @@
     return state.current_role == role::leader && state.confirmed_heartbeat_round > round;
 }
 
+time_point leadership_certain_until(const consensus_state& state)
+{
+    return state.current_role == role::leader
+               ? state.confirmed_round_began_at + election_timeout_min - leadership_margin
+               : time_point{};
+}
+
 log_index last_index(const consensus_state& state)
 {
     if (state.log.empty()) {
--- a/src/consensus/reduce.h
+++ b/src/consensus/reduce.h
@@ -15,6 +15,11 @@
 /// that this host was still the leader when that round began (ReadIndex, Ongaro's dissertation, section 6.4).
 bool is_leadership_confirmed_since(const consensus_state& state, round_number round);
 
+/// Until when no other host can have been elected: a majority has acknowledged a heartbeat, and none of its
+/// hosts votes for `election_timeout_min` after that (Ongaro's dissertation, section 6.4.1). In the past
+/// unless this host leads.
+time_point leadership_certain_until(const consensus_state& state);
+
 /// Index of the last entry in the log, or of the snapshot when the log is empty.
 log_index last_index(const consensus_state& state);
 
--- a/src/consensus/tests/membership_tests.cpp
+++ b/src/consensus/tests/membership_tests.cpp
@@ -215,6 +215,26 @@
     expect_recovery();
 }
 
+// Guards against two leaders that give orders at once: a suspended leader may still take itself for the
+// leader when it wakes.
+TEST_F(membership_fixture, no_two_hosts_are_certain_to_lead_at_the_same_time)
+{
+    for (milliseconds suspended{0}; suspended <= longest_gap; suspended += gap_step) {
+        SCOPED_TRACE(suspended.count());
+        start_cluster();
+        const std::string first = *m_cluster.leader();
+        EXPECT_GT(leadership_certain_until(m_cluster.state_of(first)), m_cluster.now());
+        m_cluster.suspend(first);
+        m_cluster.advance(suspended);
+        if (suspended >= election_timeout_min) {
+            EXPECT_LE(leadership_certain_until(m_cluster.state_of(first)), m_cluster.now());
+        }
+        m_cluster.resume(first);
+        expect_recovery();
+        EXPECT_EQ(m_cluster.most_certain_leaders(), 1U);
+    }
+}
+
 TEST_F(membership_fixture, host_outside_the_membership_disrupts_no_leader)
 {
     const std::string leading = *m_cluster.leader();
--- a/src/consensus/tests/simulated_cluster.cpp
+++ b/src/consensus/tests/simulated_cluster.cpp
@@ -71,6 +71,10 @@
                 apply_event(name, timer_expired{});
             }
         }
+        const auto certain = std::count_if(m_hosts.begin(), m_hosts.end(), [this](const auto& each) {
+            return leadership_certain_until(each.second.state) > m_now;
+        });
+        m_most_certain_leaders = std::max(m_most_certain_leaders, static_cast<std::size_t>(certain));
     }
 }
 
--- a/src/consensus/tests/simulated_cluster.h
+++ b/src/consensus/tests/simulated_cluster.h
@@ -26,6 +26,9 @@
     void kill(const std::string& name) { m_hosts.at(name).is_up = false; }
     /// Starts a killed host again with its data folder.
     void restart(const std::string& name);
+    /// Stops the process as SIGSTOP does; messages to it are lost.
+    void suspend(const std::string& name) { m_hosts.at(name).is_up = false; }
+    void resume(const std::string& name) { m_hosts.at(name).is_up = true; }
     /// Replaces the data folder of a killed host by an empty one with a new identity.
     void wipe(const std::string& name);
     void advance(milliseconds duration);
@@ -40,6 +43,9 @@
     }
     /// The names of the voters that the leader knows; empty without a leader or during a joint membership.
     [[nodiscard]] std::set<std::string> voters() const;
+    /// The largest number of hosts, suspended ones included, that were certain to lead at the same time.
+    [[nodiscard]] std::size_t most_certain_leaders() const { return m_most_certain_leaders; }
+    [[nodiscard]] time_point now() const { return m_now; }
     /// Entries that differ from another host's committed entry at the same index, over the whole run.
     [[nodiscard]] const std::vector<std::string>& conflicts() const { return m_conflicts; }
 
@@ -70,6 +76,7 @@
     std::deque<message_in_transit> m_messages;
     std::map<log_index, log_term> m_committed_terms;
     std::vector<std::string> m_conflicts;
+    std::size_t m_most_certain_leaders = 0;
     std::uint32_t m_next_seed = 1;
     int m_next_identity = 1;
 };
--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -34,6 +34,9 @@
 /// Shortens the first election timeout after a start, for the case that all hosts have just started. A
 /// running leader is not disrupted: voters that receive its heartbeats ignore the request.
 inline constexpr milliseconds startup_election_advance{270};
+/// Part of `election_timeout_min` on which no leader relies, since the clocks of hosts run at different
+/// rates.
+inline constexpr milliseconds leadership_margin{20};
 /// Time between two join requests to the same contacts.
 inline constexpr milliseconds join_retry_interval{500};
 /// Least time between two snapshots sent to the same follower.
@@ -316,6 +319,9 @@
     round_number heartbeat_round = 0;
     /// The last round that a majority of the voters acknowledged.
     round_number confirmed_heartbeat_round = 0;
+    /// Time at which this leader began that round, and the later ones.
+    time_point confirmed_round_began_at{};
+    std::map<round_number, time_point> round_began_at;
     sync_id last_sync = 0;
     std::vector<pending_sync> pending_syncs;
     std::vector<deferred_message> deferred_messages;
--- a/src/supervision/internal/failover_manager.cpp
+++ b/src/supervision/internal/failover_manager.cpp
@@ -1,5 +1,6 @@
 #include "supervision/internal/failover_manager.h"
 
+#include "consensus/reduce.h"
 #include "supervision/reduce.h"
 
 #include <algorithm>
@@ -885,11 +886,14 @@
     // A call of an earlier leader, with a lower fencing token, may still be in progress.
     const bool have_earlier_calls_ended =
         m_context.now() - m_context.state.leading_since >= promotion_call_timeout;
-    if (have_earlier_calls_ended) {
-        const consensus::consensus_state& log = m_context.inputs.consensus;
+    const consensus::consensus_state& log = m_context.inputs.consensus;
+    const time_point valid_until =
+        std::min(m_context.now() + promotion_order_lifetime, consensus::leadership_certain_until(log));
+    change.was_order_sent = have_earlier_calls_ended && valid_until > m_context.now();
+    if (change.was_order_sent) {
         m_context.effects.emplace_back(request_promotion{change.request_id, group, change.candidate,
                                                          log.self.name, log.persistent_state.term,
-                                                         m_context.now() + promotion_order_lifetime});
+                                                         valid_until});
         m_context.log(logging::log_level::information, "promote", change.candidate.value,
                       fmt::format("group={} term={} token={}", group.value, change.next_term,
                                   log.persistent_state.term));
@@ -922,10 +926,8 @@
         probe_candidate(group, change);
         return;
     }
-    const bool was_order_sent =
-        m_context.now() - m_context.state.leading_since >= promotion_call_timeout + since_sent;
     if (!change.is_promotion_accepted &&
-        since_sent >= (was_order_sent ? promotion_call_timeout : supervision_interval)) {
+        since_sent >= (change.was_order_sent ? promotion_call_timeout : supervision_interval)) {
         order_platform_promotion(group, change);
     }
 }
--- a/src/supervision/tests/failover_manager_tests.cpp
+++ b/src/supervision/tests/failover_manager_tests.cpp
@@ -72,6 +72,21 @@
         return count;
     }
 
+    /// The times before which the promotions ordered at the next timer event may be sent.
+    std::vector<time_point> ordered_promotions()
+    {
+        supervision_transition next = reduce(std::move(m_state), timer_expired{},
+                                             {m_directory, m_consensus, m_now, unix_milliseconds{0}});
+        m_state = std::move(next.state);
+        std::vector<time_point> limits;
+        for (const supervision_effect& effect : next.effects) {
+            if (const auto* order = std::get_if<request_promotion>(&effect)) {
+                limits.push_back(order->valid_until);
+            }
+        }
+        return limits;
+    }
+
     time_point m_now{milliseconds{10'000}};
     consensus::consensus_state m_consensus;
     directory::directory_state m_directory;
@@ -91,6 +106,25 @@
     EXPECT_EQ(proposed_openings_after({2, 112}), 0U);
 }
 
+// Guards against ONE of review/5 and of the users' runs: a leader that was suspended ordered a promotion with
+// a lower fencing token than its successor.
+TEST_F(session_promotion_fixture, promotion_is_ordered_only_while_no_other_leader_can_have_been_elected)
+{
+    primary_change change = *m_state.primary_changes.find(group_name{"orders"});
+    change.is_promotion_accepted = false;
+    change.stage_entered_at = m_now + promotion_call_timeout;
+    m_state.primary_changes = std::move(m_state.primary_changes).set(group_name{"orders"}, change);
+    m_consensus.confirmed_round_began_at = m_now;
+    m_now += 2 * promotion_call_timeout;
+    EXPECT_EQ(ordered_promotions(), std::vector<time_point>{});
+    m_consensus.confirmed_round_began_at = m_now;
+    m_now += supervision_interval;
+    const time_point limit =
+        m_consensus.confirmed_round_began_at + consensus::election_timeout_min - consensus::leadership_margin;
+    EXPECT_EQ(ordered_promotions(),
+              std::vector<time_point>{std::min(limit, m_now + promotion_order_lifetime)});
+}
+
 /// A leader that has probed two replicas for their positions. One has answered and lacks acknowledged
 /// commits; naming it as the candidate would lose these commits.
 class session_collecting_fixture : public ::testing::Test
--- a/src/supervision/types.h
+++ b/src/supervision/types.h
@@ -39,7 +39,8 @@
 inline constexpr milliseconds position_timeout_default{300};
 /// Longest wait for the positions of all replicas where a class has its writes acknowledged by a replica.
 inline constexpr milliseconds position_timeout_replica_acknowledged{1000};
-/// An order to the platform to promote a server is not sent later than this after its creation.
+/// An order to the platform to promote a server is not sent later than this after its creation, and only
+/// while no other leader can have been elected.
 inline constexpr milliseconds promotion_order_lifetime{250};
 /// A takeover order without a report is sent again after this.
 inline constexpr milliseconds takeover_timeout{400};
@@ -256,6 +257,9 @@
     std::uint64_t request_id = 0;
     /// Failed takeover orders to the candidate.
     int attempts = 0;
+    /// The latest promotion order went to the platform. It is not made while the leader's position is in
+    /// doubt.
+    bool was_order_sent = false;
     bool is_promotion_accepted = false;
 
     friend bool operator==(const primary_change&, const primary_change&) = default;
