Log what an entry host believed when it used a primary

Cause: after a stale read on a primary route no log line named the term, the view's revision or the lease with which an entry host had sent a statement, so a lease beside an old view could not be told from a term opened at the wrong server.

Change: the traffic view carries the view's revision. refuse_statement, withhold_commit and the new use_primary name term, revision and remaining lease; use_primary is logged for a second after a change of that belief, 16 lines at most for a change and group. term_closed is new, term_opened, lease_granted and lease_lost carry the revision, and control logs grant_lease when a host without a lease gets one. No decision changes.

Measured: primary_use_log_fixture (4 tests); sessions, routing, supervision and node tests pass.

--- a/src/gateway/internal/traffic_view.cpp
+++ b/src/gateway/internal/traffic_view.cpp
@@ -6,6 +6,7 @@
 {
     sessions::traffic_view view;
     view.lease_until = state.lease.valid_until;
+    view.revision = state.revision;
     view.configuration = state.configuration;
     for (const auto& [name, group] : state.groups) {
         const bool is_open =
--- a/src/routing/internal/lease_client.cpp
+++ b/src/routing/internal/lease_client.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
 #include <xxhash.h>
 
 namespace hickorymount::routing::detail {
@@ -43,7 +44,8 @@
     lease.last_grant = m_context.now;
     lease.unanswered = 0;
     if (!lease.was_valid && m_context.has_lease()) {
-        m_context.log(logging::log_level::information, "lease_granted", from.value, "");
+        m_context.log(logging::log_level::information, "lease_granted", from.value,
+                      fmt::format("sequence={} revision={}", grant.sequence, m_context.state.revision));
     }
     lease.was_valid = m_context.has_lease();
     add_control_hosts(grant.voting_control_hosts);
@@ -113,7 +115,8 @@
     if (lease.was_valid && !m_context.has_lease()) {
         lease.was_valid = false;
         m_context.log(logging::log_level::warning, "lease_lost",
-                      m_context.state.leader.value_or(host_name{}).value, "");
+                      m_context.state.leader.value_or(host_name{}).value,
+                      fmt::format("revision={}", m_context.state.revision));
         m_connections.close_all();
     }
     if (m_context.now >= lease.renew_at) {
--- a/src/routing/internal/view_tracker.cpp
+++ b/src/routing/internal/view_tracker.cpp
@@ -207,7 +207,8 @@
     if (is_new_term) {
         close_term(view.name, view.record.term - 1);
         m_context.log(logging::log_level::information, "term_opened", view.record.primary.value,
-                      "group=" + view.name.value + " term=" + std::to_string(view.record.term));
+                      fmt::format("group={} term={} revision={}", view.name.value, view.record.term,
+                                  m_context.state.revision));
     }
     m_requests.dispatch(view.name);
 }
@@ -221,6 +222,8 @@
     }
     group.closed_term = term;
     m_context.set_group(name, std::move(group));
+    m_context.log(logging::log_level::information, "term_closed", "",
+                  fmt::format("group={} term={} revision={}", name.value, term, m_context.state.revision));
     m_requests.abort_term(name, term);
 }
 
--- a/src/sessions/internal/event_context.h
+++ b/src/sessions/internal/event_context.h
@@ -3,10 +3,13 @@
 #include "sessions/types.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include <fmt/format.h>
+
 namespace hickorymount::sessions::detail {
 
 /// Shared by the handlers of one event: the state being updated, the current time, and the resulting effects.
@@ -87,6 +90,16 @@
         return known != nullptr && term != 0 && known->term == term && is_primary_usable(*known);
     }
 
+    /// What this host believes about the group's primary, for log records.
+    [[nodiscard]] std::string belief_about(const group_name& name) const
+    {
+        const group_view* known = group(name);
+        const std::int64_t lease_ms = (state.view->lease_until - now).count();
+        return fmt::format("term={} open={} revision={} lease_ms={}", known == nullptr ? 0 : known->term,
+                           known != nullptr && known->is_open, state.view->revision,
+                           std::max<std::int64_t>(lease_ms, 0));
+    }
+
     [[nodiscard]] caller_session* session(session_number number)
     {
         const auto found = state.sessions.find(number);
--- a/src/sessions/internal/reduce.cpp
+++ b/src/sessions/internal/reduce.cpp
@@ -2,6 +2,7 @@
 
 #include "sessions/internal/connection_pool.h"
 #include "sessions/internal/event_context.h"
+#include "sessions/internal/primary_use_trace.h"
 #include "sessions/internal/statement_dispatcher.h"
 
 #include <algorithm>
@@ -98,6 +99,7 @@
             m_dispatcher.open_waiting_sessions();
         }
         update_servers(*before);
+        detail::start_primary_use_traces(m_context.state, *before, m_context.now);
         m_connections.close_surplus();
         m_dispatcher.dispatch_all();
         if (closed_terms(*before) != closed_terms(*m_context.state.view)) {
--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -475,9 +475,27 @@
     pending.stage = statement_stage::running;
     pending.sent_at = m_context.now;
     m_connections.send_pending(connection, pending);
+    trace_primary_use(*m_context.connection(connection), pending);
     schedule_check(m_context.connection(connection)->holder, session);
 }
 
+void statement_dispatcher::trace_primary_use(const server_connection& connection,
+                                             const pending_statement& pending)
+{
+    const auto trace = m_context.state.primary_use_traces.find(connection.group);
+    if (connection.sent_in_term == 0 || trace == m_context.state.primary_use_traces.end()) {
+        return;
+    }
+    if (trace->second.left == 0 || m_context.now >= trace->second.until) {
+        m_context.state.primary_use_traces.erase(trace);
+        return;
+    }
+    --trace->second.left;
+    m_context.log(logging::log_level::information, "use_primary", connection.server.value,
+                  fmt::format("id={} group={} {}", pending.request.id, connection.group.value,
+                              m_context.belief_about(connection.group)));
+}
+
 void statement_dispatcher::handle_internal_response(connection_number number,
                                                     const statement_response& response)
 {
@@ -724,8 +742,9 @@
             m_context.log(
                 logging::log_level::warning, "withhold_commit",
                 m_context.state.connections.at(connection).server.value,
-                fmt::format("id={} group={} term={} reason=\"the term ended before the response arrived\"",
-                            pending.request.id, group.value, term));
+                fmt::format("id={} group={} sent_in_term={} {} reason=\"the term ended before the response "
+                            "arrived\"",
+                            pending.request.id, group.value, term, m_context.belief_about(group)));
             response = {{},
                         response_code::outcome_unknown,
                         "the primary was replaced",
@@ -803,11 +822,12 @@
             pending.is_read_only, took, ran_on_relay, pending.waited_for});
         if (response.code != response_code::done) {
             m_context.log(logging::log_level::information, "refuse_statement", "",
-                          fmt::format("id={} database={} group={} code={} stage={} attempts={} took_ms={} "
+                          fmt::format("id={} database={} group={} code={} stage={} attempts={} took_ms={} {} "
                                       "reason=\"{}\"",
                                       pending.request.id, session.database, pending.route.group.value,
                                       static_cast<int>(response.code), static_cast<int>(pending.stage),
-                                      pending.attempts, took.count(), response.detail));
+                                      pending.attempts, took.count(),
+                                      m_context.belief_about(pending.route.group), response.detail));
         }
         remove_from_queue(session);
         session.pending.reset();
--- a/src/sessions/internal/statement_dispatcher.h
+++ b/src/sessions/internal/statement_dispatcher.h
@@ -67,6 +67,8 @@
     std::optional<connection_number> find_read_connection(caller_session& session);
     void start_on_connection(connection_number connection, session_number number, caller_session& session);
     void advance(connection_number connection, caller_session& session);
+    /// Logs a statement that was sent to a primary soon after a change of the belief about it.
+    void trace_primary_use(const server_connection& connection, const pending_statement& pending);
 
     void handle_internal_failure(connection_number number, session_number holder, caller_session& session,
                                  const statement_response& response);
--- a/src/sessions/tests/session_tests.cpp
+++ b/src/sessions/tests/session_tests.cpp
@@ -561,4 +561,71 @@
     EXPECT_EQ(next_response().detail, "signature");
 }
 
+class primary_use_log_fixture : public session_fixture
+{
+protected:
+    /// Runs one read at the primary and returns the text of its log record, empty without one.
+    std::string logged_use()
+    {
+        const session_number session = open("ledger");
+        submit(session, make_statement(statement_kind::read, "READ 1"));
+        respond_done(run_until_statement_sent().connection);
+        apply_event(session_closed{session});
+        take_effects<send_response>();
+        std::string text;
+        for (const logging::log_record& record : take_effects<logging::log_record>()) {
+            text = record.step == "use_primary" ? record.text : text;
+        }
+        return text;
+    }
+};
+
+TEST_F(primary_use_log_fixture, statement_sent_after_the_lease_is_granted_again_is_logged_with_the_belief)
+{
+    EXPECT_EQ(logged_use(), "");
+    m_view.lease_until = m_now;
+    publish();
+    m_view.revision = 7;
+    m_view.lease_until = m_now + milliseconds{500};
+    publish();
+    EXPECT_EQ(logged_use(), "id=id2 group=orders term=3 open=true revision=7 lease_ms=500");
+    advance_time(milliseconds{1000});
+    m_view.lease_until = m_now + milliseconds{500};
+    publish();
+    EXPECT_NE(logged_use(), "");
+}
+
+TEST_F(primary_use_log_fixture, statement_sent_long_after_the_change_of_term_is_not_logged)
+{
+    m_view.groups[group_name{"orders"}].term = 4;
+    publish();
+    EXPECT_NE(logged_use(), "");
+    advance_time(milliseconds{1000});
+    EXPECT_EQ(logged_use(), "");
+}
+
+TEST_F(primary_use_log_fixture, number_of_logged_statements_after_a_change_is_bounded)
+{
+    m_view.groups[group_name{"orders"}].term = 4;
+    publish();
+    int logged = 0;
+    for (int at = 0; at < 100; ++at) {
+        logged += logged_use().empty() ? 0 : 1;
+    }
+    EXPECT_EQ(logged, 16);
+}
+
+TEST_F(primary_use_log_fixture, refused_statement_is_logged_with_the_belief)
+{
+    m_view.lease_until = m_now;
+    publish();
+    submit(open("ledger"), make_statement(statement_kind::read, "READ 1"));
+    take_effects<logging::log_record>();
+    advance_time(statement_timeout);
+    const auto records = take_effects<logging::log_record>();
+    ASSERT_EQ(records.size(), 1U);
+    EXPECT_NE(records[0].text.find(" term=3 open=true revision=0 lease_ms=0 "), std::string::npos)
+        << records[0].text;
+}
+
 } // namespace hickorymount::sessions
--- a/src/sessions/traffic_view.h
+++ b/src/sessions/traffic_view.h
@@ -46,6 +46,8 @@
 struct traffic_view
 {
     time_point lease_until{};
+    /// Revision of the groups below.
+    protocol::view_revision revision = 0;
     shared_value<configuration::versioned_configuration> configuration;
     std::map<group_name, group_view> groups;
     std::map<backend_server_name, server_view> servers;
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -297,6 +297,16 @@
     friend bool operator==(const hold_progress&, const hold_progress&) = default;
 };
 
+/// The statements sent to a primary soon after a change of what this host believes about it are logged.
+struct primary_use_trace
+{
+    time_point until{};
+    /// Number of statements that may still be logged.
+    std::uint32_t left = 0;
+
+    friend bool operator==(const primary_use_trace&, const primary_use_trace&) = default;
+};
+
 /// The whole state of the traffic thread; only `reduce` changes it.
 struct session_state
 {
@@ -309,6 +319,7 @@
     std::map<connection_number, server_connection> connections;
     std::map<backend_server_name, server_load> server_loads;
     std::map<group_name, std::deque<position_sample>> position_samples;
+    std::map<group_name, primary_use_trace> primary_use_traces;
     /// Servers of the current view, by group.
     std::map<group_name, std::vector<backend_server_name>> group_servers;
     /// The current view holds back statements for some primary.
--- a/src/supervision/internal/lease_manager.cpp
+++ b/src/supervision/internal/lease_manager.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <iterator>
 
+#include <fmt/format.h>
+
 namespace hickorymount::supervision::detail {
 
 namespace {
@@ -253,6 +255,7 @@
     record_applied(status, pending.request);
     const sent_document sent_now{m_context.state.revision, status.last_grant_sequence, m_context.now()};
     const bool is_behind = pending.request.applied_revision < m_context.state.revision;
+    log_regained_lease(entry, status, pending.request);
     const bool lacks_servers = pending.request.servers_digest != servers_digest();
     if (is_behind && !is_view_in_transit(status)) {
         status.sent_view = sent_now;
@@ -282,6 +285,21 @@
     m_context.send(entry.name, std::move(grant));
 }
 
+void lease_manager::log_regained_lease(const entry_process_id& entry, const entry_status& status,
+                                       const protocol::lease_request& request)
+{
+    if (status.lease_end > m_context.now()) {
+        return;
+    }
+    const bool is_behind = request.applied_revision < m_context.state.revision;
+    m_context.log(logging::log_level::information, "grant_lease", entry.name.value,
+                  fmt::format("sequence={} revision={} applied={} view={}", request.sequence,
+                              m_context.state.revision, request.applied_revision,
+                              !is_behind                   ? "current"
+                              : is_view_in_transit(status) ? "in_transit"
+                                                           : "sent"));
+}
+
 /// True when a message in transit brings the entry host up to date.
 bool lease_manager::is_view_in_transit(const entry_status& status) const
 {
--- a/src/supervision/internal/lease_manager.h
+++ b/src/supervision/internal/lease_manager.h
@@ -52,6 +52,9 @@
     void grant_lease(const pending_lease_request& pending);
     /// Records what the entry host has applied, and which documents are no longer in transit.
     void record_applied(entry_status& status, const protocol::lease_request& request);
+    /// Logs the grant of a lease to a host that had none, with the revisions that decide what is sent along.
+    void log_regained_lease(const entry_process_id& entry, const entry_status& status,
+                            const protocol::lease_request& request);
     [[nodiscard]] bool is_view_in_transit(const entry_status& status) const;
     void send_view(const host_name& entry_host);
     void send_servers(const host_name& entry_host);
