--- a/src/node/tests/failover_tests.cpp
+++ b/src/node/tests/failover_tests.cpp
@@ -292,6 +292,55 @@
     EXPECT_FALSE(does_closed_term_overlap_lease());
 }
 
+/// As above; entry-3 reaches the control hosts again after the next term has opened and has had a write
+/// acknowledged. The update that closed the first term was lost with its connections.
+class returning_entry_host_fixture : public unreachable_entry_host_fixture
+{
+protected:
+    void SetUp() override
+    {
+        unreachable_entry_host_fixture::SetUp();
+        isolate("entry-3", "control-");
+        disconnect("orders-1", "entry-1");
+        disconnect("orders-1", "entry-2");
+        disconnect("orders-1", "orders-2");
+        disconnect("orders-1", "orders-3");
+        ASSERT_TRUE(wait_for_term(2));
+        ASSERT_TRUE(is_answered(wait_for_outcome(write("entry-1", "put a 1"))));
+        restore_links("entry-3");
+    }
+
+    /// The term whose primary the host may use now, zero without one.
+    [[nodiscard]] std::uint64_t usable_term(const std::string& entry) const
+    {
+        const routing::entry_state& state = entry_state_of(entry);
+        const routing::group_state* group = state.groups.find(group_name{"orders"});
+        const bool is_usable = group != nullptr && group->record.phase == directory::group_phase::open &&
+                               group->record.term > group->closed_term &&
+                               state.lease.valid_until > clock_of(entry);
+        return is_usable ? group->record.term : 0;
+    }
+};
+
+// Guards against STALE of the users' runs: a read on a primary route ran at a replaced primary.
+TEST_F(returning_entry_host_fixture, entry_host_gets_no_lease_while_its_view_shows_a_replaced_primary)
+{
+    std::set<std::uint64_t> used_terms;
+    advance_until([&] {
+        used_terms.insert(usable_term("entry-3"));
+        return usable_term("entry-3") == 2;
+    });
+    EXPECT_EQ(used_terms, (std::set<std::uint64_t>{0, 2}));
+}
+
+TEST_F(returning_entry_host_fixture, read_returns_the_write_that_the_next_primary_acknowledged)
+{
+    const routing::caller_outcome outcome = wait_for_outcome(read("entry-3", "a"));
+    const auto* answer = std::get_if<caller_response>(&outcome);
+    ASSERT_NE(answer, nullptr);
+    EXPECT_EQ(answer->served_by.value, primary_of("orders"));
+}
+
 TEST_F(failover_fixture, planned_change_causes_no_error_for_callers)
 {
     ASSERT_TRUE(is_answered(wait_for_outcome(write("entry-1", "put a 1"))));
--- a/src/supervision/tests/lease_request_tests.cpp
+++ b/src/supervision/tests/lease_request_tests.cpp
@@ -1,5 +1,6 @@
 #include "supervision/reduce.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 #include <vector>
@@ -129,6 +130,107 @@
     EXPECT_EQ(m_state.pending_lease_requests.back().request.entry, entry(1));
 }
 
+/// Entry hosts with a lease and the current view. Each change of the view is sent to all of them; a test lets
+/// a host lose what was sent by reporting an older revision.
+class view_transit_fixture : public lease_request_fixture
+{
+protected:
+    static constexpr protocol::view_revision first_revision = 5;
+
+    view_transit_fixture()
+    {
+        m_directory.groups = std::move(m_directory.groups).set(group_name{"orders"}, {});
+        m_state.revision = first_revision;
+        request_at(first_revision);
+    }
+
+    /// The view changes: the group's term is closed or opened.
+    void change_view()
+    {
+        command_applied applied;
+        applied.index = m_state.revision + 1;
+        applied.command = directory::open_term{group_name{"orders"}, 1, backend_server_name{"first"}, 0};
+        apply(applied);
+    }
+
+    /// Sends a request of the host, which has applied `revision` and received all grants, and confirms it.
+    /// Returns what control sends to the host.
+    std::vector<protocol::message> request_at(protocol::view_revision revision)
+    {
+        protocol::lease_request content;
+        content.entry = entry(0);
+        content.sequence = ++m_sequence;
+        content.granted_sequence = m_granted;
+        content.applied_revision = revision;
+        apply(message_received{content.entry.name, content});
+        confirm_round();
+        std::vector<protocol::message> sent = apply(log_advanced{});
+        for (const protocol::message& each : sent) {
+            const auto* grant = std::get_if<protocol::lease_grant>(&each);
+            m_granted = grant == nullptr ? m_granted : grant->sequence;
+        }
+        return sent;
+    }
+
+    std::vector<protocol::message> apply(const supervision_event& event)
+    {
+        supervision_transition next =
+            reduce(std::move(m_state), event, {m_directory, m_consensus, m_now, unix_milliseconds{0}});
+        m_state = std::move(next.state);
+        std::vector<protocol::message> sent;
+        for (const supervision_effect& effect : next.effects) {
+            const auto* each = std::get_if<send_to_entry_host>(&effect);
+            if (each != nullptr && each->recipient == entry(0).name) {
+                sent.push_back(each->content);
+            }
+        }
+        return sent;
+    }
+
+    template <class Message>
+    static int count_of(const std::vector<protocol::message>& sent)
+    {
+        return static_cast<int>(std::count_if(sent.begin(), sent.end(), [](const protocol::message& each) {
+            return std::holds_alternative<Message>(each);
+        }));
+    }
+
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_granted = 0;
+};
+
+TEST_F(view_transit_fixture, update_in_transit_is_not_sent_again)
+{
+    change_view();
+    EXPECT_EQ(count_of<protocol::view_update>(request_at(first_revision)), 0);
+    EXPECT_EQ(count_of<protocol::view_update>(request_at(first_revision + 1)), 0);
+}
+
+TEST_F(view_transit_fixture, lost_update_is_replaced_by_the_complete_view_after_the_next_grant)
+{
+    change_view();
+    request_at(first_revision);
+    EXPECT_EQ(count_of<protocol::view_update>(request_at(first_revision)), 1);
+}
+
+TEST_F(view_transit_fixture, lost_update_is_replaced_even_if_the_view_changes_between_all_requests)
+{
+    change_view();
+    request_at(first_revision);
+    change_view();
+    EXPECT_EQ(count_of<protocol::view_update>(request_at(first_revision)), 1);
+}
+
+TEST_F(view_transit_fixture, updates_that_arrive_are_not_sent_again_while_further_ones_are_in_transit)
+{
+    change_view();
+    request_at(first_revision);
+    for (protocol::view_revision arrived = first_revision + 1; arrived < first_revision + 10; ++arrived) {
+        change_view();
+        EXPECT_EQ(count_of<protocol::view_update>(request_at(arrived)), 0);
+    }
+}
+
 /// Entry hosts that stop one after the other, as in a rolling restart. Each change of the relay plan goes to
 /// every host.
 class relay_plan_interval_fixture : public lease_request_fixture
