End the lease for good when an entry host releases it

In a rolling restart an ending process could also be admitted again, and the next change of primary then waited for a lease of a process that was gone.

Cause: after lease_release the renewal timer went on, and a grant that was on its way made the lease valid again. The release was also sent when the traffic thread had not ended its sessions in time.

Change: a host that has released its lease requests none and counts no grant. It releases only when the traffic thread has acknowledged its last commit; otherwise the lease runs out at control.

--- a/src/routing/internal/lease_client.cpp
+++ b/src/routing/internal/lease_client.cpp
@@ -29,7 +29,7 @@
 void lease_client::handle(const host_name& from, const protocol::lease_grant& grant)
 {
     lease_state& lease = m_context.state.lease;
-    if (grant.entry != m_context.state.self) {
+    if (grant.entry != m_context.state.self || m_context.state.is_drained) {
         return;
     }
     lease.granted_sequence = std::max(lease.granted_sequence, grant.sequence);
@@ -156,6 +156,10 @@
 void lease_client::renew()
 {
     lease_state& lease = m_context.state.lease;
+    if (m_context.state.is_drained) {
+        lease.renew_at = time_point::max();
+        return;
+    }
     if (m_context.now - std::max(lease.last_grant, lease.leader_hint_at) > leader_timeout) {
         m_context.state.leader.reset();
     }
@@ -196,12 +200,13 @@
 {
     m_context.state.lease.valid_until = {};
     m_context.state.lease.was_valid = false;
+    m_context.state.lease.renew_at = time_point::max();
     m_connections.close_all();
-    protocol::lease_release returned{m_context.state.self, std::nullopt};
+    // Otherwise the traffic thread may still use the lease; it runs out at control.
     if (m_context.state.are_commits_final) {
-        returned.acknowledged = m_context.state.session_commits;
+        m_context.send_to_leader(
+            protocol::lease_release{m_context.state.self, m_context.state.session_commits});
     }
-    m_context.send_to_leader(std::move(returned));
 }
 
 void lease_client::queue_report(const protocol::server_report& report)
--- a/src/routing/internal/lease_client.h
+++ b/src/routing/internal/lease_client.h
@@ -22,6 +22,7 @@
     void renew();
     /// Renews within `confirmation_jitter`, after a delay that depends on the name of the host.
     void schedule_early_renewal();
+    /// Ends the lease. No later grant counts, and no lease is requested again.
     void release();
 
     void queue_report(const protocol::server_report& report);
--- a/src/routing/tests/session_groups_tests.cpp
+++ b/src/routing/tests/session_groups_tests.cpp
@@ -224,4 +224,48 @@
     EXPECT_EQ(requests[0].applied_revision, 5U);
 }
 
+/// A host with a lease, and one unanswered renewal, that stops.
+class returned_lease_fixture : public required_view_fixture
+{
+protected:
+    returned_lease_fixture()
+    {
+        renew_with_required(5);
+        m_now = m_state.lease.renew_at;
+        feed(timer_expired{});
+        m_late_grant.entry = m_state.self;
+        m_late_grant.sequence = sent<protocol::lease_request>().back().sequence;
+        m_late_grant.duration = milliseconds{2000};
+        m_sent.clear();
+    }
+
+    protocol::lease_grant m_late_grant;
+};
+
+TEST_F(returned_lease_fixture, grant_after_the_release_does_not_count)
+{
+    feed(drain_requested{true});
+    ASSERT_EQ(sent<protocol::lease_release>().size(), 1U);
+    from_control(m_late_grant);
+    EXPECT_FALSE(has_lease());
+}
+
+TEST_F(returned_lease_fixture, released_lease_is_not_requested_again)
+{
+    feed(drain_requested{true});
+    m_now += milliseconds{10'000};
+    feed(timer_expired{});
+    feed(control_connected{host_name{"control-1"}});
+    EXPECT_TRUE(sent<protocol::lease_request>().empty());
+}
+
+TEST_F(returned_lease_fixture, lease_with_commits_that_are_not_final_runs_out_instead_of_being_released)
+{
+    feed(drain_requested{false});
+    EXPECT_TRUE(sent<protocol::lease_release>().empty());
+    EXPECT_FALSE(has_lease());
+    from_control(m_late_grant);
+    EXPECT_FALSE(has_lease());
+}
+
 } // namespace hickorymount::routing
