Open a term only after the platform has accepted its promotion

Cause: in the stage promoting, an answer to a probe of the stage before counts. An old primary that is named again calls itself the primary in such an answer, which opened the next term before its promotion was sent or accepted; an order of an earlier leader for another server may still take effect then.

Evidence: session_promotion_fixture.answer_before_the_promotion_is_accepted_ does_not_open_the_next_term failed before with one proposed opening.

Change: a probe's answer opens the term under the condition that a report already needs, that the platform has accepted the promotion. Acceptance starts a probe with a new number, so older answers don't count.

Measured: the other supervision tests pass.

--- a/src/supervision/internal/failover_manager.cpp
+++ b/src/supervision/internal/failover_manager.cpp
@@ -111,7 +111,7 @@
             continue_when_caught_up(name, std::move(next));
             return;
         case primary_change_stage::promoting:
-            if (report.report && report.server == next.candidate &&
+            if (report.report && report.server == next.candidate && next.is_promotion_accepted &&
                 report.report->role == server_role::primary && has_position(*report.report)) {
                 propose_opening(name, std::move(next), report.report->position.position);
             }
--- a/src/supervision/tests/failover_manager_tests.cpp
+++ b/src/supervision/tests/failover_manager_tests.cpp
@@ -99,6 +99,15 @@
     EXPECT_EQ(proposed_openings_after({2, 112}), 1U);
 }
 
+// An old primary that is named again calls itself the primary in an answer that it gave before.
+TEST_F(session_promotion_fixture, answer_before_the_promotion_is_accepted_does_not_open_the_next_term)
+{
+    primary_change change = *m_state.primary_changes.find(group_name{"orders"});
+    change.is_promotion_accepted = false;
+    m_state.primary_changes = std::move(m_state.primary_changes).set(group_name{"orders"}, change);
+    EXPECT_EQ(proposed_openings_after({1, 112}), 0U);
+}
+
 TEST_F(session_promotion_fixture, host_that_does_not_lead_proposes_nothing_for_a_late_answer)
 {
     m_consensus.current_role = consensus::role::follower;
