Let only an answer of the present term end the repetition of a follow order

Cause: a late success of an earlier term's follow order ended the repetition of the present one, whose order may have been lost. A replica that was paused for its position then stayed paused.

The answers in that test carry the term of their order, as those of entry hosts do.

Change: the answer's term is compared with the group's term.

--- a/src/supervision/internal/failover_manager.cpp
+++ b/src/supervision/internal/failover_manager.cpp
@@ -149,7 +149,10 @@
 void failover_manager::handle(const host_name& /*from*/, const protocol::role_change_response& report)
 {
     if (report.kind == protocol::server_role_change::follow && report.is_done) {
-        m_context.state.pending_followers.erase(report.server);
+        const group_record* record = m_context.directory().groups.find(report.group);
+        if (record != nullptr && record->term == report.term) {
+            m_context.state.pending_followers.erase(report.server);
+        }
         return;
     }
     const primary_change* change = m_context.state.primary_changes.find(report.group);
--- a/src/supervision/tests/failover_manager_tests.cpp
+++ b/src/supervision/tests/failover_manager_tests.cpp
@@ -469,9 +469,15 @@
     response.group = group_name{"orders"};
     response.server = backend_server_name{"third"};
     response.kind = protocol::server_role_change::follow;
+    response.term = 1;
     apply_event(message_received{host_name{"entry-1"}, response});
     EXPECT_EQ(follow_orders_after(follow_order_retry_interval), 1U);
     response.is_done = true;
+    // The late answer to an order of an earlier term says nothing about this one.
+    response.term = 0;
+    apply_event(message_received{host_name{"entry-1"}, response});
+    EXPECT_EQ(follow_orders_after(follow_order_retry_interval), 1U);
+    response.term = 1;
     apply_event(message_received{host_name{"entry-1"}, response});
     EXPECT_EQ(follow_orders_after(follow_order_retry_interval), 0U);
 }
