Number the probes and orders of each leadership differently

Cause: the numbers began at 1 with each leadership, so a late answer to the first one counted for the second: an old position as a candidate's position, or as the bound of the commits of hosts that had ended since.

Evidence: session_collecting_fixture.numbers_of_a_later_leadership_differ_... failed before (2 in both).

Change: the number begins at the log term, shifted by 32 bits.

--- a/src/supervision/internal/reduce.cpp
+++ b/src/supervision/internal/reduce.cpp
@@ -16,6 +16,15 @@
 
 namespace {
 
+/// The numbers of the probes and orders of a leadership: the log term and a counter below it. A late answer to
+/// an earlier leadership of this host never has the number of a present one.
+constexpr int counter_bits = 32;
+
+std::uint64_t first_number_of(consensus::log_term term)
+{
+    return (term << counter_bits) + 1;
+}
+
 /// Applies one event: dispatches it to the handlers and collects their effects.
 class supervision_reducer
 {
@@ -53,6 +62,7 @@
         if (!m_context.state.is_leading && is_serving) {
             m_context.state.is_leading = true;
             m_context.state.leading_since = m_context.inputs.consensus.leading_since;
+            m_context.state.next_number = first_number_of(m_context.inputs.consensus.persistent_state.term);
             m_context.state.next_claim_expiry_at = m_context.now() + claim_expiry_interval;
             m_leases.start_leading();
             m_configurations.record_current();
--- a/src/supervision/tests/failover_manager_tests.cpp
+++ b/src/supervision/tests/failover_manager_tests.cpp
@@ -279,6 +279,18 @@
     EXPECT_EQ(candidate_named_after("third", acknowledged), "third");
 }
 
+TEST_F(session_collecting_fixture, numbers_of_a_later_leadership_differ_from_those_of_an_earlier_one)
+{
+    m_consensus.persistent_state.term = 4;
+    m_consensus.leading_since += milliseconds{1};
+    apply_event(timer_expired{});
+    const std::uint64_t first_number = m_state.next_number;
+    m_consensus.persistent_state.term = 6;
+    m_consensus.leading_since += milliseconds{1};
+    apply_event(timer_expired{});
+    EXPECT_GT(m_state.next_number, first_number + 1'000'000);
+}
+
 TEST_F(session_collecting_fixture,
        lost_primary_that_has_restarted_is_preferred_to_a_replica_that_lacks_commits)
 {
--- a/src/supervision/types.h
+++ b/src/supervision/types.h
@@ -367,7 +367,7 @@
         differences;
     std::vector<pending_change_answer> pending_change_answers;
     std::vector<pending_configuration_read> pending_configuration_reads;
-    /// Next number for a probe or an order.
+    /// Next number for a probe or an order; unique among all leaderships.
     std::uint64_t next_number = 1;
     time_point next_claim_expiry_at{};
 
