Let the traffic thread confirm the end of each term, whatever servers are known

Cause: an entry host that knew no server of a group took it for one without sessions, and confirmed the end of its term to control at once. The traffic thread may still have had the older view with the server.

Evidence: session_groups_fixture.closed_term_of_a_group_without_known_servers_ is_confirmed_by_traffic_thread_too failed before: confirmed at once.

Change: a process whose traffic thread has reported waits for it in all groups.

--- a/src/routing/internal/reduce.cpp
+++ b/src/routing/internal/reduce.cpp
@@ -162,6 +162,7 @@
 
     void apply(const traffic_reported& event)
     {
+        m_context.state.has_traffic_thread = true;
         m_context.state.connection_usages = event.connection_usages;
         m_context.state.session_hold_progress = event.holds;
         for (const auto& [group, position] : event.acknowledged_commits) {
--- a/src/routing/internal/view_tracker.cpp
+++ b/src/routing/internal/view_tracker.cpp
@@ -97,7 +97,7 @@
         const auto seen = m_context.state.session_closed_terms.find(name);
         const bool is_final =
             seen != m_context.state.session_closed_terms.end() && seen->second >= pending.term;
-        if (is_served_by_sessions(name) && !is_final) {
+        if (m_context.state.has_traffic_thread && !is_final) {
             continue;
         }
         const auto commit = m_context.state.session_commits.find(name);
@@ -110,17 +110,6 @@
     }
 }
 
-/// True if the traffic thread acknowledges the commits of the group.
-bool view_tracker::is_served_by_sessions(const group_name& name) const
-{
-    const group_state* group = m_context.state.groups.find(name);
-    return group != nullptr &&
-           std::any_of(group->members.begin(), group->members.end(), [this](const auto& member) {
-               const server_state* server = m_context.state.servers.find(member);
-               return server != nullptr && server->report.interface == protocol::server_interface::sessions;
-           });
-}
-
 void view_tracker::handle(const host_name& /*from*/, const protocol::resume_term_request& order)
 {
     const group_state* current = m_context.state.groups.find(order.group);
--- a/src/routing/internal/view_tracker.h
+++ b/src/routing/internal/view_tracker.h
@@ -31,7 +31,6 @@
     void apply_group(const protocol::group_view& view);
     void close_term(const group_name& name, group_term term);
     void remove_server(const backend_server_name& name, const server_state& server);
-    [[nodiscard]] bool is_served_by_sessions(const group_name& name) const;
     [[nodiscard]] bool have_sessions_finished(const group_name& name, group_term held_term) const;
 
     event_context& m_context;
--- a/src/routing/tests/session_groups_tests.cpp
+++ b/src/routing/tests/session_groups_tests.cpp
@@ -85,6 +85,20 @@
     EXPECT_EQ(confirmed[0].acknowledged_position, (session_token::group_position{3, 44}));
 }
 
+TEST_F(session_groups_fixture,
+       closed_term_of_a_group_without_known_servers_is_confirmed_by_traffic_thread_too)
+{
+    feed(traffic_reported{});
+    from_control(protocol::server_reports{{}, true});
+    ASSERT_EQ(m_state.servers.find(backend_server_name{"first"}), nullptr);
+    from_control(protocol::close_term_request{group_name{"orders"}, 3, false});
+    EXPECT_TRUE(sent<protocol::close_term_response>().empty());
+    traffic_reported report_event;
+    report_event.closed_terms[group_name{"orders"}] = 3;
+    feed(report_event);
+    EXPECT_EQ(sent<protocol::close_term_response>().size(), 1U);
+}
+
 TEST_F(session_groups_fixture, hold_is_confirmed_only_after_traffic_thread_is_idle)
 {
     from_control(protocol::close_term_request{group_name{"orders"}, 3, true});
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -390,6 +390,8 @@
     std::map<group_name, hold_progress> session_hold_progress;
     /// The newest closed term that the traffic thread has seen, by group.
     std::map<group_name, group_term> session_closed_terms;
+    /// This process has a traffic thread, which may use the primaries of all groups.
+    bool has_traffic_thread = false;
     /// Close requests that wait until the traffic thread has seen the closed term.
     std::map<group_name, pending_close_order> pending_close_orders;
     /// Time of the last report to control that the commits of the primary are stalled, by group.
