Send no statement to a primary that was replaced while its connection was prepared

Cause: the term and the lease were looked at when the connection was chosen, not after the proxy's own statements had prepared it.

Evidence: both tests of prepared_connection_fixture failed before: the statement went to the old primary.

Change: a statement that needs the primary and has not started is queued again if its server is no longer usable as the primary.

--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -519,6 +519,12 @@
         dispatch(group);
         return;
     }
+    if (response.code == response_code::done && has_lost_primary(connection, *session)) {
+        m_connections.release(number);
+        requeue(holder, *session, "the primary was replaced before the statement was sent");
+        dispatch(group);
+        return;
+    }
     if (response.code == response_code::done) {
         advance(number, *session);
         return;
@@ -527,6 +533,18 @@
     dispatch(group);
 }
 
+/// True if the statement needs the primary, and the server that its connection was prepared for is no longer
+/// usable as the primary.
+bool statement_dispatcher::has_lost_primary(const server_connection& connection,
+                                            const caller_session& session) const
+{
+    const group_view* known = m_context.group(connection.group);
+    const bool is_usable =
+        known != nullptr && known->primary == connection.server && m_context.is_primary_usable(*known);
+    const bool has_started = session.transaction && session.transaction->has_run;
+    return session.pending->needs_primary && !connection.is_relay && !has_started && !is_usable;
+}
+
 /// Handles an internal statement that failed and so kept the caller's statement from being sent.
 void statement_dispatcher::handle_internal_failure(connection_number number, session_number holder,
                                                    caller_session& session,
--- a/src/sessions/internal/statement_dispatcher.h
+++ b/src/sessions/internal/statement_dispatcher.h
@@ -67,6 +67,8 @@
     std::optional<connection_number> find_read_connection(caller_session& session);
     void start_on_connection(connection_number connection, session_number number, caller_session& session);
     void advance(connection_number connection, caller_session& session);
+    [[nodiscard]] bool has_lost_primary(const server_connection& connection,
+                                        const caller_session& session) const;
     /// Logs a statement that was sent to a primary soon after a change of the belief about it.
     void trace_primary_use(const server_connection& connection, const pending_statement& pending);
 
--- a/src/sessions/tests/session_tests.cpp
+++ b/src/sessions/tests/session_tests.cpp
@@ -561,6 +561,44 @@
     EXPECT_EQ(next_response().detail, "signature");
 }
 
+class prepared_connection_fixture : public session_fixture
+{
+protected:
+    /// Submits a prepared read and returns the statement that prepares its connection to the primary.
+    send_statement start_prepared_read()
+    {
+        const session_number session = open("ledger");
+        submit(session, prepare("a", true, "shape"));
+        take_effects<send_response>();
+        submit(session, execute("a", "1"));
+        return next_sent_statement();
+    }
+};
+
+TEST_F(prepared_connection_fixture, read_whose_term_closes_meanwhile_is_not_sent_to_that_primary)
+{
+    const send_statement preparation = start_prepared_read();
+    ASSERT_EQ(preparation.body.kind, statement_kind::prepare);
+    m_view.groups[group_name{"orders"}].is_open = false;
+    m_view.groups[group_name{"orders"}].closed_term = 3;
+    publish();
+    respond_done(preparation.connection);
+    EXPECT_TRUE(take_effects<send_statement>().empty());
+    EXPECT_TRUE(take_effects<send_response>().empty());
+}
+
+TEST_F(prepared_connection_fixture, read_whose_primary_is_replaced_meanwhile_runs_at_the_new_one)
+{
+    const send_statement preparation = start_prepared_read();
+    ASSERT_EQ(preparation.body.kind, statement_kind::prepare);
+    m_view.groups[group_name{"orders"}] = {backend_server_name{"second"}, 4, true, false, 3};
+    publish();
+    respond_done(preparation.connection);
+    advance_time(refusal_backoff);
+    const send_statement sent = run_until_statement_sent();
+    EXPECT_EQ(server_of(sent.connection), "second");
+}
+
 class primary_use_log_fixture : public session_fixture
 {
 protected:
