Keep room in the log for changes of state beside a flood of refusals

Cause: lines about single requests and lines about what a process believes shared one allowance of 60 a second.

Change: lines that name a request leave 60 lines of the allowance to all others. The decision is a class of its own.

--- a/src/framework/logging/internal/log_writer.cpp
+++ b/src/framework/logging/internal/log_writer.cpp
@@ -14,9 +14,11 @@
 
 namespace {
 
-/// Rate limit: the sustained rate, and the burst allowed after a quiet time.
-constexpr double lines_per_second = 60;
-constexpr double burst_lines = 300;
+/// Records that name a request begin with its id.
+bool is_about_request(const log_record& record)
+{
+    return record.text.starts_with("id=");
+}
 
 const char* level_name(log_level level)
 {
@@ -52,8 +54,7 @@
 } // namespace
 
 log_writer::log_writer(std::string host, log_level minimum_level)
-    : m_host(std::move(host)), m_minimum_level(minimum_level), m_available_lines(burst_lines),
-      m_refilled_at(millisecond_clock::now())
+    : m_host(std::move(host)), m_minimum_level(minimum_level), m_limiter(millisecond_clock::now())
 {
 }
 
@@ -63,14 +64,13 @@
         return;
     }
     const std::lock_guard lock(m_mutex);
-    refill();
     // Errors are exempt from the rate limit: they are few, and end the process or its work.
-    const bool is_allowed = m_available_lines >= 1 || record.level == log_level::error;
+    const bool is_allowed = m_limiter.take(is_about_request(record), millisecond_clock::now()) ||
+                            record.level == log_level::error;
     if (!is_allowed) {
         ++m_dropped_lines;
         return;
     }
-    m_available_lines -= 1;
     log_record output_record = record;
     if (m_dropped_lines > 0) {
         output_record.text += fmt::format(" left_out={}", m_dropped_lines);
@@ -82,16 +82,6 @@
     }
 }
 
-void log_writer::refill() const
-{
-    constexpr double milliseconds_in_second = 1000;
-    const time_point now = millisecond_clock::now();
-    const auto elapsed_ms = static_cast<double>((now - m_refilled_at).count());
-    m_refilled_at = now;
-    m_available_lines =
-        std::min(burst_lines, m_available_lines + elapsed_ms * lines_per_second / milliseconds_in_second);
-}
-
 std::string format_record(const log_record& record, const std::string& host, const std::string& time)
 {
     std::string line =
--- a/src/framework/logging/log_writer.h
+++ b/src/framework/logging/log_writer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/millisecond_clock.h"
+#include "logging/internal/line_limiter.h"
 #include "logging/types.h"
 
 #include <cstdint>
@@ -20,13 +20,10 @@
     void write(const log_record& record) const;
 
 private:
-    void refill() const;
-
     std::string m_host;
     log_level m_minimum_level;
     mutable std::mutex m_mutex;
-    mutable double m_available_lines;
-    mutable time_point m_refilled_at;
+    mutable detail::line_limiter m_limiter;
     mutable std::uint64_t m_dropped_lines = 0;
 };
 
