Bound the cost of an entry host whose view does not arrive

Change: the view is requested at once after the first uncounted grant only, then at the usual interval. At most 16 updates count as in transit; beyond that the host gets the complete view. use_primary covers every statement that needs the primary.

Measured: required_view_fixture.second_grant_in_a_row_... and view_transit_fixture.updates_without_a_request_... pass; they were written with the change, not run before it.

--- a/src/routing/internal/lease_client.cpp
+++ b/src/routing/internal/lease_client.cpp
@@ -1,6 +1,7 @@
 #include "routing/internal/lease_client.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 #include <xxhash.h>
@@ -67,19 +68,24 @@
                           " hosts=" + std::to_string(grant.new_relay_plan->relays.size()));
         m_context.state.relay_plan = shared_value(*grant.new_relay_plan);
     }
-    if (!has_required_view) {
+    if (has_required_view) {
+        lease.is_view_requested = false;
+    } else {
         request_lost_view(from, grant);
     }
 }
 
 /// The next request names this grant as received, so control knows that the view is lost and sends it again.
+/// If that view does not arrive either, it is requested at the usual interval.
 void lease_client::request_lost_view(const host_name& from, const protocol::lease_grant& grant)
 {
     ++m_context.state.lease.grants_without_view;
     m_context.log(logging::log_level::warning, "lease_not_counted", from.value,
                   fmt::format("sequence={} required_revision={} revision={}", grant.sequence,
                               grant.required_revision, m_context.state.revision));
-    renew();
+    if (!std::exchange(m_context.state.lease.is_view_requested, true)) {
+        renew();
+    }
 }
 
 /// A grant lists all servers to which this host may open connections; the shares of other servers end.
--- a/src/routing/tests/session_groups_tests.cpp
+++ b/src/routing/tests/session_groups_tests.cpp
@@ -238,6 +238,15 @@
     EXPECT_EQ(requests[0].applied_revision, 5U);
 }
 
+TEST_F(required_view_fixture, second_grant_in_a_row_without_the_view_is_followed_by_the_usual_retry_only)
+{
+    renew_with_required(6);
+    EXPECT_EQ(sent<protocol::lease_request>().size(), 1U);
+    renew_with_required(6);
+    EXPECT_TRUE(sent<protocol::lease_request>().empty());
+    EXPECT_GT(m_state.lease.renew_at, m_now);
+}
+
 /// A host with a lease, and one unanswered renewal, that stops.
 class returned_lease_fixture : public required_view_fixture
 {
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -355,6 +355,8 @@
     int unanswered = 0;
     /// Number of grants that did not count because this entry host lacked the revision that they require.
     std::uint64_t grants_without_view = 0;
+    /// The last grant did not count, and the view was requested at once.
+    bool is_view_requested = false;
     /// Whether the lease was valid at the last check; used to detect its loss.
     bool was_valid = false;
 
--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -483,7 +483,9 @@
                                              const pending_statement& pending)
 {
     const auto trace = m_context.state.primary_use_traces.find(connection.group);
-    if (connection.sent_in_term == 0 || trace == m_context.state.primary_use_traces.end()) {
+    const bool is_at_primary =
+        connection.sent_in_term != 0 || (pending.needs_primary && !connection.is_relay);
+    if (!is_at_primary || trace == m_context.state.primary_use_traces.end()) {
         return;
     }
     if (trace->second.left == 0 || m_context.now >= trace->second.until) {
--- a/src/supervision/internal/lease_manager.cpp
+++ b/src/supervision/internal/lease_manager.cpp
@@ -329,7 +329,8 @@
         const protocol::view_revision expected_revision =
             status.sent_views.empty() ? status.revision : status.sent_views.back().version;
         entry_status updated = status;
-        if (expected_revision != 0 && expected_revision >= from_revision) {
+        const bool is_applicable = expected_revision != 0 && expected_revision >= from_revision;
+        if (is_applicable && status.sent_views.size() < max_views_in_transit) {
             updated.sent_views.push_back({to_revision, status.last_grant_sequence, m_context.now()});
         } else {
             updated.sent_views.clear();
--- a/src/supervision/tests/lease_request_tests.cpp
+++ b/src/supervision/tests/lease_request_tests.cpp
@@ -239,6 +239,15 @@
     }
 }
 
+TEST_F(view_transit_fixture, updates_without_a_request_are_recorded_up_to_a_limit_and_then_count_as_lost)
+{
+    for (std::size_t at = 0; at < 2 * max_views_in_transit; ++at) {
+        change_view();
+        EXPECT_LE(m_state.entry_hosts.find(entry(0))->sent_views.size(), max_views_in_transit);
+    }
+    EXPECT_EQ(count_of<protocol::view_update>(request_at(first_revision)), 1);
+}
+
 /// Entry hosts that stop one after the other, as in a rolling restart. Each change of the relay plan goes to
 /// every host.
 class relay_plan_interval_fixture : public lease_request_fixture
--- a/src/supervision/types.h
+++ b/src/supervision/types.h
@@ -100,6 +100,8 @@
 inline constexpr milliseconds commit_bound_probe_interval{1000};
 /// Number of entry hosts that probe each candidate at once.
 inline constexpr std::size_t probing_hosts_per_candidate = 3;
+/// Updates of the view that may be in transit to one entry host. With more, it gets the complete view.
+inline constexpr std::size_t max_views_in_transit = 16;
 /// Connections to each server that are reserved for probes and orders; small limits reserve fewer.
 inline constexpr std::uint32_t max_reserved_connections = 2;
 /// Takeover orders sent to one candidate before a new candidate is chosen.
