Notice the loss of a lease that ends just before an uncounted grant

Change: a grant only sets the mark; the timer clears it.

Measured: required_view_fixture.lease_that_ends_before_a_grant_... passes; it was written with the change, not run before it.

--- a/src/routing/internal/lease_client.cpp
+++ b/src/routing/internal/lease_client.cpp
@@ -51,7 +51,7 @@
         m_context.log(logging::log_level::information, "lease_granted", from.value,
                       fmt::format("sequence={} revision={}", grant.sequence, m_context.state.revision));
     }
-    lease.was_valid = m_context.has_lease();
+    lease.was_valid = lease.was_valid || m_context.has_lease();
     add_control_hosts(grant.voting_control_hosts);
     prune_control_hosts(grant.voting_control_hosts);
     for (const auto& [server, share] : grant.connection_limits) {
--- a/src/routing/tests/session_groups_tests.cpp
+++ b/src/routing/tests/session_groups_tests.cpp
@@ -247,6 +247,21 @@
     EXPECT_GT(m_state.lease.renew_at, m_now);
 }
 
+TEST_F(required_view_fixture, lease_that_ends_before_a_grant_without_the_view_is_noticed_as_lost)
+{
+    renew_with_required(5);
+    m_now = m_state.lease.valid_until;
+    protocol::lease_grant late;
+    late.entry = m_state.self;
+    late.sequence = m_state.lease.next_sequence - 1;
+    m_state.lease.send_times[late.sequence] = m_now;
+    late.required_revision = 6;
+    from_control(late);
+    EXPECT_TRUE(m_state.lease.was_valid);
+    feed(timer_expired{});
+    EXPECT_FALSE(m_state.lease.was_valid);
+}
+
 /// A host with a lease, and one unanswered renewal, that stops.
 class returned_lease_fixture : public required_view_fixture
 {
