Know from the start that a process has a traffic thread

Cause (review, by reading): a close order that arrives before the first report of the traffic thread was confirmed at once, while an older view could already be on its way to that thread.

Change: the start of the process says whether there is a traffic thread.

Measured: session_groups_fixture.closed_term_waits_for_a_traffic_thread_that_ has_not_reported_yet passes; it was written with the change, not run before it. supervision 55, node 107, routing 32, sessions 121 tests pass.

--- a/src/routing/descriptions.h
+++ b/src/routing/descriptions.h
@@ -131,7 +131,8 @@
     static constexpr std::string_view name = "entry_started";
     static constexpr auto members =
         std::tuple{member{"self", &type::self}, member{"zone", &type::zone},
-                   member{"control_hosts", &type::control_hosts}, member{"relay", &type::relay_address}};
+                   member{"control_hosts", &type::control_hosts}, member{"relay", &type::relay_address},
+                   member{"traffic_thread", &type::has_traffic_thread}};
 };
 
 template <>
--- a/src/routing/internal/reduce.cpp
+++ b/src/routing/internal/reduce.cpp
@@ -43,6 +43,7 @@
         m_context.state.zone = started.zone;
         m_context.state.control_hosts = started.control_hosts;
         m_context.state.relay_address = started.relay_address;
+        m_context.state.has_traffic_thread = started.has_traffic_thread;
         m_lease.renew();
     }
 
--- a/src/routing/tests/session_groups_tests.cpp
+++ b/src/routing/tests/session_groups_tests.cpp
@@ -262,6 +262,13 @@
     EXPECT_FALSE(m_state.lease.was_valid);
 }
 
+TEST_F(session_groups_fixture, closed_term_waits_for_a_traffic_thread_that_has_not_reported_yet)
+{
+    feed(entry_started{m_state.self, m_state.zone, m_state.control_hosts, std::nullopt, true});
+    from_control(protocol::close_term_request{group_name{"orders"}, 3, false});
+    EXPECT_TRUE(sent<protocol::close_term_response>().empty());
+}
+
 /// A host with a lease, and one unanswered renewal, that stops.
 class returned_lease_fixture : public required_view_fixture
 {
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -439,6 +439,7 @@
     std::vector<host_name> control_hosts;
     /// The address at which this entry host runs statements for other entry hosts; empty if it does not.
     std::optional<protocol::endpoint> relay_address{};
+    bool has_traffic_thread = false;
 
     friend bool operator==(const entry_started&, const entry_started&) = default;
 };
