Let every emulated server of the soak refuse a read whose position its log lacks

Cause: an emulated server answered `lagging` only as a replica. Besides, positions were compared by the server's term and length, so that a position which a promotion had discarded counted as present as soon as the newer log was as long.

Change: one rule for all servers, the checker's `log_contains` over the server's terms and its applied length.

--- a/src/soak/internal/emulated_group.cpp
+++ b/src/soak/internal/emulated_group.cpp
@@ -296,10 +296,8 @@
     if (writes && !ends_without_commit && (!local_server.is_primary || local_server.term < m_newest_term)) {
         return response_code::read_only;
     }
-    const bool is_behind =
-        request.minimum_position && (local_server.term < request.minimum_position->term ||
-                                     local_server.applied_length < request.minimum_position->position);
-    if (is_behind && !local_server.is_primary) {
+    const std::optional<group_position>& minimum = request.minimum_position;
+    if (minimum && !log_contains(term_starts(local_server), local_server.applied_length, *minimum)) {
         return response_code::lagging;
     }
     const bool takes_slot = kind == statement_kind::read || kind == statement_kind::write ||
