Let a replaced primary of the soak continue until it is demoted or reaches the new one for a second

Cause: the soak was milder than the platform. Its replaced primary refused writes the moment another server was promoted, and became a replica at the next replication step, 5 ms later, unless its replication was stopped.

Change: a server rejects plain transactions and writes by its own role alone, and a replaced primary keeps its role and its log until `DEMOTE`, or until it has been able to reach the new primary for 1 s. Commits that it takes in that time stay unanswered, because no replica receives them, and their pending answers are dropped when it becomes a replica.

Measured: of the three new tests `replaced_primary_that_does_not_reach_the_new_one_continues` failed before the change; all 25 tests of the module pass after it.

--- a/src/soak/emulated_group.h
+++ b/src/soak/emulated_group.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -30,7 +31,8 @@
 };
 
 /// An in-process database group of three servers that accept sessions: a primary that answers a commit after
-/// a replica has it, and two replicas. Only `announcements` and `promote` may be called from any thread; all
+/// a replica has it, and two replicas. A replaced primary continues until it is demoted, or has been able to
+/// reach the new one for a second. Only `announcements` and `promote` may be called from any thread; all
 /// other functions run on the thread of the `io_context`.
 class emulated_group
 {
@@ -86,6 +88,8 @@
         std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
         std::uint16_t port = 0;
         bool is_primary = false;
+        /// Set at a replaced primary while it can reach the new one.
+        std::optional<time_point> reached_successor_at;
         bool is_running = true;
         group_term term = 1;
         std::vector<log_entry> log;
--- a/src/soak/internal/emulated_group.cpp
+++ b/src/soak/internal/emulated_group.cpp
@@ -18,6 +18,9 @@
 
 constexpr milliseconds replication_interval{5};
 constexpr milliseconds promotion_time{300};
+/// A replaced primary becomes a replica this long after it can reach the new primary, unless it is demoted
+/// earlier.
+constexpr milliseconds step_down_time{1000};
 /// Range of the time that a statement takes.
 constexpr int min_statement_time_ms = 1;
 constexpr int max_statement_time_ms = 8;
@@ -293,7 +296,7 @@
         (client.transaction != 0 && !client.is_read_only);
     const bool ends_without_commit =
         kind == statement_kind::rollback || (kind == statement_kind::commit && client.writes.empty());
-    if (writes && !ends_without_commit && (!local_server.is_primary || local_server.term < m_newest_term)) {
+    if (writes && !ends_without_commit && !local_server.is_primary) {
         return response_code::read_only;
     }
     const std::optional<group_position>& minimum = request.minimum_position;
@@ -464,12 +467,20 @@
     const time_point now = millisecond_clock::now();
     const server* const primary = newest_primary();
     for (server& each : m_servers) {
-        const bool receives = primary != nullptr && &each != primary && each.is_running &&
-                              now >= each.replication_stopped_until &&
-                              now >= primary->replication_stopped_until &&
-                              each.paused_below_term <= primary->term;
-        if (receives) {
+        const bool reaches_primary = primary != nullptr && &each != primary && each.is_running &&
+                                     now >= each.replication_stopped_until &&
+                                     now >= primary->replication_stopped_until &&
+                                     each.paused_below_term <= primary->term;
+        if (!reaches_primary || !each.is_primary) {
+            each.reached_successor_at.reset();
+        } else if (!each.reached_successor_at) {
+            each.reached_successor_at = now;
+        }
+        const bool continues_as_primary =
+            each.reached_successor_at && now - *each.reached_successor_at < step_down_time;
+        if (reaches_primary && !continues_as_primary) {
             each.is_primary = false;
+            each.pending_commits.clear();
             each.term = primary->term;
             synchronize_log(each.log, primary->log);
             each.applied_length = std::min(each.applied_length, each.log.size());
--- a/src/soak/tests/emulated_group_tests.cpp
+++ b/src/soak/tests/emulated_group_tests.cpp
@@ -120,6 +120,11 @@
         return *m_sessions.back();
     }
 
+    response_code begin_at(std::size_t index)
+    {
+        return session_at(index).run("-", {.kind = sessions::statement_kind::begin, .text = "BEGIN"}).code;
+    }
+
     sent_statement record(sessions::statement_kind kind)
     {
         const bool writes = kind == sessions::statement_kind::write;
@@ -190,4 +195,25 @@
     EXPECT_EQ(read_at(second, group_position{1, 2}).code, response_code::lagging);
 }
 
+TEST_F(emulated_group_fixture, replaced_primary_that_does_not_reach_the_new_one_continues)
+{
+    replace_first_server();
+    EXPECT_EQ(begin_at(first), response_code::done);
+}
+
+TEST_F(emulated_group_fixture, replaced_primary_that_is_demoted_is_a_replica)
+{
+    replace_first_server();
+    session_at(first).run("-", {.kind = sessions::statement_kind::demote, .term = 2});
+    EXPECT_EQ(begin_at(first), response_code::read_only);
+}
+
+TEST_F(emulated_group_fixture, replaced_primary_that_reaches_the_new_one_becomes_a_replica)
+{
+    m_group.promote("orders-2");
+    run_until([this] { return m_group.primary_index() == second; });
+    run_until([this] { return !m_group.announcements()[first].is_primary; });
+    EXPECT_EQ(begin_at(first), response_code::read_only);
+}
+
 } // namespace hickorymount::soak
