--- a/src/supervision/internal/reduce.cpp
+++ b/src/supervision/internal/reduce.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-/// The numbers of the probes and orders of a leadership: the log term and a counter below it. A late answer to
-/// an earlier leadership of this host never has the number of a present one.
+/// The numbers of the probes and orders of a leadership: the log term and a counter below it. A late answer
+/// to an earlier leadership of this host never has the number of a present one.
 constexpr int counter_bits = 32;
 
 std::uint64_t first_number_of(consensus::log_term term)
