Check reads against commits from the moment their server answers them

Cause: the soak's check of stale reads counted a commit only from the moment its caller had the answer. By the platform's rule (STALE), a read lacks a commit that was acknowledged before the first byte of the read, and the server acknowledges it: also when the answer is late or never reaches the caller. Reads on primary routes were checked across callers before, but with this gap. Commits that a promotion had rolled back still counted, which the rule excludes; one whose answer its caller had at the promotion is reported as "lost", as before.

Change: the emulated server records a commit when it has sent the answer, and reads on all routes are checked against these commits as well as against those that callers had. Commits that the history since the last promotion does not contain are left out. The rest of the check is unchanged; inside a transaction it counts from the first byte of each statement, which is stricter than the rule. A stale read now names its route's kind, the entry host, the log that it ran on and the time.

--- a/src/soak/consistency_checker.h
+++ b/src/soak/consistency_checker.h
@@ -36,6 +36,8 @@
     configuration::read_consistency consistency = configuration::read_consistency::primary;
     milliseconds max_staleness{0};
     time_point sent_at{};
+    /// Index of the entry host that received the statement.
+    std::size_t entry = 0;
 };
 
 /// A statement as the backend server that ran it records it.
@@ -54,6 +56,7 @@
     std::vector<term_start> term_starts;
     /// Last applied position of that log.
     std::uint64_t log_end = 0;
+    unix_milliseconds served_at{0};
 };
 
 /// Records what callers and servers observe, and reports violated guarantees. Not thread-safe.
@@ -64,6 +67,9 @@
     void record_served(const served_statement& served);
     /// A primary appended these writes to its log. A later `record_promotion` may discard them.
     void record_committed(const std::vector<std::string>& writes, const group_position& at);
+    /// A server answered the commit of these writes at this position of its log.
+    void record_commit_answered(const std::vector<std::string>& writes, const group_position& at,
+                                time_point now);
     /// A server was promoted; its log is the history of the group from then on.
     void record_promotion(const std::vector<term_start>& term_starts, std::uint64_t log_end);
     /// A caller received a successful answer to a statement.
@@ -95,15 +101,31 @@
         group_position position;
     };
 
+    struct answered_commit
+    {
+        std::string id;
+        time_point at{};
+        group_position position;
+    };
+
     void report_violation(const std::string& rule, const std::string& description);
     void check_session_state(const sent_statement& sent, const served_statement& served);
     void check_freshness(const sent_statement& sent, const served_statement& served);
+    void report_stale_read(const sent_statement& sent, const served_statement& served,
+                           const std::string& write, const group_position& position,
+                           time_point acknowledged_at);
+    /// Returns whether the log that the statement read has the write, or a promotion has rolled the write
+    /// back.
+    [[nodiscard]] bool is_seen_or_discarded(const group_position& write,
+                                            const served_statement& served) const;
 
     std::map<std::string, sent_statement> m_sent;
     std::map<std::string, served_statement> m_served;
     /// Positions at which each write was committed, by its id; several when a primary was replaced.
     std::map<std::string, std::vector<group_position>> m_commits;
     std::map<std::string, acknowledged_write> m_acknowledged;
+    /// Commits as their servers answered them, also those whose answer has not reached the caller.
+    std::vector<answered_commit> m_answered_commits;
     std::set<std::string> m_not_applied;
     /// Session and attempt of each transaction at a server, and the inverse.
     std::map<std::uint64_t, std::pair<int, std::uint64_t>> m_attempts;
--- a/src/soak/emulated_group.h
+++ b/src/soak/emulated_group.h
@@ -78,6 +78,7 @@
         std::shared_ptr<session> client;
         sessions::statement_response reply;
         std::string id;
+        std::vector<std::string> writes;
     };
 
     struct server
@@ -115,7 +116,8 @@
     void execute(const std::shared_ptr<session>& client, const sessions::statement_request& request);
     void commit(const std::shared_ptr<session>& client, const std::string& id,
                 std::vector<std::string> writes, sessions::statement_response answer);
-    void send_answer(const std::shared_ptr<session>& client, sessions::statement_response answer,
+    /// Returns false if a fault loses the answer.
+    bool send_answer(const std::shared_ptr<session>& client, sessions::statement_response answer,
                      bool has_run);
     void close_session(server& local_server, const std::shared_ptr<session>& closed);
     static void synchronize_log(std::vector<log_entry>& log, const std::vector<log_entry>& primary);
--- a/src/soak/internal/caller.cpp
+++ b/src/soak/internal/caller.cpp
@@ -223,6 +223,7 @@
     sent.consistency = m_database.consistency;
     sent.max_staleness = m_database.max_staleness;
     sent.sent_at = millisecond_clock::now();
+    sent.entry = m_entry_index;
     m_environment.checker.record_sent(sent);
     if (writes) {
         m_write_ids.push_back(m_pending_id);
--- a/src/soak/internal/consistency_checker.cpp
+++ b/src/soak/internal/consistency_checker.cpp
@@ -79,13 +79,39 @@
         const bool must_be_visible =
             write.at < must_see_before ||
             (reads_own_writes && write.session == sent.session && write.at < sent.sent_at);
-        if (must_be_visible && !log_contains(served.term_starts, served.log_end, write.position)) {
-            report_violation("stale",
-                             fmt::format("{} at {} lacks {} of {}.{}", served.id, served.server.value, id,
-                                         write.position.term, write.position.position));
+        if (must_be_visible && !is_seen_or_discarded(write.position, served)) {
+            report_stale_read(sent, served, id, write.position, write.at);
             return;
         }
     }
+    for (const answered_commit& commit : m_answered_commits) {
+        if (commit.at < must_see_before && !is_seen_or_discarded(commit.position, served)) {
+            report_stale_read(sent, served, commit.id, commit.position, commit.at);
+            return;
+        }
+    }
+}
+
+void consistency_checker::report_stale_read(const sent_statement& sent, const served_statement& served,
+                                            const std::string& write, const group_position& position,
+                                            time_point acknowledged_at)
+{
+    report_violation(
+        "stale",
+        fmt::format("{} at {} lacks {} of {}.{}, acknowledged {} ms before it was sent: is_primary_route={} "
+                    "entry={} log_term={} log_end={} served_at_unix_ms={}",
+                    served.id, served.server.value, write, position.term, position.position,
+                    (sent.sent_at - acknowledged_at).count(),
+                    sent.consistency == configuration::read_consistency::primary, sent.entry,
+                    served.term_starts.back().term, served.log_end, served.served_at.count()));
+}
+
+bool consistency_checker::is_seen_or_discarded(const group_position& write,
+                                               const served_statement& served) const
+{
+    const std::uint64_t any_position = UINT64_MAX;
+    return log_contains(served.term_starts, served.log_end, write) ||
+           !log_contains(m_term_starts, any_position, write);
 }
 
 void consistency_checker::record_committed(const std::vector<std::string>& writes, const group_position& at)
@@ -95,6 +121,14 @@
     }
 }
 
+void consistency_checker::record_commit_answered(const std::vector<std::string>& writes,
+                                                 const group_position& at, time_point now)
+{
+    if (!writes.empty()) {
+        m_answered_commits.push_back({writes.front(), now, at});
+    }
+}
+
 void consistency_checker::record_promotion(const std::vector<term_start>& term_starts, std::uint64_t log_end)
 {
     m_term_starts = term_starts;
--- a/src/soak/internal/emulated_group.cpp
+++ b/src/soak/internal/emulated_group.cpp
@@ -366,6 +366,7 @@
     served.rows = answer.rows;
     served.term_starts = term_starts(local_server);
     served.log_end = local_server.applied_length;
+    served.served_at = unix_now();
     m_checker.record_served(served);
     if (writes && client->transaction != 0) {
         client->writes.push_back(request.id);
@@ -392,28 +393,30 @@
     local_server.applied_length = local_server.log.size();
     const group_position position{local_server.term, local_server.log.size()};
     m_checker.record_committed(local_server.log.back().writes, position);
-    local_server.pending_commits.push_back({position, client, std::move(answer), id});
+    local_server.pending_commits.push_back(
+        {position, client, std::move(answer), id, local_server.log.back().writes});
 }
 
-void emulated_group::send_answer(const std::shared_ptr<session>& client, sessions::statement_response answer,
+bool emulated_group::send_answer(const std::shared_ptr<session>& client, sessions::statement_response answer,
                                  bool has_run)
 {
     server& local_server = m_servers[client->index];
     if (client->is_ended || millisecond_clock::now() < local_server.unresponsive_until) {
-        return;
+        return false;
     }
     const bool is_lost =
         has_run && millisecond_clock::now() < local_server.answer_loss_until &&
         std::uniform_real_distribution<double>()(m_random) < local_server.answer_loss_probability;
     if (is_lost) {
         close_session(local_server, client);
-        return;
+        return false;
     }
     answer.state = client->has_failed         ? transaction_state::failed
                    : client->transaction != 0 ? transaction_state::open
                                               : transaction_state::none;
     answer.position = position_of(local_server);
     client->connection->send(m_codec.encode_answer(answer));
+    return true;
 }
 
 void emulated_group::handle_control_statement(const std::shared_ptr<session>& client,
@@ -507,6 +510,7 @@
 /// Answers the commits that at least one replica has received.
 void emulated_group::answer_replicated_commits(server& primary)
 {
+    const time_point now = millisecond_clock::now();
     const auto is_received = [&](const group_position& position) {
         return std::any_of(m_servers.begin(), m_servers.end(), [&](const server& each) {
             return &each != &primary && each.is_running && each.log.size() >= position.position &&
@@ -516,7 +520,9 @@
     while (!primary.pending_commits.empty() && is_received(primary.pending_commits.front().position)) {
         pending_commit acknowledged = std::move(primary.pending_commits.front());
         primary.pending_commits.pop_front();
-        send_answer(acknowledged.client, std::move(acknowledged.reply), true);
+        if (send_answer(acknowledged.client, std::move(acknowledged.reply), true)) {
+            m_checker.record_commit_answered(acknowledged.writes, acknowledged.position, now);
+        }
     }
 }
 
--- a/src/soak/tests/consistency_checker_tests.cpp
+++ b/src/soak/tests/consistency_checker_tests.cpp
@@ -117,6 +117,68 @@
     EXPECT_EQ(violated_rules(), rule_list{"stale"});
 }
 
+TEST_F(consistency_checker_fixture, primary_read_that_lacks_a_commit_answered_to_another_caller_is_stale)
+{
+    m_checker.record_commit_answered({"w2"}, {1, 2}, m_now);
+    m_now += milliseconds{1};
+    send("r1", 2, false, configuration::read_consistency::primary);
+    serve("r1");
+    EXPECT_EQ(violated_rules(), rule_list{"stale"});
+}
+
+TEST_F(consistency_checker_fixture, primary_read_that_has_a_commit_answered_to_another_caller_is_no_violation)
+{
+    m_checker.record_commit_answered({"w2"}, {1, 2}, m_now);
+    m_now += milliseconds{1};
+    send("r1", 2, false, configuration::read_consistency::primary);
+    served_statement fresh_read = served("r1");
+    fresh_read.log_end = 2;
+    m_checker.record_served(fresh_read);
+    EXPECT_EQ(violated_rules(), rule_list{});
+}
+
+TEST_F(consistency_checker_fixture, primary_read_sent_before_the_commit_was_answered_is_no_violation)
+{
+    send("r1", 2, false, configuration::read_consistency::primary);
+    m_checker.record_commit_answered({"w2"}, {1, 2}, m_now + milliseconds{1});
+    serve("r1");
+    EXPECT_EQ(violated_rules(), rule_list{});
+}
+
+TEST_F(consistency_checker_fixture, primary_read_at_a_replaced_primary_after_a_commit_of_the_next_is_stale)
+{
+    m_checker.record_promotion({{1, 0}, {2, 1}}, 1);
+    m_checker.record_commit_answered({"w2"}, {2, 2}, m_now);
+    m_now += milliseconds{1};
+    send("r1", 2, false, configuration::read_consistency::primary);
+    served_statement read_at_replaced_primary = served("r1");
+    read_at_replaced_primary.log_end = 5;
+    m_checker.record_served(read_at_replaced_primary);
+    EXPECT_EQ(violated_rules(), rule_list{"stale"});
+}
+
+TEST_F(consistency_checker_fixture,
+       primary_read_that_lacks_a_commit_rolled_back_by_a_promotion_is_no_violation)
+{
+    m_checker.record_commit_answered({"w2"}, {1, 2}, m_now);
+    m_checker.record_promotion({{1, 0}, {2, 1}}, 1);
+    m_now += milliseconds{1};
+    send("r1", 2, false, configuration::read_consistency::primary);
+    served_statement read_at_new_primary = served("r1");
+    read_at_new_primary.term_starts = {{1, 0}, {2, 1}};
+    m_checker.record_served(read_at_new_primary);
+    EXPECT_EQ(violated_rules(), rule_list{});
+}
+
+TEST_F(consistency_checker_fixture, bounded_read_that_lacks_an_old_commit_answered_to_another_caller_is_stale)
+{
+    m_checker.record_commit_answered({"w2"}, {1, 2}, m_now);
+    m_now += milliseconds{1501};
+    send("r1", 2, false, configuration::read_consistency::bounded_staleness);
+    serve("r1");
+    EXPECT_EQ(violated_rules(), rule_list{"stale"});
+}
+
 TEST_F(consistency_checker_fixture, write_missing_from_the_promoted_log_is_lost)
 {
     m_checker.record_promotion({{1, 0}, {2, 0}}, 0);
