Cut an entry host off in the soak while an answering primary is replaced

Cause: no fault of the soak lost a message of control to an entry host beside a change of the primary. Proxies held bytes and forwarded them later, in order, delayed them, or reset all links of all hosts at one moment, after which hosts connect again within 100 ms. A replaced primary also followed its successor within milliseconds, unless its replication happened to be stopped.

Change: with an even seed, the primary is isolated (no new connections, announcements lost, for 2 s) or its replication stops, and it goes on answering and does not follow its successor for 8 s. Beside this, the links between one or two entry hosts and the control hosts are cut in series, for 1 to 4 s each, one way or both, often with a reset; cuts may overlap, and most follow 150 to 500 ms after the one before. A cut loses what a network would lose: bytes that wait for over 1.2 s close their connection, as the programs' own limit for unacknowledged bytes does, and no connection is accepted. Planned stops are not checked while cuts may interrupt requests, which is most of a 20 s run; so odd seeds have none.

--- a/src/app/soak/main.cpp
+++ b/src/app/soak/main.cpp
@@ -98,7 +98,7 @@
     options.add("entries", entry_addresses, "session addresses of the entry hosts", "ADDRESS:PORT,…");
     options.add("entry-ids", entry_pid_files, "files with the process ids of these hosts", "FILE,…");
     options.add("proxies", proxy_pairs, "pairs of a proxy's listening port and its target port",
-                "PORT>PORT,…");
+                "PORT>PORT,… or PORT>PORT@INDEX,… for the links of an entry host");
     options.add("platform-port", platform_port, "port on which the simulated platform accepts promotions",
                 "PORT");
     BOOST_LEAF_CHECK(options.parse(arguments));
@@ -118,8 +118,13 @@
     }
     for (const std::string& pair : split_at_commas(proxy_pairs)) {
         const std::size_t separator = pair.find('>');
-        soak_options.proxies.push_back({static_cast<std::uint16_t>(std::atoi(pair.c_str())),
-                                        static_cast<std::uint16_t>(std::atoi(pair.c_str() + separator + 1))});
+        const std::size_t entry = pair.find('@');
+        soak_options.proxies.push_back(
+            {static_cast<std::uint16_t>(std::atoi(pair.c_str())),
+             static_cast<std::uint16_t>(std::atoi(pair.c_str() + separator + 1)),
+             entry == std::string::npos
+                 ? std::nullopt
+                 : std::optional(static_cast<std::size_t>(std::atoi(pair.c_str() + entry + 1)))});
     }
     BOOST_LEAF_AUTO(report,
                     soak::run_soak(soak_options, platform::make_session_codec(), make_platform_calls()));
--- a/src/soak/emulated_group.h
+++ b/src/soak/emulated_group.h
@@ -27,6 +27,8 @@
     std::uint64_t sequence = 0;
     /// Unix time of the last start.
     std::int64_t started_at_ms = 0;
+    /// The announcement does not reach the control hosts.
+    bool is_lost = false;
 };
 
 /// An in-process database group of three servers that accept sessions: a primary that answers a commit after
@@ -58,6 +60,9 @@
     void crash(std::size_t index, milliseconds duration);
     /// Keeps connections open but answers nothing for `duration`.
     void make_unresponsive(std::size_t index, milliseconds duration);
+    /// The primary answers on the connections that are open, but for `duration` on no new one, and its
+    /// announcements are lost. For `unaware_time`, it does not follow a server that is promoted in its place.
+    void isolate_primary(milliseconds duration, milliseconds unaware_time);
     void delay_replication(std::size_t index, milliseconds lag, milliseconds duration);
     void stop_replication(std::size_t index, milliseconds duration);
     /// Closes the connection instead of sending the answer to a statement that ran, with this probability.
@@ -95,6 +100,8 @@
         group_term paused_below_term = 0;
         milliseconds lag{5};
         time_point unresponsive_until{};
+        time_point isolated_until{};
+        time_point unaware_until{};
         time_point replication_stopped_until{};
         time_point lag_until{};
         time_point answer_loss_until{};
--- a/src/soak/fault_proxy.h
+++ b/src/soak/fault_proxy.h
@@ -29,6 +29,10 @@
 
     /// Forwards nothing in the given directions for `duration`. Connections stay open.
     void block_traffic(bool towards_target, bool towards_caller, milliseconds duration);
+    /// Carries nothing in the given directions for `duration`, and accepts no connection. As with a network
+    /// that loses packets, bytes sent meanwhile arrive after a short cut, and a longer one closes their
+    /// connection.
+    void cut(bool towards_target, bool towards_caller, milliseconds duration);
     /// Delays all traffic by `added_delay` for `duration`.
     void delay(milliseconds added_delay, milliseconds duration);
     /// Closes all open connections with a TCP reset.
@@ -40,6 +44,10 @@
 
     void accept();
     void start_read(const std::shared_ptr<connection_pair>& connection, bool towards_target);
+    void forward_after_cut(const std::shared_ptr<connection_pair>& connection, bool towards_target,
+                           std::size_t byte_count, time_point received_at);
+    void forward_after_delay(const std::shared_ptr<connection_pair>& connection, bool towards_target,
+                             std::size_t byte_count);
     void forward(const std::shared_ptr<connection_pair>& connection, bool towards_target,
                  std::size_t byte_count);
     void close_connection(const std::shared_ptr<connection_pair>& connection);
@@ -52,6 +60,7 @@
     std::list<std::shared_ptr<connection_pair>> m_connections;
     /// Index 0 is the direction towards the caller, index 1 towards the target.
     std::array<time_point, 2> m_blocked_until{};
+    std::array<time_point, 2> m_cut_until{};
     milliseconds m_delay{0};
     time_point m_delayed_until{};
 };
--- a/src/soak/internal/emulated_group.cpp
+++ b/src/soak/internal/emulated_group.cpp
@@ -34,6 +34,8 @@
     std::shared_ptr<net::line_connection> connection;
     bool is_open = false;
     bool is_ended = false;
+    /// The session was opened while the server was isolated; nothing on it is answered.
+    bool is_unheard = false;
     std::map<std::string, std::string> values;
     std::map<std::string, sessions::statement> prepared;
     /// Zero outside a transaction.
@@ -174,6 +176,13 @@
     m_servers[index].unresponsive_until = millisecond_clock::now() + duration;
 }
 
+void emulated_group::isolate_primary(milliseconds duration, milliseconds unaware_time)
+{
+    server& primary = m_servers[primary_index()];
+    primary.isolated_until = millisecond_clock::now() + duration;
+    primary.unaware_until = millisecond_clock::now() + unaware_time;
+}
+
 void emulated_group::delay_replication(std::size_t index, milliseconds lag, milliseconds duration)
 {
     m_servers[index].lag = lag;
@@ -201,6 +210,7 @@
             if (m_servers[index].is_running) {
                 auto accepted = std::make_shared<session>();
                 accepted->index = index;
+                accepted->is_unheard = millisecond_clock::now() < m_servers[index].isolated_until;
                 accepted->connection =
                     std::make_shared<net::line_connection>(std::move(socket), net::line_connection::limits{});
                 accepted->connection->set_handlers(
@@ -227,7 +237,7 @@
 void emulated_group::handle_line(const std::shared_ptr<session>& client, std::string_view line)
 {
     server& local_server = m_servers[client->index];
-    if (millisecond_clock::now() < local_server.unresponsive_until) {
+    if (client->is_unheard || millisecond_clock::now() < local_server.unresponsive_until) {
         return;
     }
     const sessions::caller_line decoded = m_codec.decode_proxy_line(line);
@@ -470,7 +480,7 @@
     const server* const primary = newest_primary();
     for (server& each : m_servers) {
         const bool receives = primary != nullptr && &each != primary && each.is_running &&
-                              now >= each.replication_stopped_until &&
+                              now >= each.replication_stopped_until && now >= each.unaware_until &&
                               now >= primary->replication_stopped_until &&
                               each.paused_below_term <= primary->term;
         if (receives) {
@@ -501,7 +511,8 @@
             const bool is_same_run =
                 known != m_announcements.end() && known->started_at_ms == each.started_at_ms;
             running_servers.push_back({each.name, each.port, each.is_primary,
-                                       is_same_run ? known->sequence : 0, each.started_at_ms});
+                                       is_same_run ? known->sequence : 0, each.started_at_ms,
+                                       now < each.isolated_until});
         }
     }
     m_announcements = std::move(running_servers);
--- a/src/soak/internal/fault_proxy.cpp
+++ b/src/soak/internal/fault_proxy.cpp
@@ -14,6 +14,8 @@
 using tcp = asio::ip::tcp;
 
 constexpr std::size_t buffer_bytes = std::size_t{16} << 10;
+/// A sender closes a connection whose bytes are not acknowledged for this long.
+constexpr milliseconds unacknowledged_timeout{1200};
 
 } // namespace
 
@@ -82,6 +84,17 @@
     }
 }
 
+void fault_proxy::cut(bool towards_target, bool towards_caller, milliseconds duration)
+{
+    const time_point until = millisecond_clock::now() + duration;
+    if (towards_caller) {
+        m_cut_until[0] = std::max(m_cut_until[0], until);
+    }
+    if (towards_target) {
+        m_cut_until[1] = std::max(m_cut_until[1], until);
+    }
+}
+
 void fault_proxy::delay(milliseconds added_delay, milliseconds duration)
 {
     m_delay = added_delay;
@@ -107,6 +120,11 @@
         if (error) {
             return;
         }
+        const bool is_cut = millisecond_clock::now() < std::max(m_cut_until[0], m_cut_until[1]);
+        if (is_cut) {
+            accept();
+            return;
+        }
         auto connection = std::make_shared<connection_pair>(m_context, std::move(socket));
         m_connections.push_back(connection);
         connection->target.async_connect(tcp::endpoint(asio::ip::address_v4::loopback(), m_target),
@@ -133,27 +151,56 @@
 void fault_proxy::start_read(const std::shared_ptr<connection_pair>& connection, bool towards_target)
 {
     tcp::socket& source = towards_target ? connection->caller : connection->target;
-    direction_state& direction = connection->directions[towards_target ? 1 : 0];
-    source.async_read_some(asio::buffer(direction.buffer),
-                           [this, connection, towards_target,
-                            &direction](const boost::system::error_code& error, std::size_t byte_count) {
-                               if (error) {
-                                   close_connection(connection);
-                                   return;
-                               }
-                               const milliseconds delay_time = remaining_delay(towards_target);
-                               if (delay_time == milliseconds{0}) {
-                                   forward(connection, towards_target, byte_count);
-                                   return;
-                               }
-                               direction.timer.expires_after(delay_time);
-                               direction.timer.async_wait([this, connection, towards_target, byte_count](
-                                                              const boost::system::error_code& wait_error) {
-                                   if (!wait_error) {
-                                       forward(connection, towards_target, byte_count);
-                                   }
-                               });
-                           });
+    source.async_read_some(
+        asio::buffer(connection->directions[towards_target ? 1 : 0].buffer),
+        [this, connection, towards_target](const boost::system::error_code& error, std::size_t byte_count) {
+            if (error) {
+                close_connection(connection);
+                return;
+            }
+            forward_after_cut(connection, towards_target, byte_count, millisecond_clock::now());
+        });
+}
+
+void fault_proxy::forward_after_cut(const std::shared_ptr<connection_pair>& connection, bool towards_target,
+                                    std::size_t byte_count, time_point received_at)
+{
+    const time_point now = millisecond_clock::now();
+    const time_point cut_until = m_cut_until[towards_target ? 1 : 0];
+    const time_point closes_at = received_at + unacknowledged_timeout;
+    if (now >= cut_until) {
+        forward_after_delay(connection, towards_target, byte_count);
+        return;
+    }
+    if (now >= closes_at) {
+        close_connection(connection);
+        return;
+    }
+    asio::steady_timer& timer = connection->directions[towards_target ? 1 : 0].timer;
+    timer.expires_after(std::min(cut_until, closes_at) - now);
+    timer.async_wait(
+        [this, connection, towards_target, byte_count, received_at](const boost::system::error_code& error) {
+            if (!error) {
+                forward_after_cut(connection, towards_target, byte_count, received_at);
+            }
+        });
+}
+
+void fault_proxy::forward_after_delay(const std::shared_ptr<connection_pair>& connection, bool towards_target,
+                                      std::size_t byte_count)
+{
+    const milliseconds delay_time = remaining_delay(towards_target);
+    if (delay_time == milliseconds{0}) {
+        forward(connection, towards_target, byte_count);
+        return;
+    }
+    asio::steady_timer& timer = connection->directions[towards_target ? 1 : 0].timer;
+    timer.expires_after(delay_time);
+    timer.async_wait([this, connection, towards_target, byte_count](const boost::system::error_code& error) {
+        if (!error) {
+            forward(connection, towards_target, byte_count);
+        }
+    });
 }
 
 void fault_proxy::forward(const std::shared_ptr<connection_pair>& connection, bool towards_target,
--- a/src/soak/internal/soak_run.cpp
+++ b/src/soak/internal/soak_run.cpp
@@ -42,6 +42,29 @@
 constexpr double lost_answer_share = 0.2;
 constexpr milliseconds replica_lag{800};
 constexpr milliseconds link_delay{120};
+/// One in this many seeds has cuts. They may interrupt requests for most of a run, and planned stops are not
+/// checked meanwhile.
+constexpr std::uint32_t seeds_per_cut_series = 2;
+/// Time between two replacements of a primary that keeps answering. No primary that still answers is replaced
+/// sooner after an earlier one.
+constexpr milliseconds replacement_interval{11'000};
+constexpr int max_replacement_delay_ms = 1500;
+/// Time in which the primary opens no connections, until it is replaced.
+constexpr milliseconds isolation_time{2000};
+/// Time from a replacement until the earlier primary follows the new one.
+constexpr milliseconds unaware_time{8000};
+/// Time in which the cuts of a series start.
+constexpr milliseconds cut_series_time{4500};
+constexpr int max_first_cut_delay_ms = 1500;
+/// Two entry hosts whose links are cut lose their leases within this time of each other.
+constexpr int max_neighbour_lead_ms = 250;
+constexpr int min_cut_ms = 1000;
+constexpr int max_cut_ms = 4000;
+/// A first cut about as long as a lease ends while the primary is being changed.
+constexpr int min_first_cut_ms = 1700;
+constexpr int max_first_cut_ms = 2600;
+constexpr int min_time_between_cuts_ms = 150;
+constexpr int max_time_between_cuts_ms = 500;
 
 /// State of one run.
 class soak_run
@@ -50,8 +73,9 @@
     soak_run(const soak_options& options, const sessions::session_codec& codec,
              const platform_client& platform)
         : m_options(options), m_codec(codec), m_platform(platform), m_random(options.seed),
+          m_cut_random(options.seed + 2),
           m_group(m_context, codec, group_under_test, m_checker, options.seed), m_fault_timer(m_context),
-          m_end_timer(m_context)
+          m_replacement_timer(m_context), m_end_timer(m_context)
     {
         for (const proxied_port& each : options.proxies) {
             m_proxies.push_back(std::make_unique<fault_proxy>(m_context, each.port, each.target));
@@ -71,10 +95,14 @@
                         http::start_server(
                             options, [this](const http::request& request) { return promote(request); }, {}));
         m_started_at = millisecond_clock::now();
+        m_report.faults.push_back(fmt::format("started_at_unix_ms={}", unix_now().count()));
         std::thread announcement_thread([this] { announce_until_done(); });
         std::thread configuration_thread([this] { configure_until_done(); });
         start_callers();
         schedule_fault(startup_time);
+        if (m_options.seed % seeds_per_cut_series == 0) {
+            schedule_replacement(startup_time + random_duration(m_cut_random, 0, max_replacement_delay_ms));
+        }
         m_end_timer.expires_after(m_options.duration - recovery_check_time);
         m_end_timer.async_wait([this](const boost::system::error_code&) { check_recovery(); });
         m_context.run();
@@ -110,6 +138,9 @@
                     each.is_primary ? protocol::server_role::primary : protocol::server_role::replica;
                 report.started_at = unix_milliseconds{each.started_at_ms};
                 report.sequence = each.sequence;
+                if (each.is_lost) {
+                    continue;
+                }
                 for (std::size_t attempt = 0; attempt < m_options.control_hosts.size(); ++attempt) {
                     if (m_platform.announce(
                             m_options.control_hosts[random() % m_options.control_hosts.size()], report)) {
@@ -187,31 +218,123 @@
                           [](const process_under_test& each) { return each.is_control; }));
         const time_point now = millisecond_clock::now();
         return now - m_stop_sent_at[control_count + entry_index] < planned_stop_time &&
-               now >= m_fault_effects_until;
+               now >= std::max(m_fault_effects_until, m_cut_effects_until);
     }
 
     void schedule_fault(milliseconds delay)
     {
         m_fault_timer.expires_after(delay);
         m_fault_timer.async_wait([this](const boost::system::error_code& error) {
-            const bool is_too_late =
-                millisecond_clock::now() - m_started_at > m_options.duration - fault_free_end;
-            if (error || is_too_late) {
+            if (error || is_too_late_for_faults()) {
                 return;
             }
             inject_fault();
-            schedule_fault(random_duration(min_fault_interval_ms, max_fault_interval_ms));
+            schedule_fault(random_duration(m_random, min_fault_interval_ms, max_fault_interval_ms));
+        });
+    }
+
+    [[nodiscard]] bool is_too_late_for_faults() const
+    {
+        return millisecond_clock::now() - m_started_at > m_options.duration - fault_free_end;
+    }
+
+    static milliseconds random_duration(std::mt19937& random, int min_ms, int max_ms)
+    {
+        return milliseconds{std::uniform_int_distribution<int>(min_ms, max_ms)(random)};
+    }
+
+    template <class Function>
+    void run_later(milliseconds delay, Function task)
+    {
+        auto timer = std::make_shared<asio::steady_timer>(m_context, delay);
+        timer->async_wait([task, timer](const boost::system::error_code&) { task(); });
+    }
+
+    void schedule_replacement(milliseconds delay)
+    {
+        m_replacement_timer.expires_after(delay);
+        m_replacement_timer.async_wait([this](const boost::system::error_code& error) {
+            if (error || is_too_late_for_faults()) {
+                return;
+            }
+            replace_primary_beside_cuts();
+            schedule_replacement(replacement_interval);
         });
     }
 
-    milliseconds random_duration(int min_ms, int max_ms)
+    /// Lets the primary be replaced while it keeps answering, and cuts the links between one or two entry
+    /// hosts and the control hosts meanwhile.
+    void replace_primary_beside_cuts()
+    {
+        const std::size_t entry = m_cut_random() % m_options.entry_ports.size();
+        const bool is_isolated = m_cut_random() % 4 != 0;
+        replace_primary(is_isolated);
+        const milliseconds start = random_duration(m_cut_random, 0, max_first_cut_delay_ms);
+        const bool cuts_neighbour = m_cut_random() % 2 == 0;
+        const milliseconds neighbour_lead = random_duration(m_cut_random, 0, max_neighbour_lead_ms);
+        if (cuts_neighbour) {
+            schedule_cuts((entry + 1) % m_options.entry_ports.size(), start);
+        }
+        schedule_cuts(entry, start + neighbour_lead);
+        m_cut_effects_until =
+            millisecond_clock::now() + cut_series_time + milliseconds{max_cut_ms} + fault_effect_time;
+    }
+
+    /// Cuts the links of an entry host again and again. Most cuts follow shortly after the one before, so
+    /// that the host gets one lease in between; some overlap.
+    void schedule_cuts(std::size_t entry, milliseconds start)
+    {
+        int shortest_ms = min_first_cut_ms;
+        int longest_ms = max_first_cut_ms;
+        while (start < cut_series_time) {
+            const milliseconds duration = random_duration(m_cut_random, shortest_ms, longest_ms);
+            const auto direction = static_cast<std::uint32_t>(m_cut_random() % 6);
+            const bool resets = m_cut_random() % 4 != 0;
+            run_later(start, [this, entry, direction, resets, duration] {
+                cut_links(entry, direction, resets, duration);
+            });
+            const bool overlaps = m_cut_random() % 4 == 0;
+            start += overlaps ? duration / 2
+                              : duration + random_duration(m_cut_random, min_time_between_cuts_ms,
+                                                           max_time_between_cuts_ms);
+            shortest_ms = min_cut_ms;
+            longest_ms = max_cut_ms;
+        }
+    }
+
+    void replace_primary(bool is_isolated)
     {
-        return milliseconds{std::uniform_int_distribution<int>(min_ms, max_ms)(m_random)};
+        if (is_isolated) {
+            record_fault("primary is isolated", m_group.primary_index(), isolation_time);
+            m_group.isolate_primary(isolation_time, unaware_time);
+            return;
+        }
+        record_fault("replication stops", m_group.primary_index(), unaware_time);
+        m_group.stop_replication(m_group.primary_index(), unaware_time);
+    }
+
+    /// Cuts towards the control hosts for `direction` 0, towards the entry host for 1, otherwise both ways.
+    void cut_links(std::size_t entry, std::uint32_t direction, bool resets, milliseconds duration)
+    {
+        record_fault(fmt::format("links of an entry host are {}cut {}", resets ? "reset and " : "",
+                                 direction == 0   ? "towards the control hosts"
+                                 : direction == 1 ? "towards the entry host"
+                                                  : "both ways"),
+                     entry, duration);
+        for (std::size_t index = 0; index < m_proxies.size(); ++index) {
+            if (m_options.proxies[index].entry != entry) {
+                continue;
+            }
+            m_proxies[index]->cut(direction != 1, direction != 0, duration);
+            if (resets) {
+                m_proxies[index]->reset_connections();
+            }
+        }
     }
 
     void inject_fault()
     {
-        const milliseconds duration = random_duration(min_fault_ms, max_fault_ms);
+        const milliseconds duration = random_duration(m_random, min_fault_ms, max_fault_ms);
         const std::size_t server = m_random() % emulated_group::server_count;
         const std::size_t process = m_random() % m_options.processes.size();
         const std::uint32_t kind = m_random() % fault_kinds;
@@ -288,7 +411,7 @@
         }
     }
 
-    void record_fault(const char* description, std::size_t index, milliseconds duration)
+    void record_fault(const std::string& description, std::size_t index, milliseconds duration)
     {
         m_report.faults.push_back(fmt::format("at_ms={} fault=\"{}\" place={} for_ms={}",
                                               (millisecond_clock::now() - m_started_at).count(), description,
@@ -307,8 +430,7 @@
 
     void resume_later(std::size_t index, milliseconds duration)
     {
-        auto timer = std::make_shared<asio::steady_timer>(m_context, duration);
-        timer->async_wait([this, index, timer](const boost::system::error_code&) { signal(index, SIGCONT); });
+        run_later(duration, [this, index] { signal(index, SIGCONT); });
     }
 
     void check_recovery()
@@ -327,6 +449,7 @@
                 each->stop();
             }
             m_fault_timer.cancel();
+            m_replacement_timer.cancel();
             m_group.stop();
             m_context.stop();
         });
@@ -354,16 +477,20 @@
     const sessions::session_codec& m_codec;
     const platform_client& m_platform;
     std::mt19937 m_random;
+    /// Separate, so that the other faults of a seed do not depend on the cuts.
+    std::mt19937 m_cut_random;
     consistency_checker m_checker;
     caller_counts m_counts;
     asio::io_context m_context;
     emulated_group m_group;
     asio::steady_timer m_fault_timer;
+    asio::steady_timer m_replacement_timer;
     asio::steady_timer m_end_timer;
     std::vector<std::unique_ptr<fault_proxy>> m_proxies;
     std::vector<std::shared_ptr<caller>> m_callers;
     std::vector<time_point> m_stop_sent_at;
     time_point m_fault_effects_until{};
+    time_point m_cut_effects_until{};
     time_point m_started_at{};
     std::atomic<bool> m_is_done{false};
     soak_report m_report;
--- a/src/soak/soak_run.h
+++ b/src/soak/soak_run.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,8 @@
 {
     std::uint16_t port = 0;
     std::uint16_t target = 0;
+    /// Index of the entry host that connects through the proxy; empty for a link between control hosts.
+    std::optional<std::size_t> entry{};
 };
 
 /// Settings of a run.
