--- a/src/soak/internal/emulated_group.cpp
+++ b/src/soak/internal/emulated_group.cpp
@@ -37,6 +37,8 @@
     std::shared_ptr<net::line_connection> connection;
     bool is_open = false;
     bool is_ended = false;
+    /// The session was opened while the server was isolated; nothing on it is answered.
+    bool is_unheard = false;
     std::map<std::string, std::string> values;
     std::map<std::string, sessions::statement> prepared;
     /// Zero outside a transaction.
@@ -177,6 +179,13 @@
     m_servers[index].unresponsive_until = millisecond_clock::now() + duration;
 }
 
+void emulated_group::isolate_primary(milliseconds duration, milliseconds unaware_time)
+{
+    server& primary = m_servers[primary_index()];
+    primary.isolated_until = millisecond_clock::now() + duration;
+    primary.unaware_until = millisecond_clock::now() + unaware_time;
+}
+
 void emulated_group::delay_replication(std::size_t index, milliseconds lag, milliseconds duration)
 {
     m_servers[index].lag = lag;
@@ -204,6 +213,7 @@
             if (m_servers[index].is_running) {
                 auto accepted = std::make_shared<session>();
                 accepted->index = index;
+                accepted->is_unheard = millisecond_clock::now() < m_servers[index].isolated_until;
                 accepted->connection =
                     std::make_shared<net::line_connection>(std::move(socket), net::line_connection::limits{});
                 accepted->connection->set_handlers(
@@ -230,7 +240,7 @@
 void emulated_group::handle_line(const std::shared_ptr<session>& client, std::string_view line)
 {
     server& local_server = m_servers[client->index];
-    if (millisecond_clock::now() < local_server.unresponsive_until) {
+    if (client->is_unheard || millisecond_clock::now() < local_server.unresponsive_until) {
         return;
     }
     const sessions::caller_line decoded = m_codec.decode_proxy_line(line);
@@ -367,6 +377,7 @@
     served.rows = answer.rows;
     served.term_starts = term_starts(local_server);
     served.log_end = local_server.applied_length;
+    served.served_at = unix_now();
     m_checker.record_served(served);
     if (writes && client->transaction != 0) {
         client->writes.push_back(request.id);
@@ -393,28 +404,30 @@
     local_server.applied_length = local_server.log.size();
     const group_position position{local_server.term, local_server.log.size()};
     m_checker.record_committed(local_server.log.back().writes, position);
-    local_server.pending_commits.push_back({position, client, std::move(answer), id});
+    local_server.pending_commits.push_back(
+        {position, client, std::move(answer), id, local_server.log.back().writes});
 }
 
-void emulated_group::send_answer(const std::shared_ptr<session>& client, sessions::statement_response answer,
+bool emulated_group::send_answer(const std::shared_ptr<session>& client, sessions::statement_response answer,
                                  bool has_run)
 {
     server& local_server = m_servers[client->index];
     if (client->is_ended || millisecond_clock::now() < local_server.unresponsive_until) {
-        return;
+        return false;
     }
     const bool is_lost =
         has_run && millisecond_clock::now() < local_server.answer_loss_until &&
         std::uniform_real_distribution<double>()(m_random) < local_server.answer_loss_probability;
     if (is_lost) {
         close_session(local_server, client);
-        return;
+        return false;
     }
     answer.state = client->has_failed         ? transaction_state::failed
                    : client->transaction != 0 ? transaction_state::open
                                               : transaction_state::none;
     answer.position = position_of(local_server);
     client->connection->send(m_codec.encode_answer(answer));
+    return true;
 }
 
 void emulated_group::handle_control_statement(const std::shared_ptr<session>& client,
@@ -468,7 +481,7 @@
     const server* const primary = newest_primary();
     for (server& each : m_servers) {
         const bool reaches_primary = primary != nullptr && &each != primary && each.is_running &&
-                                     now >= each.replication_stopped_until &&
+                                     now >= each.replication_stopped_until && now >= each.unaware_until &&
                                      now >= primary->replication_stopped_until &&
                                      each.paused_below_term <= primary->term;
         if (!reaches_primary || !each.is_primary) {
@@ -507,7 +520,8 @@
             const bool is_same_run =
                 known != m_announcements.end() && known->started_at_ms == each.started_at_ms;
             running_servers.push_back({each.name, each.port, each.is_primary,
-                                       is_same_run ? known->sequence : 0, each.started_at_ms});
+                                       is_same_run ? known->sequence : 0, each.started_at_ms,
+                                       now < each.isolated_until});
         }
     }
     m_announcements = std::move(running_servers);
@@ -516,6 +530,7 @@
 /// Answers the commits that at least one replica has received.
 void emulated_group::answer_replicated_commits(server& primary)
 {
+    const time_point now = millisecond_clock::now();
     const auto is_received = [&](const group_position& position) {
         return std::any_of(m_servers.begin(), m_servers.end(), [&](const server& each) {
             return &each != &primary && each.is_running && each.log.size() >= position.position &&
@@ -525,7 +540,9 @@
     while (!primary.pending_commits.empty() && is_received(primary.pending_commits.front().position)) {
         pending_commit acknowledged = std::move(primary.pending_commits.front());
         primary.pending_commits.pop_front();
-        send_answer(acknowledged.client, std::move(acknowledged.reply), true);
+        if (send_answer(acknowledged.client, std::move(acknowledged.reply), true)) {
+            m_checker.record_commit_answered(acknowledged.writes, acknowledged.position, now);
+        }
     }
 }
 
