Identify customers by their keys, and bind server connections to them

Cause: the configuration of some deployments lists customers with keys, and no code knew a customer: a statement ran whatever key its caller sent, and servers were told the proxy's name instead of the customer's.

Change: the configuration holds customers with the digests of their keys; only the operator's document on control hosts holds the keys. An entry host determines the customer when a session opens and again at each statement, so that a withdrawn key ends idle sessions, queued statements and open transactions. A pooled connection serves the customer named when it was opened; when the share is used up, the least recently used idle connection of another customer is closed. Relayed statements name database and customer where these change, so that relay connections serve all of them. Without customers in the configuration nothing changes.

Digests are BLAKE2b of libsodium, a new package of the build.

--- a/scripts/lib/packages.sh
+++ b/scripts/lib/packages.sh
@@ -1,7 +1,7 @@
 # Functions that install the packages of the build and build into build/. To be sourced; needs ROOT.
 
 PACKAGES="g++ cmake ninja-build pkg-config libcivetweb-dev libwebsocketpp-dev libboost1.81-dev libpopt-dev \
-libfmt-dev libtomlplusplus-dev nlohmann-json3-dev libgtest-dev libbenchmark-dev libxxhash-dev curl"
+libfmt-dev libtomlplusplus-dev nlohmann-json3-dev libgtest-dev libbenchmark-dev libxxhash-dev libsodium-dev curl"
 
 # install_packages [PACKAGE…]: installs the packages of the build, and PACKAGE…, where they are missing
 install_packages() {
--- a/src/configuration/descriptions.h
+++ b/src/configuration/descriptions.h
@@ -74,9 +74,28 @@
         member{"target_latency", &type::target_latency},
         member{"priority", &type::priority},
         member{"max_attempts", &type::max_attempts},
+        member{"public", &type::is_public},
     };
 };
 
+template <>
+struct description<configuration::operation_limit>
+{
+    using type = configuration::operation_limit;
+    static constexpr std::string_view name = "operation_limit";
+    static constexpr auto members =
+        std::tuple{member{"per_second", &type::operations_per_second}, member{"burst", &type::burst}};
+};
+
+template <>
+struct description<configuration::customer_settings>
+{
+    using type = configuration::customer_settings;
+    static constexpr std::string_view name = "customer";
+    static constexpr auto members = std::tuple{member{"priority", &type::priority},
+                                               member{"limit", &type::limit}, member{"keys", &type::keys}};
+};
+
 template <>
 struct description<configuration::configuration>
 {
@@ -90,6 +109,8 @@
         member{"groups", &type::groups},
         member{"classes", &type::classes},
         member{"databases", &type::database_routes},
+        member{"identifies_customers", &type::identifies_customers},
+        member{"customers", &type::customers},
         member{"transaction_idle_timeout", &type::transaction_idle_timeout},
         member{"source", &type::source_document},
     };
@@ -129,9 +150,13 @@
     using type = configuration::configuration_difference;
     static constexpr std::string_view name = "configuration_difference";
     static constexpr auto members = std::tuple{
-        member{"base", &type::base_version},      member{"version", &type::version},
-        member{"settings", &type::settings},      member{"removed", &type::removed_routes},
+        member{"base", &type::base_version},
+        member{"version", &type::version},
+        member{"settings", &type::settings},
+        member{"removed", &type::removed_routes},
         member{"changed", &type::changed_routes},
+        member{"removed_customers", &type::removed_customers},
+        member{"changed_customers", &type::changed_customers},
     };
 };
 
--- a/src/configuration/internal/difference.cpp
+++ b/src/configuration/internal/difference.cpp
@@ -35,7 +35,7 @@
     return renamed == right;
 }
 
-configuration without_routes(const configuration& content)
+configuration without_routes_and_customers(const configuration& content)
 {
     configuration settings;
     settings.deployment = content.deployment;
@@ -44,10 +44,41 @@
     settings.entry_host_count = content.entry_host_count;
     settings.groups = content.groups;
     settings.classes = content.classes;
+    settings.identifies_customers = content.identifies_customers;
     settings.transaction_idle_timeout = content.transaction_idle_timeout;
     return settings;
 }
 
+/// Records the customers that are new, changed or removed in `target`.
+void add_customer_changes(const configuration& base, const configuration& target,
+                          configuration_difference& difference)
+{
+    for (const auto& [name, settings] : base.customers) {
+        if (!target.customers.contains(name)) {
+            difference.removed_customers.push_back(name);
+        }
+    }
+    for (const auto& [name, settings] : target.customers) {
+        const auto known = base.customers.find(name);
+        if (known == base.customers.end() || known->second != settings) {
+            difference.changed_customers.emplace(name, settings);
+        }
+    }
+}
+
+std::map<customer_name, customer_settings>
+apply_customer_changes(std::map<customer_name, customer_settings> customers,
+                       const configuration_difference& difference)
+{
+    for (const customer_name& name : difference.removed_customers) {
+        customers.erase(name);
+    }
+    for (const auto& [name, settings] : difference.changed_customers) {
+        customers.insert_or_assign(name, settings);
+    }
+    return customers;
+}
+
 /// Adds routes to a table.
 class route_table_builder
 {
@@ -66,9 +97,10 @@
 private:
     std::uint32_t index_of(database_route settings)
     {
-        const auto key = std::tuple(settings.path_prefix, settings.group, settings.consistency,
-                                    settings.max_staleness, settings.statement_timeout,
-                                    settings.target_latency, settings.priority, settings.max_attempts);
+        const auto key =
+            std::tuple(settings.path_prefix, settings.group, settings.consistency, settings.max_staleness,
+                       settings.statement_timeout, settings.target_latency, settings.priority,
+                       settings.max_attempts, settings.is_public);
         const auto [found, is_new] =
             m_indexes.emplace(key, static_cast<std::uint32_t>(m_table.settings.size()));
         if (is_new) {
@@ -78,7 +110,7 @@
     }
 
     using settings_key = std::tuple<std::string, group_name, read_consistency, milliseconds, milliseconds,
-                                    milliseconds, std::uint32_t, std::uint32_t>;
+                                    milliseconds, std::uint32_t, std::uint32_t, bool>;
 
     route_table m_table;
     std::map<settings_key, std::uint32_t> m_indexes;
@@ -112,7 +144,8 @@
 
 versioned_configuration without_operator_texts(const versioned_configuration& source)
 {
-    versioned_configuration copy{source.version, without_routes(source.content)};
+    versioned_configuration copy{source.version, without_routes_and_customers(source.content)};
+    copy.content.customers = source.content.customers;
     copy.content.database_routes = source.content.database_routes;
     for (database_route& route : copy.content.database_routes) {
         route.name.clear();
@@ -126,8 +159,8 @@
     configuration_difference difference;
     difference.base_version = base.version;
     difference.version = target.version;
-    const configuration settings = without_routes(target.content);
-    if (settings != without_routes(base.content)) {
+    const configuration settings = without_routes_and_customers(target.content);
+    if (settings != without_routes_and_customers(base.content)) {
         difference.settings = settings;
     }
     const route_index before = index_routes(base.content);
@@ -145,6 +178,7 @@
         }
     }
     difference.changed_routes = changed.take();
+    add_customer_changes(base.content, target.content, difference);
     return difference;
 }
 
@@ -161,6 +195,7 @@
     versioned_configuration next = is_complete ? versioned_configuration{} : current;
     next.version = difference.version;
     std::vector<database_route> routes = std::move(next.content.database_routes);
+    auto customers = apply_customer_changes(std::move(next.content.customers), difference);
     if (difference.settings) {
         next.content = *difference.settings;
     }
@@ -171,6 +206,7 @@
     std::erase_if(routes, [&](const database_route& route) { return replaced.contains(key_of(route)); });
     std::move(changed_routes.begin(), changed_routes.end(), std::back_inserter(routes));
     next.content.database_routes = std::move(routes);
+    next.content.customers = std::move(customers);
     return next;
 }
 
--- a/src/configuration/types.h
+++ b/src/configuration/types.h
@@ -91,10 +91,35 @@
     std::uint32_t priority = 0;
     /// Maximum number of backend servers tried in turn for one statement.
     std::uint32_t max_attempts = 1;
+    /// Callers need no key, and belong to no customer.
+    bool is_public = false;
 
     friend bool operator==(const database_route&, const database_route&) = default;
 };
 
+/// Limit on a customer's operations, over all entry hosts. An operation is a single statement or a
+/// transaction.
+struct operation_limit
+{
+    double operations_per_second = 0;
+    /// Operations that may run at once after a pause.
+    double burst = 0;
+
+    friend bool operator==(const operation_limit&, const operation_limit&) = default;
+};
+
+/// One customer whose callers identify themselves by a key.
+struct customer_settings
+{
+    /// Lower values are served first; zero is the highest priority.
+    std::uint32_t priority = 0;
+    std::optional<operation_limit> limit;
+    /// Digests of the customer's keys, see `digest_of_key`. Only the operator's document holds the keys.
+    std::vector<key_digest> keys;
+
+    friend bool operator==(const customer_settings&, const customer_settings&) = default;
+};
+
 /// Configuration of the whole deployment, the same on every host. It is generated from a questionnaire or
 /// decoded from an operator's document.
 struct configuration
@@ -108,6 +133,10 @@
     std::map<class_name, class_settings> classes;
     /// Routes of the databases that callers open sessions to.
     std::vector<database_route> database_routes;
+    /// Callers need a key of a customer, except on public routes. False if the configuration lists no
+    /// customers at all; then all callers are served alike.
+    bool identifies_customers = false;
+    std::map<customer_name, customer_settings> customers;
     /// A transaction that runs no statement for this long may be aborted.
     milliseconds transaction_idle_timeout{10'000};
     /// Text of the operator's document, returned to operators unchanged. Empty for a questionnaire.
@@ -160,11 +189,14 @@
     /// difference is complete.
     configuration_version base_version = 0;
     configuration_version version = 0;
-    /// The configuration without its routes, if it differs from that of the base.
+    /// The configuration without its routes and customers, if it differs from that of the base.
     std::optional<configuration> settings;
     std::vector<route_key> removed_routes;
     /// New routes, and those whose settings have changed.
     route_table changed_routes;
+    std::vector<customer_name> removed_customers;
+    /// New customers, and those whose settings have changed.
+    std::map<customer_name, customer_settings> changed_customers;
 
     friend bool operator==(const configuration_difference&, const configuration_difference&) = default;
 };
@@ -185,6 +217,10 @@
 /// Returns the first error as one line, or an empty string.
 std::string first_route_error(const configuration& candidate);
 
+/// Validates the customers: no key of two customers, and limits that are not negative. Returns the first
+/// error as one line, or an empty string. The error names no key.
+std::string first_customer_error(const configuration& candidate);
+
 /// `file:line:column: expected …`
 std::string to_string(const questionnaire_problem& problem);
 
--- a/src/framework/base/identifier.h
+++ b/src/framework/base/identifier.h
@@ -22,6 +22,9 @@
 using group_name = identifier<struct group_tag>;
 using class_name = identifier<struct class_tag>;
 using tenant_name = identifier<struct tenant_tag>;
+using customer_name = identifier<struct customer_tag>;
+/// Digest of a key by which a caller proves whose it is, in hexadecimal digits.
+using key_digest = identifier<struct key_digest_tag>;
 /// A backend server's name, unique within the deployment.
 using backend_server_name = identifier<struct backend_server_tag>;
 /// Identifies one data folder; generated when the folder is created and never reused.
--- a/src/gateway/internal/server_call.cpp
+++ b/src/gateway/internal/server_call.cpp
@@ -44,7 +44,7 @@
     m_connection->set_handlers({[self](std::string_view line) { self->handle_line(line); },
                                 [self](const std::string& /*reason*/) { self->finish({}); }});
     m_connection->connect(*remote, [self, service, server] {
-        self->m_connection->send(self->m_codec.encode_open(service, server));
+        self->m_connection->send(self->m_codec.encode_open({service, "", server}));
     });
 }
 
@@ -68,7 +68,7 @@
         return;
     }
     if (!std::exchange(m_is_open, true)) {
-        m_connection->send(m_codec.encode_statement("", m_statement, std::nullopt));
+        m_connection->send(m_codec.encode_statement({"", m_statement}));
         return;
     }
     m_answer.state = ready->state;
--- a/src/gateway/internal/session_server.cpp
+++ b/src/gateway/internal/session_server.cpp
@@ -1,5 +1,6 @@
 #include "gateway/internal/session_server.h"
 
+#include "configuration/key_digest.h"
 #include "gateway/internal/probe_step.h"
 
 #include <algorithm>
@@ -52,6 +53,8 @@
         return "malformed";
     case sessions::response_code::unknown_database:
         return "unknown_database";
+    case sessions::response_code::not_authorized:
+        return "not_authorized";
     }
     return "unnamed";
 }
@@ -270,13 +273,14 @@
         caller_state.is_relayed ? m_codec->decode_proxy_line(line) : m_codec->decode_caller_line(line);
     if (const auto* opening = std::get_if<sessions::open_request>(&decoded);
         opening != nullptr && !caller_state.is_open) {
-        handle_event(sessions::session_requested{number, opening->database, caller_state.is_relayed});
+        handle_event(sessions::session_requested{number, opening->database, caller_state.is_relayed,
+                                                 configuration::digest_of_key(opening->credential)});
         return;
     }
     if (const auto* request = std::get_if<sessions::statement_request>(&decoded);
         request != nullptr && caller_state.is_open) {
-        handle_event(
-            sessions::statement_received{number, request->id, request->body, request->minimum_position});
+        handle_event(sessions::statement_received{number, request->id, request->body,
+                                                  request->minimum_position, request->caller});
         return;
     }
     if (caller_state.is_open && std::holds_alternative<sessions::malformed_request>(decoded)) {
@@ -423,9 +427,10 @@
         });
         return;
     }
-    std::string opening = effect.database.empty()
-                              ? m_codec->encode_open(effect.group.value, effect.server.value)
-                              : m_codec->encode_open(effect.database);
+    std::string opening = m_codec->encode_open(
+        effect.database.empty()
+            ? sessions::open_request{effect.group.value, effect.customer.value, effect.server.value}
+            : sessions::open_request{effect.database});
     connection->connect(*address, [connection, opening = std::move(opening)] { connection->send(opening); });
 }
 
@@ -434,7 +439,7 @@
     const auto found = m_server_connections.find(effect.connection);
     if (found != m_server_connections.end()) {
         found->second.connection->send(
-            m_codec->encode_statement(effect.id, effect.body, effect.minimum_position));
+            m_codec->encode_statement({effect.id, effect.body, effect.minimum_position, effect.caller}));
     }
 }
 
@@ -476,6 +481,13 @@
                     fmt::format("{},code=\"{}\",reads=\"{}\",replica=\"{}\",elsewhere=\"{}\"", labels,
                                 code_name(effect.code), effect.is_read_only, effect.ran_on_replica,
                                 effect.ran_on_relay));
+    if (!effect.customer.empty()) {
+        const std::string customer_label = fmt::format("customer=\"{}\"", effect.customer.value);
+        m_metrics.observe_ms("hickorymount_customer_statement_duration_ms", customer_label,
+                             static_cast<double>(effect.duration.count()));
+        m_metrics.count("hickorymount_customer_statements_total",
+                        fmt::format("{},code=\"{}\"", customer_label, code_name(effect.code)));
+    }
     if (effect.waited_for != sessions::wait_cause::none) {
         m_metrics.count("hickorymount_statements_refused_in_queue_total",
                         fmt::format("cause=\"{}\"", to_string(effect.waited_for)));
--- a/src/sessions/internal/connection_pool.cpp
+++ b/src/sessions/internal/connection_pool.cpp
@@ -37,6 +37,16 @@
     return needs_reset ? 2 : 1;
 }
 
+/// Stops counting the connection as one that is being opened.
+void forget_opening(const server_connection& connection, server_load& load)
+{
+    --load.opening_connections;
+    const auto customer = load.opening_customers.find(connection.customer);
+    if (!connection.is_relay && customer != load.opening_customers.end()) {
+        load.opening_customers.erase(customer);
+    }
+}
+
 } // namespace
 
 std::string server_side_name(const prepared_statement& prepared)
@@ -59,7 +69,7 @@
     int best_mismatch = 0;
     for (const connection_number number : load->second.idle_connections) {
         const server_connection& connection = m_context.state.connections.at(number);
-        if (connection.is_relay && connection.database != session.database) {
+        if (!serves(connection, session)) {
             continue;
         }
         const int found = variables_mismatch(connection, session);
@@ -74,23 +84,58 @@
     return best;
 }
 
-void connection_pool::open_if_allowed(const backend_server_name& server)
+bool connection_pool::serves(const server_connection& connection, const caller_session& session) const
+{
+    if (!connection.is_relay) {
+        return connection.customer == session.customer;
+    }
+    // With customers, each statement names its caller, so the connection serves all of them.
+    return m_context.identifies_customers() || connection.database == session.database;
+}
+
+void connection_pool::open_if_allowed(const backend_server_name& server, const customer_name& customer)
 {
     const server_view* known = m_context.server(server);
     server_load& load = m_context.state.server_loads[server];
-    if (known == nullptr || load.opening_connections >= max_opening_connections ||
-        load.open_connections >= known->connection_share || m_context.now < load.connect_after) {
+    const bool is_opening_for_customer =
+        m_context.identifies_customers() && load.opening_customers.contains(customer);
+    if (known == nullptr || is_opening_for_customer || load.opening_connections >= max_opening_connections ||
+        m_context.now < load.connect_after) {
+        return;
+    }
+    if (load.open_connections >= known->connection_share && !close_idle_of_other_customer(server, customer)) {
         return;
     }
     const connection_number number = m_context.state.next_connection++;
     server_connection connection;
     connection.server = server;
     connection.group = known->group;
+    connection.customer = customer;
     connection.opened_at = m_context.now;
     schedule_check(number, m_context.state.connections.emplace(number, std::move(connection)).first->second);
     ++load.open_connections;
     ++load.opening_connections;
-    m_context.emit(open_connection{number, known->group, server, known->address});
+    load.opening_customers.insert(customer);
+    m_context.emit(open_connection{number, known->group, server, known->address, {}, customer});
+}
+
+bool connection_pool::close_idle_of_other_customer(const backend_server_name& server,
+                                                   const customer_name& customer)
+{
+    const server_load& load = m_context.state.server_loads[server];
+    std::optional<connection_number> least_recent;
+    for (const connection_number number : load.idle_connections) {
+        const server_connection& connection = m_context.state.connections.at(number);
+        const bool is_earlier =
+            !least_recent || connection.idle_since < m_context.state.connections.at(*least_recent).idle_since;
+        if (connection.customer != customer && is_earlier) {
+            least_recent = number;
+        }
+    }
+    if (least_recent) {
+        close(*least_recent);
+    }
+    return least_recent.has_value();
 }
 
 void connection_pool::open_relay(const protocol::relay_host& host, const group_name& group,
@@ -116,10 +161,11 @@
     m_context.emit(open_connection{number, group, name, host.address, database});
 }
 
-void connection_pool::acquire(connection_number number, session_number holder)
+void connection_pool::acquire(connection_number number, session_number holder, const group_name& group)
 {
     server_connection& connection = m_context.state.connections.at(number);
     connection.holder = holder;
+    connection.group = group;
     set_stage(number, connection, connection_stage::reserved);
     server_load& load = m_context.state.server_loads[connection.server];
     ++load.connections_in_use;
@@ -184,8 +230,9 @@
         body.name = server_side_name(session.prepared_statements.at(body.name));
     }
     const bool is_first_read = !connection.is_in_transaction && pending.is_read_only;
-    m_context.emit(send_statement{number, pending.request.id, std::move(body),
-                                  is_first_read ? pending.minimum_position : std::nullopt});
+    m_context.emit(send_statement{
+        number, pending.request.id, std::move(body), is_first_read ? pending.minimum_position : std::nullopt,
+        changed_caller(connection, m_context.state.sessions.at(connection.holder))});
 }
 
 void connection_pool::apply_internal_result(server_connection& connection)
@@ -253,7 +300,9 @@
     const server_connection& connection = found->second;
     server_load& load = m_context.state.server_loads[connection.server];
     --load.open_connections;
-    load.opening_connections -= connection.stage == connection_stage::opening ? 1 : 0;
+    if (connection.stage == connection_stage::opening) {
+        forget_opening(connection, load);
+    }
     load.connections_in_use -= connection.holder != 0 ? 1 : 0;
     load.in_flight -= is_in_flight(connection.stage) ? 1 : 0;
     load.idle_connections.erase(number);
@@ -281,7 +330,7 @@
 {
     server_connection& connection = m_context.state.connections.at(number);
     server_load& load = m_context.state.server_loads[connection.server];
-    --load.opening_connections;
+    forget_opening(connection, load);
     load.unreachable_since.reset();
     set_stage(number, connection, connection_stage::idle);
 }
@@ -301,6 +350,7 @@
     server_load& load = m_context.state.server_loads[connection.server];
     if (stage == connection_stage::idle) {
         load.idle_connections.insert(number);
+        connection.idle_since = m_context.now;
     } else if (connection.stage == connection_stage::idle) {
         load.idle_connections.erase(number);
     }
@@ -330,7 +380,20 @@
     connection.sent_in_term = 0;
     schedule_check(number, connection);
     connection.internal_statement = body;
-    m_context.emit(send_statement{number, "", std::move(body), minimum_position});
+    const caller_session* holder = m_context.session(connection.holder);
+    m_context.emit(send_statement{number, "", std::move(body), minimum_position,
+                                  holder == nullptr ? std::nullopt : changed_caller(connection, *holder)});
+}
+
+std::optional<relayed_caller> connection_pool::changed_caller(server_connection& connection,
+                                                              const caller_session& session) const
+{
+    relayed_caller caller{session.database, session.customer};
+    if (!connection.is_relay || !m_context.identifies_customers() || connection.caller == caller) {
+        return std::nullopt;
+    }
+    connection.caller = caller;
+    return caller;
 }
 
 bool connection_pool::is_surplus(const server_connection& connection) const
--- a/src/sessions/internal/connection_pool.h
+++ b/src/sessions/internal/connection_pool.h
@@ -12,13 +12,15 @@
 public:
     explicit connection_pool(event_context& context);
 
-    /// Returns an idle connection to the server, preferably one that already has the session's variables set.
+    /// Returns an idle connection to the server that serves the session's customer, preferably one that
+    /// already has the session's variables set.
     [[nodiscard]] std::optional<connection_number> find_idle(const backend_server_name& server,
                                                              const caller_session& session) const;
 
-    /// Opens one more connection to the server, within its share, the limit on simultaneous attempts and the
-    /// delay after a failed attempt.
-    void open_if_allowed(const backend_server_name& server);
+    /// Opens one more connection to the server for the customer, within its share, the limit on simultaneous
+    /// attempts and the delay after a failed attempt. When the share is used up, the connection of another
+    /// customer that has been idle for the longest time is closed for it.
+    void open_if_allowed(const backend_server_name& server, const customer_name& customer);
 
     /// Opens one more connection to another entry host, for a session on `database`, within the same kinds of
     /// limits.
@@ -33,8 +35,8 @@
     /// Schedules the connection's next check, unless an earlier one is scheduled.
     void schedule_check(connection_number number, server_connection& connection);
 
-    /// Assigns an idle connection to a session.
-    void acquire(connection_number number, session_number holder);
+    /// Assigns an idle connection to a session for a statement of the group.
+    void acquire(connection_number number, session_number holder, const group_name& group);
 
     /// Sends the next internal statement that the connection needs to match the session's variables,
     /// transaction and prepared statements. Returns false when the connection is ready.
@@ -68,6 +70,14 @@
     void send_internal_statement(connection_number number, server_connection& connection, statement body,
                                  const std::optional<group_position>& minimum_position);
     [[nodiscard]] bool is_surplus(const server_connection& connection) const;
+    /// True if statements of the session can run on the connection.
+    [[nodiscard]] bool serves(const server_connection& connection, const caller_session& session) const;
+    /// Closes the idle connection of another customer that was used least recently. Returns false if there is
+    /// none.
+    bool close_idle_of_other_customer(const backend_server_name& server, const customer_name& customer);
+    /// The caller to name in the next message on a connection to another entry host, if it has changed.
+    std::optional<relayed_caller> changed_caller(server_connection& connection,
+                                                 const caller_session& session) const;
 
     event_context& m_context;
 };
--- a/src/sessions/internal/event_context.h
+++ b/src/sessions/internal/event_context.h
@@ -45,6 +45,12 @@
         return found == state.view->servers.end() ? nullptr : &found->second;
     }
 
+    /// True if callers belong to customers.
+    [[nodiscard]] bool identifies_customers() const
+    {
+        return state.view->configuration->content.identifies_customers;
+    }
+
     /// The servers of the group in the current view.
     [[nodiscard]] const std::vector<backend_server_name>& servers_of(const group_name& name) const
     {
--- a/src/sessions/internal/reduce.cpp
+++ b/src/sessions/internal/reduce.cpp
@@ -1,6 +1,7 @@
 #include "sessions/reduce.h"
 
 #include "sessions/internal/connection_pool.h"
+#include "sessions/internal/customer_identity.h"
 #include "sessions/internal/event_context.h"
 #include "sessions/internal/primary_use_trace.h"
 #include "sessions/internal/statement_dispatcher.h"
@@ -33,13 +34,13 @@
 private:
     void apply(const session_requested& opened)
     {
-        m_dispatcher.open(opened.session, opened.database, opened.is_relayed);
+        m_dispatcher.open(opened.session, {opened.database, m_context.now, opened.is_relayed, opened.key});
     }
 
     void apply(const statement_received& request)
     {
-        m_dispatcher.submit(request.session,
-                            {request.id, request.body, m_context.now, request.minimum_position});
+        m_dispatcher.submit(request.session, {request.id, request.body, m_context.now,
+                                              request.minimum_position, request.caller});
     }
 
     void apply(const malformed_statement_received& request)
@@ -96,6 +97,9 @@
         m_context.state.view = published.view;
         if (is_new_version) {
             update_routes();
+            m_context.state.customers_by_key =
+                detail::index_customers(m_context.state.view->configuration->content);
+            m_dispatcher.end_unauthorized_sessions();
             m_dispatcher.open_waiting_sessions();
         }
         update_servers(*before);
--- a/src/sessions/internal/response_action.cpp
+++ b/src/sessions/internal/response_action.cpp
@@ -14,6 +14,8 @@
     case response_code::misrouted:
     case response_code::too_many_connections:
     case response_code::unknown_statement:
+    // An entry host that has an older configuration may not know the customer yet.
+    case response_code::not_authorized:
         return true;
     default:
         return false;
--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "sessions/internal/statement_dispatcher.h"
 
+#include "sessions/internal/customer_identity.h"
 #include "sessions/internal/next_check.h"
 #include "sessions/internal/position_samples.h"
 #include "sessions/internal/queue_cursor.h"
@@ -56,14 +57,13 @@
 {
 }
 
-void statement_dispatcher::open(session_number number, const std::string& database, bool is_relayed)
+void statement_dispatcher::open(session_number number, const opening_session& request)
 {
     const bool is_closing =
         m_context.state.stopping_since && m_context.now - *m_context.state.stopping_since >= balancer_delay;
-    const bool is_known = m_context.state.routes.contains(database);
+    const bool is_known = m_context.state.routes.contains(request.database);
     if (!is_closing && m_context.state.view->configuration->version == 0) {
-        m_context.state.opening_sessions.emplace(number,
-                                                 opening_session{database, m_context.now, is_relayed});
+        m_context.state.opening_sessions.emplace(number, request);
         return;
     }
     if (is_closing) {
@@ -71,12 +71,19 @@
         return;
     }
     if (!is_known) {
-        m_context.emit(refuse_session{number, response_code::unknown_database, database});
+        m_context.emit(refuse_session{number, response_code::unknown_database, request.database});
         return;
     }
     caller_session session;
-    session.database = database;
-    session.is_relayed = is_relayed;
+    session.database = request.database;
+    session.is_relayed = request.is_relayed;
+    session.key = request.key;
+    if (!session.is_relayed && !customer_of_caller(m_context.state, session)) {
+        m_context.log(logging::log_level::information, "refuse_session", "",
+                      fmt::format("database={} reason=\"unknown key\"", request.database));
+        m_context.emit(refuse_session{number, response_code::not_authorized, "unknown key"});
+        return;
+    }
     m_context.state.sessions.emplace(number, std::move(session));
     m_context.emit(accept_session{number});
 }
@@ -87,7 +94,7 @@
     for (const auto& [number, opening] : waiting) {
         if (m_context.state.view->configuration->version != 0) {
             m_context.state.opening_sessions.erase(number);
-            open(number, opening.database, opening.is_relayed);
+            open(number, opening);
         } else if (m_context.now - opening.requested_at >= session_open_timeout) {
             m_context.state.opening_sessions.erase(number);
             m_context.emit(refuse_session{number, response_code::busy, "no configuration yet"});
@@ -95,6 +102,67 @@
     }
 }
 
+/// Ends what the sessions of withdrawn keys still have: idle sessions are closed, queued statements refused,
+/// and open transactions rolled back. A statement in service gets its response.
+void statement_dispatcher::end_unauthorized_sessions()
+{
+    std::vector<session_number> ended;
+    for (const auto& [number, session] : m_context.state.sessions) {
+        if (!session.is_relayed && !customer_of_caller(m_context.state, session)) {
+            ended.push_back(number);
+        }
+    }
+    for (const session_number number : ended) {
+        caller_session& session = m_context.state.sessions.at(number);
+        if (session.pending && session.pending->stage == statement_stage::queued) {
+            refuse_unauthorized(number, session);
+        } else if (!session.pending && !session.transaction) {
+            m_context.emit(close_session{number});
+            close(number);
+        } else if (!session.pending && !session.transaction->is_failed) {
+            fail_transaction(session);
+        }
+    }
+}
+
+/// Determines whose statement it is. False if its caller may run none.
+bool statement_dispatcher::authorize(caller_session& session, const received_statement& request)
+{
+    if (session.is_relayed && request.caller && !session.transaction) {
+        session.database = request.caller->database;
+        session.customer = request.caller->customer;
+    }
+    const std::optional<customer_name> customer =
+        session.is_relayed ? customer_of_relayed_statement(m_context.state, session.customer)
+                           : customer_of_caller(m_context.state, session);
+    const bool changes_in_transaction =
+        session.transaction && !session.transaction->is_failed && customer != session.customer;
+    if (!customer || changes_in_transaction) {
+        return false;
+    }
+    session.customer = *customer;
+    return true;
+}
+
+/// Refuses the statement and rolls back its transaction; a caller's session is closed as well.
+void statement_dispatcher::refuse_unauthorized(session_number number, caller_session& session)
+{
+    const bool is_relayed = session.is_relayed;
+    m_context.log(logging::log_level::information, "refuse_unauthorized", "",
+                  fmt::format("database={} customer={} relayed={}", session.database, session.customer.value,
+                              is_relayed));
+    if (session.transaction) {
+        end_transaction(session);
+    }
+    session.pipelined_statements.clear();
+    reply_with_code(number, session, response_code::not_authorized,
+                    is_relayed ? "unknown customer" : "the key was withdrawn");
+    if (!is_relayed) {
+        m_context.emit(close_session{number});
+        close(number);
+    }
+}
+
 void statement_dispatcher::submit(session_number number, received_statement request)
 {
     caller_session* session = m_context.session(number);
@@ -125,6 +193,10 @@
 void statement_dispatcher::handle_request(session_number number, caller_session& session,
                                           const received_statement& request)
 {
+    if (!authorize(session, request)) {
+        refuse_unauthorized(number, session);
+        return;
+    }
     if (handle_locally(number, session, request)) {
         return;
     }
@@ -297,6 +369,17 @@
     return pending.tried_servers.empty() || (pending.needs_primary && !uses_relay(session));
 }
 
+/// Sends queued statements after a connection for the group has become free or was lost.
+void statement_dispatcher::dispatch_after(const group_name& group, bool was_relay)
+{
+    // With customers, connections to other entry hosts serve all groups.
+    if (was_relay && m_context.identifies_customers()) {
+        dispatch_all();
+    } else {
+        dispatch(group);
+    }
+}
+
 void statement_dispatcher::dispatch_all()
 {
     for (const group_name& group : queued_groups()) {
@@ -405,7 +488,7 @@
     }
     const std::optional<connection_number> connection = m_connections.find_idle(known->primary, session);
     if (!connection) {
-        m_connections.open_if_allowed(known->primary);
+        m_connections.open_if_allowed(known->primary, session.customer);
     }
     return connection;
 }
@@ -448,7 +531,7 @@
             return connection;
         }
         // The pool to a better server grows even if another server can run this read now.
-        m_connections.open_if_allowed(server.name);
+        m_connections.open_if_allowed(server.name, session.customer);
     }
     return std::nullopt;
 }
@@ -456,7 +539,7 @@
 void statement_dispatcher::start_on_connection(connection_number connection, session_number number,
                                                caller_session& session)
 {
-    m_connections.acquire(connection, number);
+    m_connections.acquire(connection, number, session.pending->route.group);
     session.pending->connection = connection;
     ++session.pending->attempts;
     if (session.transaction) {
@@ -509,6 +592,7 @@
         m_connections.apply_internal_result(connection);
     }
     const group_name group = connection.group;
+    const bool is_relay = connection.is_relay;
     caller_session* session = connection.holder == 0 ? nullptr : m_context.session(connection.holder);
     const session_number holder = connection.holder;
     if (session == nullptr || !session->pending) {
@@ -518,13 +602,13 @@
         } else {
             m_connections.release(number);
         }
-        dispatch(group);
+        dispatch_after(group, is_relay);
         return;
     }
     if (response.code == response_code::done && has_lost_primary(connection, *session)) {
         m_connections.release(number);
         requeue(holder, *session, "the primary was replaced before the statement was sent");
-        dispatch(group);
+        dispatch_after(group, is_relay);
         return;
     }
     if (response.code == response_code::done) {
@@ -532,7 +616,7 @@
         return;
     }
     handle_internal_failure(number, holder, *session, response);
-    dispatch(group);
+    dispatch_after(group, is_relay);
 }
 
 /// True if the statement needs the primary, and the server that its connection was prepared for is no longer
@@ -587,6 +671,7 @@
 {
     server_connection& connection = *m_context.connection(number);
     const group_name group = connection.group;
+    const bool is_relay = connection.is_relay;
     m_connections.record_latency(connection);
     record_relay_response(connection);
     if (connection.sent_in_term != 0 && response.position &&
@@ -601,7 +686,7 @@
     caller_session* session = holder == 0 ? nullptr : m_context.session(holder);
     if (session == nullptr || !session->pending) {
         m_connections.release(number);
-        dispatch(group);
+        dispatch_after(group, is_relay);
         return;
     }
     if (response.code != response_code::done) {
@@ -614,13 +699,14 @@
         }
     }
     resolve(holder, *session, std::move(response), "");
-    dispatch(group);
+    dispatch_after(group, is_relay);
 }
 
 void statement_dispatcher::handle_connection_loss(connection_number number, const std::string& reason)
 {
     server_connection& connection = *m_context.connection(number);
     const group_name group = connection.group;
+    const bool is_relay = connection.is_relay;
     const session_number holder = connection.holder;
     const bool was_opening = connection.stage == connection_stage::opening;
     server_load& load = m_context.state.server_loads[connection.server];
@@ -652,7 +738,7 @@
             requeue_or_abort(holder, *session, reason);
         }
     }
-    dispatch(group);
+    dispatch_after(group, is_relay);
 }
 
 void statement_dispatcher::handle_connection_refusal(connection_number number, response_code code)
@@ -839,7 +925,7 @@
         const bool ran_on_relay = connection != nullptr && connection->is_relay;
         m_context.emit(record_statement_metrics{
             session.database, response.code, pending.minimum_position.has_value() && !ran_on_relay,
-            pending.is_read_only, took, ran_on_relay, pending.waited_for});
+            pending.is_read_only, took, ran_on_relay, pending.waited_for, session.customer});
         if (response.code != response_code::done) {
             m_context.log(logging::log_level::information, "refuse_statement", "",
                           fmt::format("id={} database={} group={} code={} stage={} attempts={} took_ms={} {} "
@@ -915,9 +1001,9 @@
     if (m_context.state.queues.empty()) {
         m_context.state.next_queue_check_at = m_context.now + queue_check_interval;
     }
-    pending.place = {
-        {pending.connection != 0, pending.route.priority, pending.needs_primary, session.database},
-        {pending.request.received_at, number}};
+    pending.place = {{pending.connection != 0, pending.route.priority, pending.needs_primary,
+                      session.database, session.customer},
+                     {pending.request.received_at, number}};
     m_context.state.queues[pending.route.group].insert(*pending.place);
     schedule_check(number, session);
 }
--- a/src/sessions/internal/statement_dispatcher.h
+++ b/src/sessions/internal/statement_dispatcher.h
@@ -17,10 +17,12 @@
 public:
     statement_dispatcher(event_context& context, connection_pool& connections);
 
-    void open(session_number number, const std::string& database, bool is_relayed);
+    void open(session_number number, const opening_session& request);
     /// Opens the sessions that wait for a configuration once there is one, and refuses those that waited too
     /// long.
     void open_waiting_sessions();
+    /// Ends the sessions whose keys were withdrawn.
+    void end_unauthorized_sessions();
     void submit(session_number number, received_statement request);
     void refuse_malformed(session_number number);
     void close(session_number number);
@@ -52,10 +54,13 @@
     void handle_request(session_number number, caller_session& session, const received_statement& request);
     bool handle_locally(session_number number, caller_session& session, const received_statement& request);
     void handle_internal_request(session_number number, caller_session& session, const statement& body);
+    bool authorize(caller_session& session, const received_statement& request);
+    void refuse_unauthorized(session_number number, caller_session& session);
     void begin_transaction(session_number number, caller_session& session, const received_statement& request);
     void roll_back_transaction(session_number number, caller_session& session);
     void enqueue(session_number number, caller_session& session, const received_statement& request);
 
+    void dispatch_after(const group_name& group, bool was_relay);
     [[nodiscard]] bool holds_up_lane(const caller_session& session) const;
     bool try_dispatch(session_number number, caller_session& session);
     [[nodiscard]] bool uses_relay(const caller_session& session) const;
--- a/src/sessions/session_codec.h
+++ b/src/sessions/session_codec.h
@@ -13,7 +13,11 @@
 /// The first line on a connection, which opens a session.
 struct open_request
 {
+    /// Name of the database; towards a backend server, the name of its group.
     std::string database;
+    /// Who opens the session: a caller sends its key, a proxy the name of the customer, which is empty if
+    /// callers need no key.
+    std::string credential{};
     /// Name of the server that a proxy expects to reach; empty when a caller sends the line.
     std::string server{};
 
@@ -26,6 +30,8 @@
     statement body;
     /// The position that a read must have reached; only proxies send one.
     std::optional<group_position> minimum_position{};
+    /// Whose statement it is, if that changes on a connection between entry hosts.
+    std::optional<relayed_caller> caller{};
 
     friend bool operator==(const statement_request&, const statement_request&) = default;
 };
@@ -98,13 +104,8 @@
     [[nodiscard]] virtual std::optional<server_status> decode_status(std::string_view row) const = 0;
 
     /// All `encode_` functions return complete messages, including the line ends.
-    [[nodiscard]] virtual std::string encode_open(const std::string& group,
-                                                  const std::string& server) const = 0;
-    [[nodiscard]] virtual std::string
-    encode_statement(const std::string& id, const statement& body,
-                     const std::optional<group_position>& minimum_position) const = 0;
-    /// The first message to another entry host.
-    [[nodiscard]] virtual std::string encode_open(const std::string& database) const = 0;
+    [[nodiscard]] virtual std::string encode_open(const open_request& request) const = 0;
+    [[nodiscard]] virtual std::string encode_statement(const statement_request& request) const = 0;
     [[nodiscard]] virtual std::string encode_ready(const ready_line& ready) const = 0;
     /// Encodes a server's response to a `status` statement.
     [[nodiscard]] virtual std::string encode_status(const server_status& status) const = 0;
--- a/src/sessions/statement.h
+++ b/src/sessions/statement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/identifier.h"
 #include "session_token/types.h"
 
 #include <cstdint>
@@ -78,10 +79,23 @@
     outcome_unknown,
     timed_out,
     failed,
-    /// `unknown_statement` to `unknown_database`: the statement itself was invalid and has not run.
+    /// `unknown_statement` to `not_authorized`: the statement itself was invalid and has not run.
     unknown_statement,
     malformed,
-    unknown_database
+    unknown_database,
+    /// The caller's key belongs to no customer.
+    not_authorized
+};
+
+/// Whose statement an entry host relays to another one. Relay connections serve callers of all customers in
+/// turn.
+struct relayed_caller
+{
+    std::string database;
+    /// Empty on public routes.
+    customer_name customer;
+
+    friend bool operator==(const relayed_caller&, const relayed_caller&) = default;
 };
 
 /// A complete response, from a backend server or to a caller.
--- a/src/sessions/statement_queue.h
+++ b/src/sessions/statement_queue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/identifier.h"
 #include "base/millisecond_clock.h"
 
 #include <compare>
@@ -24,6 +25,8 @@
     bool needs_primary = false;
     /// Connections to other entry hosts serve one database each.
     std::string database;
+    /// Connections to backend servers serve one customer each.
+    customer_name customer{};
 
     friend auto operator<=>(const queue_lane&, const queue_lane&) = default;
     friend bool operator==(const queue_lane&, const queue_lane&) = default;
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -95,6 +95,8 @@
     time_point received_at{};
     /// For a statement relayed by another entry host: the position that a read must have reached.
     std::optional<group_position> minimum_position{};
+    /// For a statement relayed by another entry host: whose it is, if that differs from the statement before.
+    std::optional<relayed_caller> caller{};
 
     friend bool operator==(const received_statement&, const received_statement&) = default;
 };
@@ -177,6 +179,10 @@
 struct caller_session
 {
     std::string database;
+    /// Digest of the key that the caller sent.
+    key_digest key{};
+    /// The customer whose statements the session runs; empty where callers need no key.
+    customer_name customer{};
     std::map<std::string, std::string> variables;
     std::map<std::string, prepared_statement> prepared_statements;
     std::optional<open_transaction> transaction;
@@ -215,6 +221,10 @@
     bool is_relay = false;
     /// Only for a connection to another entry host: the database of its session.
     std::string database;
+    /// Only for a connection to a backend server: the customer that it serves.
+    customer_name customer;
+    /// Only for a connection to another entry host: whose statements that host takes the next ones to be.
+    std::optional<relayed_caller> caller;
     connection_stage stage = connection_stage::opening;
     /// The session that holds the connection; zero when none does.
     session_number holder = 0;
@@ -227,6 +237,7 @@
     /// The group's term if the last statement was sent to the primary under a valid lease; otherwise zero.
     group_term sent_in_term = 0;
     time_point opened_at{};
+    time_point idle_since{};
     /// The check of the connection that is in the schedule.
     time_point next_check_at = time_point::max();
 
@@ -248,6 +259,7 @@
     std::string database;
     time_point requested_at{};
     bool is_relayed = false;
+    key_digest key{};
 
     friend bool operator==(const opening_session&, const opening_session&) = default;
 };
@@ -264,6 +276,8 @@
     std::uint32_t connections_in_use = 0;
     std::uint32_t peak_connections_in_use = 0;
     std::set<connection_number> idle_connections;
+    /// Customers for which a connection is being opened.
+    std::multiset<customer_name> opening_customers;
     /// Unanswered statements, including the proxy's internal ones.
     std::uint32_t in_flight = 0;
     concurrency_limit limit;
@@ -313,6 +327,8 @@
     availability_zone zone;
     shared_value<traffic_view> view;
     std::map<std::string, configuration::database_route> routes;
+    /// The customers of the configuration in force, by the digests of their keys.
+    std::map<key_digest, customer_name> customers_by_key;
     std::map<session_number, caller_session> sessions;
     /// Sessions that wait for the first configuration.
     std::map<session_number, opening_session> opening_sessions;
@@ -346,6 +362,7 @@
     std::string database;
     /// The session was opened by another entry host, not by a caller.
     bool is_relayed = false;
+    key_digest key{};
 
     friend bool operator==(const session_requested&, const session_requested&) = default;
 };
@@ -356,6 +373,7 @@
     std::string id;
     statement body;
     std::optional<group_position> minimum_position{};
+    std::optional<relayed_caller> caller{};
 
     friend bool operator==(const statement_received&, const statement_received&) = default;
 };
@@ -483,6 +501,8 @@
     protocol::endpoint address;
     /// Only for a connection to another entry host: the database of the session to open there.
     std::string database{};
+    /// Only for a connection to a backend server: the customer that it will serve.
+    customer_name customer{};
 
     friend bool operator==(const open_connection&, const open_connection&) = default;
 };
@@ -495,6 +515,8 @@
     statement body;
     /// The server refuses the statement while its log is behind this position.
     std::optional<group_position> minimum_position;
+    /// Only to another entry host: whose statement it is, if that differs from the statement before.
+    std::optional<relayed_caller> caller{};
 
     friend bool operator==(const send_statement&, const send_statement&) = default;
 };
@@ -543,6 +565,7 @@
     bool ran_on_relay = false;
     /// For a statement that was refused in the queue.
     wait_cause waited_for = wait_cause::none;
+    customer_name customer{};
 
     friend bool operator==(const record_statement_metrics&, const record_statement_metrics&) = default;
 };
--- a/src/soak/internal/caller.cpp
+++ b/src/soak/internal/caller.cpp
@@ -86,7 +86,7 @@
     const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4::loopback(),
                                            m_environment.entry_ports[m_entry_index]);
     m_connection->connect(endpoint, [self = shared_from_this()] {
-        self->m_connection->send(self->m_environment.codec.encode_open(self->m_database.name));
+        self->m_connection->send(self->m_environment.codec.encode_open({self->m_database.name}));
     });
     start_timer(answer_timeout, &caller::handle_timeout);
 }
@@ -229,7 +229,7 @@
         m_write_ids.push_back(m_pending_id);
     }
     m_is_awaiting_answer = true;
-    m_connection->send(m_environment.codec.encode_statement(m_pending_id, next, std::nullopt));
+    m_connection->send(m_environment.codec.encode_statement({m_pending_id, next}));
     start_timer(answer_timeout, &caller::handle_timeout);
 }
 
