Let the soak's callers belong to customers whose keys are withdrawn for a while

Cause: no run with real processes checked that a server connection serves the customer it names, or that a withdrawn key stops running statements.

The second keys are missing from nine versions of the configuration. The checker reports a statement on a connection of another customer, and one that was sent later than 9 s after its key was withdrawn (5 s, and the longest cut of a link).

--- a/src/app/soak/main.cpp
+++ b/src/app/soak/main.cpp
@@ -41,20 +41,37 @@
     return route;
 }
 
-soak::platform_client make_platform_calls()
+/// More than the callers of one customer ask.
+constexpr configuration::operation_limit customer_limit{2000, 2000};
+
+std::vector<platform::customer_entry> make_customers(int count, std::uint64_t version)
+{
+    std::vector<platform::customer_entry> customers;
+    for (int customer = 0; customer < count; ++customer) {
+        std::vector<std::string> keys{soak::key_of_customer(customer, false)};
+        if (soak::has_second_keys(version)) {
+            keys.push_back(soak::key_of_customer(customer, true));
+        }
+        customers.push_back({fmt::format("customer-{}", customer), std::move(keys), customer_limit});
+    }
+    return customers;
+}
+
+soak::platform_client make_platform_calls(int customers)
 {
     soak::platform_client calls;
     calls.announce = [](const protocol::endpoint& control, const protocol::server_report& report) {
         return platform::send_server_report(control, report, call_timeout);
     };
-    calls.send_configuration = [](const protocol::endpoint& control, std::uint64_t version) {
+    calls.send_configuration = [customers](const protocol::endpoint& control, std::uint64_t version) {
         const std::vector<configuration::database_route> routes{
             make_route("ledger", configuration::read_consistency::primary, {}),
             make_route("catalogue", configuration::read_consistency::bounded_staleness,
                        soak::bounded_staleness_limit),
             make_route("inspections", configuration::read_consistency::read_your_writes,
                        soak::read_your_writes_staleness)};
-        return platform::send_configuration(control, version, routes, connections, call_timeout);
+        return platform::send_configuration(control, version, routes, make_customers(customers, version),
+                                            connections, call_timeout);
     };
     calls.read_version = [](const protocol::endpoint& control) {
         return platform::read_configuration_version(control, call_timeout);
@@ -93,6 +110,8 @@
     command_line::option_parser options("--seed N --control … --entries … --platform-port PORT");
     options.add("seed", seed, "seed of the injected faults and the callers' requests", "N");
     options.add("seconds", seconds, "duration of the run, in seconds", "N");
+    options.add("customers", soak_options.customers, "number of customers; without any, callers need no key",
+                "N");
     options.add("control", control_addresses, "operator addresses of the control hosts", "ADDRESS:PORT,…");
     options.add("control-ids", control_pid_files, "files with the process ids of these hosts", "FILE,…");
     options.add("entries", entry_addresses, "session addresses of the entry hosts", "ADDRESS:PORT,…");
@@ -126,8 +145,8 @@
                  ? std::nullopt
                  : std::optional(static_cast<std::size_t>(std::atoi(pair.c_str() + entry + 1)))});
     }
-    BOOST_LEAF_AUTO(report,
-                    soak::run_soak(soak_options, platform::make_session_codec(), make_platform_calls()));
+    BOOST_LEAF_AUTO(report, soak::run_soak(soak_options, platform::make_session_codec(),
+                                           make_platform_calls(soak_options.customers)));
     return print_report(report);
 }
 
--- a/src/soak/caller.h
+++ b/src/soak/caller.h
@@ -54,7 +54,15 @@
         std::function<bool(std::size_t index)> is_planned_stop;
     };
 
-    caller(run_environment environment, int number, database_route database, std::uint32_t seed);
+    /// The customer that a caller belongs to, and its key; empty without customers.
+    struct identity
+    {
+        std::string customer;
+        std::string key;
+    };
+
+    caller(run_environment environment, int number, database_route database, identity credentials,
+           std::uint32_t seed);
 
     void start();
     void stop();
@@ -76,6 +84,7 @@
     run_environment m_environment;
     int m_number;
     database_route m_database;
+    identity m_identity;
     std::mt19937 m_random;
     boost::asio::steady_timer m_timer;
     std::shared_ptr<net::line_connection> m_connection;
--- a/src/soak/consistency_checker.h
+++ b/src/soak/consistency_checker.h
@@ -38,6 +38,9 @@
     time_point sent_at{};
     /// Index of the entry host that received the statement.
     std::size_t entry = 0;
+    /// The customer of the caller's key; empty without customers.
+    std::string customer{};
+    std::string key{};
 };
 
 /// A statement as the backend server that ran it records it.
@@ -57,8 +60,14 @@
     /// Last applied position of that log.
     std::uint64_t log_end = 0;
     unix_milliseconds served_at{0};
+    /// Who opened the connection to the server.
+    std::string credential{};
 };
 
+/// A withdrawn key must not run a statement that was sent later than this after the change was acknowledged:
+/// 5 s for a host that has contact with control, and the longest time for which the soak cuts a host off.
+inline constexpr milliseconds revocation_limit{9000};
+
 /// Records what callers and servers observe, and reports violated guarantees. Not thread-safe.
 class consistency_checker
 {
@@ -83,6 +92,10 @@
     void record_configuration_acknowledged(std::uint64_t version, time_point now);
     /// A read of the configuration that was sent at `sent_at` returned this version.
     void record_configuration_read(std::uint64_t version, time_point sent_at);
+    /// A configuration without this key was acknowledged.
+    void record_key_withdrawn(const std::string& key, time_point now);
+    /// A configuration with this key is about to be sent.
+    void record_key_restored(const std::string& key);
     /// A planned stop of an entry host interrupted a caller's request.
     void record_interrupted_by_planned_stop(const std::string& id);
 
@@ -109,6 +122,7 @@
     };
 
     void report_violation(const std::string& rule, const std::string& description);
+    void check_customer(const sent_statement& sent, const served_statement& served);
     void check_session_state(const sent_statement& sent, const served_statement& served);
     void check_freshness(const sent_statement& sent, const served_statement& served);
     void report_stale_read(const sent_statement& sent, const served_statement& served,
@@ -131,6 +145,7 @@
     std::map<std::uint64_t, std::pair<int, std::uint64_t>> m_attempts;
     std::map<std::pair<int, std::uint64_t>, std::uint64_t> m_transactions;
     std::vector<std::pair<time_point, std::uint64_t>> m_configuration_versions;
+    std::map<std::string, time_point> m_withdrawn_keys;
     std::vector<term_start> m_term_starts{{1, 0}};
     std::size_t m_read_count = 0;
     std::vector<std::string> m_violations;
--- a/src/soak/internal/caller.cpp
+++ b/src/soak/internal/caller.cpp
@@ -40,9 +40,10 @@
 
 } // namespace
 
-caller::caller(run_environment environment, int number, database_route database, std::uint32_t seed)
+caller::caller(run_environment environment, int number, database_route database, identity credentials,
+               std::uint32_t seed)
     : m_environment(std::move(environment)), m_number(number), m_database(std::move(database)),
-      m_random(seed), m_timer(m_environment.context)
+      m_identity(std::move(credentials)), m_random(seed), m_timer(m_environment.context)
 {
 }
 
@@ -86,7 +87,8 @@
     const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4::loopback(),
                                            m_environment.entry_ports[m_entry_index]);
     m_connection->connect(endpoint, [self = shared_from_this()] {
-        self->m_connection->send(self->m_environment.codec.encode_open({self->m_database.name}));
+        self->m_connection->send(
+            self->m_environment.codec.encode_open({self->m_database.name, self->m_identity.key}));
     });
     start_timer(answer_timeout, &caller::handle_timeout);
 }
@@ -224,6 +226,8 @@
     sent.max_staleness = m_database.max_staleness;
     sent.sent_at = millisecond_clock::now();
     sent.entry = m_entry_index;
+    sent.customer = m_identity.customer;
+    sent.key = m_identity.key;
     m_environment.checker.record_sent(sent);
     if (writes) {
         m_write_ids.push_back(m_pending_id);
--- a/src/soak/internal/consistency_checker.cpp
+++ b/src/soak/internal/consistency_checker.cpp
@@ -33,11 +33,35 @@
         report_violation("unasked", fmt::format("{} at {}", served.id, served.server.value));
         return;
     }
+    check_customer(sent->second, served);
     check_session_state(sent->second, served);
     check_freshness(sent->second, served);
     m_served[served.id] = served;
 }
 
+void consistency_checker::check_customer(const sent_statement& sent, const served_statement& served)
+{
+    if (!sent.customer.empty() && served.credential != sent.customer) {
+        report_violation("customer", fmt::format("{} of {} ran on a connection of '{}'", served.id,
+                                                 sent.customer, served.credential));
+    }
+    const auto withdrawn = m_withdrawn_keys.find(sent.key);
+    if (withdrawn != m_withdrawn_keys.end() && sent.sent_at > withdrawn->second + revocation_limit) {
+        report_violation("customer", fmt::format("{} ran {} ms after its key was withdrawn", served.id,
+                                                 (sent.sent_at - withdrawn->second).count()));
+    }
+}
+
+void consistency_checker::record_key_withdrawn(const std::string& key, time_point now)
+{
+    m_withdrawn_keys.emplace(key, now);
+}
+
+void consistency_checker::record_key_restored(const std::string& key)
+{
+    m_withdrawn_keys.erase(key);
+}
+
 void consistency_checker::check_session_state(const sent_statement& sent, const served_statement& served)
 {
     if (sent.values != served.values || sent.prepared_shape != served.prepared_shape) {
--- a/src/soak/internal/emulated_group.cpp
+++ b/src/soak/internal/emulated_group.cpp
@@ -39,6 +39,8 @@
     bool is_ended = false;
     /// The session was opened while the server was isolated; nothing on it is answered.
     bool is_unheard = false;
+    /// Who opened the session: the customer, if callers belong to customers.
+    std::string credential;
     std::map<std::string, std::string> values;
     std::map<std::string, sessions::statement> prepared;
     /// Zero outside a transaction.
@@ -253,6 +255,7 @@
             return;
         }
         client->is_open = true;
+        client->credential = opening->credential;
         client->connection->send(m_codec.encode_ready({transaction_state::none, position_of(local_server)}));
         return;
     }
@@ -378,6 +381,7 @@
     served.term_starts = term_starts(local_server);
     served.log_end = local_server.applied_length;
     served.served_at = unix_now();
+    served.credential = client->credential;
     m_checker.record_served(served);
     if (writes && client->transaction != 0) {
         client->writes.push_back(request.id);
--- a/src/soak/internal/soak_run.cpp
+++ b/src/soak/internal/soak_run.cpp
@@ -25,6 +25,9 @@
 
 constexpr milliseconds announcement_interval{400};
 constexpr milliseconds configuration_interval{1500};
+/// The second keys are withdrawn for longer than `revocation_limit`.
+constexpr std::uint64_t first_version_without_second_keys = 4;
+constexpr std::uint64_t versions_without_second_keys = 9;
 /// Time for the processes to connect to one another before the first fault.
 constexpr milliseconds startup_time{4000};
 /// No fault starts within this time of the end, so that the run also covers the recovery.
@@ -157,9 +160,15 @@
         std::mt19937 random(m_options.seed + 1);
         std::uint64_t version = 1;
         while (!m_is_done) {
+            if (has_second_keys(version)) {
+                post([this] {
+                    record_second_keys(
+                        [this](const std::string& key) { m_checker.record_key_restored(key); });
+                });
+            }
             if (send_configuration(version, random() % m_options.control_hosts.size())) {
                 const time_point now = millisecond_clock::now();
-                post([this, version, now] { m_checker.record_configuration_acknowledged(version, now); });
+                post([this, version, now] { record_acknowledged_configuration(version, now); });
                 ++version;
             }
             const auto& read_host = m_options.control_hosts[random() % m_options.control_hosts.size()];
@@ -171,6 +180,33 @@
         }
     }
 
+    void record_acknowledged_configuration(std::uint64_t version, time_point now)
+    {
+        m_checker.record_configuration_acknowledged(version, now);
+        if (!has_second_keys(version)) {
+            record_second_keys([&](const std::string& key) { m_checker.record_key_withdrawn(key, now); });
+        }
+    }
+
+    template <class Record>
+    void record_second_keys(Record record)
+    {
+        for (int customer = 0; customer < m_options.customers; ++customer) {
+            record(key_of_customer(customer, true));
+        }
+    }
+
+    /// Callers of one customer use its first key and its second key in turn.
+    [[nodiscard]] caller::identity identity_of(int caller_number) const
+    {
+        if (m_options.customers == 0) {
+            return {};
+        }
+        const int customer = caller_number % m_options.customers;
+        const bool is_second = (caller_number / m_options.customers) % 2 == 1;
+        return {fmt::format("customer-{}", customer), key_of_customer(customer, is_second)};
+    }
+
     /// Sends the configuration to the control hosts in turn until one accepts it. Their names are not
     /// addresses here, so a redirect to the leader can't be followed.
     bool send_configuration(std::uint64_t version, std::size_t first_host)
@@ -202,10 +238,10 @@
                 m_context, m_codec, m_checker, m_counts, m_options.entry_ports, [this](std::size_t index) {
                     return is_planned_stop(index);
                 }};
-            m_callers.push_back(
-                std::make_shared<caller>(std::move(environment), number,
-                                         databases[static_cast<std::size_t>(number) % databases.size()],
-                                         m_options.seed * 1000 + static_cast<std::uint32_t>(number)));
+            m_callers.push_back(std::make_shared<caller>(
+                std::move(environment), number,
+                databases[static_cast<std::size_t>(number) % databases.size()], identity_of(number),
+                m_options.seed * 1000 + static_cast<std::uint32_t>(number)));
             m_callers.back()->start();
         }
     }
@@ -498,6 +534,17 @@
 
 } // namespace
 
+std::string key_of_customer(int customer, bool is_second)
+{
+    return fmt::format("key-{}-{}", customer, is_second ? "second" : "first");
+}
+
+bool has_second_keys(std::uint64_t version)
+{
+    return version < first_version_without_second_keys ||
+           version >= first_version_without_second_keys + versions_without_second_keys;
+}
+
 result<soak_report> run_soak(const soak_options& options, std::unique_ptr<sessions::session_codec> codec,
                              const platform_client& platform)
 {
--- a/src/soak/soak_run.h
+++ b/src/soak/soak_run.h
@@ -46,8 +46,15 @@
     /// Port on which the run accepts promotion requests from the control hosts.
     std::uint16_t platform_port = 0;
     int callers = 12;
+    /// Number of customers that the callers belong to; without customers, callers need no key.
+    int customers = 0;
 };
 
+/// The key of a customer's callers; the second key is withdrawn for a while and restored.
+std::string key_of_customer(int customer, bool is_second);
+/// True if the configuration of this version has the customers' second keys.
+bool has_second_keys(std::uint64_t version);
+
 /// Requests in the platform's encoding.
 struct platform_client
 {
--- a/src/soak/tests/consistency_checker_tests.cpp
+++ b/src/soak/tests/consistency_checker_tests.cpp
@@ -269,4 +269,35 @@
     EXPECT_EQ(violated_rules(), rule_list{});
 }
 
+/// Guards against a check that overlooks a statement of one customer on a connection of another.
+TEST_F(consistency_checker_fixture, statement_on_a_connection_of_another_customer_is_reported)
+{
+    sent_statement sent = send("r1", 1, false);
+    sent.customer = "customer-1";
+    m_checker.record_sent(sent);
+    served_statement run = served("r1");
+    run.credential = "customer-2";
+    m_checker.record_served(run);
+    EXPECT_EQ(violated_rules(), std::vector<std::string>{"customer"});
+}
+
+TEST_F(consistency_checker_fixture, statement_of_a_withdrawn_key_is_reported_after_the_time_limit)
+{
+    m_checker.record_key_withdrawn("key-1", m_now);
+    const auto run = [&](const std::string& id, milliseconds later) {
+        sent_statement sent = send(id, 1, false);
+        sent.key = "key-1";
+        sent.sent_at = m_now + later;
+        m_checker.record_sent(sent);
+        serve(id);
+    };
+    run("r1", revocation_limit);
+    EXPECT_TRUE(m_checker.violations().empty());
+    run("r2", revocation_limit + milliseconds{1});
+    EXPECT_EQ(violated_rules(), std::vector<std::string>{"customer"});
+    m_checker.record_key_restored("key-1");
+    run("r3", revocation_limit + milliseconds{2});
+    EXPECT_EQ(m_checker.violations().size(), 1U);
+}
+
 } // namespace hickorymount::soak
