Choose servers and relays in a class of their own

Cause: statement_dispatcher.cpp held queueing, timeouts, answers and the choice of server in one class, and the choice is to become a decision over measured costs.

Change: `server_selector` has the functions that choose a connection to a server or a relay, unchanged. The dispatcher asks it for a connection and starts the statement there.

--- /dev/null
+++ b/src/sessions/internal/server_selector.cpp
@@ -0,0 +1,185 @@
+#include "sessions/internal/server_selector.h"
+
+#include "sessions/internal/position_samples.h"
+#include "sessions/internal/read_ranking.h"
+
+#include <algorithm>
+
+namespace hickorymount::sessions::detail {
+
+namespace {
+
+/// Subtracted from a read's maximum staleness, because clocks are rounded to whole milliseconds.
+constexpr milliseconds clock_rounding_margin{5};
+
+} // namespace
+
+server_selector::server_selector(event_context& context, connection_pool& connections)
+    : m_context(context), m_connections(connections)
+{
+}
+
+std::optional<connection_number> server_selector::find_connection(caller_session& session)
+{
+    if (uses_relay(session)) {
+        return find_relay_connection(session);
+    }
+    const pending_statement& pending = *session.pending;
+    return pending.needs_primary ? find_primary_connection(session, pending.route.group)
+                                 : find_read_connection(session);
+}
+
+bool server_selector::uses_relay(const caller_session& session) const
+{
+    const protocol::group_access* access = m_context.group_access(session.pending->route.group);
+    if (session.is_relayed || access == nullptr || access->relay_indexes.empty()) {
+        return false;
+    }
+    return !access->is_direct || (is_isolated(*session.pending) && !find_relays(session).empty());
+}
+
+std::vector<relay_candidate> server_selector::find_relays(const caller_session& session) const
+{
+    std::vector<relay_candidate> candidates;
+    for (const std::uint32_t plan_index :
+         m_context.group_access(session.pending->route.group)->relay_indexes) {
+        const protocol::relay_host& host = m_context.state.view->relay_plan->relays.at(plan_index);
+        const backend_server_name name{host.name.value};
+        const auto load = m_context.state.server_loads.find(name);
+        const bool is_known = load != m_context.state.server_loads.end();
+        candidates.push_back({plan_index, host.zone == m_context.state.zone,
+                              is_known ? load->second.connections_in_use : 0,
+                              is_known && m_context.now < load->second.avoid_until,
+                              session.pending->tried_servers.contains(name)});
+    }
+    return rank_relays(std::move(candidates));
+}
+
+std::optional<connection_number> server_selector::find_relay_connection(caller_session& session)
+{
+    pending_statement& pending = *session.pending;
+    for (const relay_candidate& candidate : find_relays(session)) {
+        const protocol::relay_host& host = m_context.state.view->relay_plan->relays.at(candidate.plan_index);
+        const backend_server_name name{host.name.value};
+        if (const std::optional<connection_number> connection = m_connections.find_idle(name, session)) {
+            pending.minimum_position = required_position(session);
+            return connection;
+        }
+        const std::size_t waiting = m_context.queued_count(pending.route.group);
+        if (m_context.state.server_loads[name].opening_connections < waiting) {
+            m_connections.open_relay(host, pending.route.group, session.database);
+        }
+        if (m_context.state.server_loads[name].opening_connections > 0) {
+            return std::nullopt;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<group_position> server_selector::required_position(const caller_session& session)
+{
+    const pending_statement& pending = *session.pending;
+    const auto own_commit = session.commit_positions.find(pending.route.group);
+    const bool needs_own_commit =
+        pending.is_read_only && own_commit != session.commit_positions.end() &&
+        pending.route.consistency == configuration::read_consistency::read_your_writes;
+    return needs_own_commit ? std::max(pending.request.minimum_position, std::optional(own_commit->second))
+                            : pending.request.minimum_position;
+}
+
+std::optional<connection_number> server_selector::find_primary_connection(const caller_session& session,
+                                                                          const group_name& group)
+{
+    const group_view* known = m_context.group(group);
+    if (known == nullptr || !m_context.is_primary_usable(*known) || known->is_held ||
+        is_closed_to_new_work(known->primary) || !has_capacity(known->primary)) {
+        return std::nullopt;
+    }
+    const std::optional<connection_number> connection = m_connections.find_idle(known->primary, session);
+    if (!connection) {
+        m_connections.open_if_allowed(known->primary, session.customer);
+    }
+    return connection;
+}
+
+std::optional<connection_number> server_selector::find_read_connection(caller_session& session)
+{
+    pending_statement& pending = *session.pending;
+    const group_name& group = pending.route.group;
+    const group_view* known = m_context.group(group);
+    std::optional<group_position> minimum_position =
+        position_covering(m_context.state.position_samples[group],
+                          pending.request.received_at - pending.route.max_staleness + clock_rounding_margin);
+    if (!minimum_position) {
+        return find_primary_connection(session, group);
+    }
+    minimum_position = std::max(minimum_position, required_position(session));
+    std::vector<read_candidate> servers;
+    for (const backend_server_name& name : m_context.servers_of(group)) {
+        const server_view& server = *m_context.server(name);
+        const bool is_primary = known != nullptr && known->primary == name;
+        const bool is_usable = !is_primary || (m_context.is_primary_usable(*known) && !known->is_held);
+        if (server.is_leaving || !is_usable || pending.tried_servers.contains(name) || !has_capacity(name)) {
+            continue;
+        }
+        const server_load& load = m_context.state.server_loads[name];
+        servers.push_back({name, is_primary, server.zone == m_context.state.zone, load.in_flight,
+                           load.latency_ms, m_context.now < load.avoid_until});
+    }
+    const std::vector<read_candidate> preferred = rank_read_servers(std::move(servers));
+    for (const read_candidate& server : preferred) {
+        const std::optional<connection_number> connection = m_connections.find_idle(server.name, session);
+        if (connection) {
+            pending.minimum_position = server.is_primary ? std::nullopt : minimum_position;
+            return connection;
+        }
+        // The pool to a better server grows even if another server can run this read now.
+        m_connections.open_if_allowed(server.name, session.customer);
+    }
+    return std::nullopt;
+}
+
+bool server_selector::has_capacity(const backend_server_name& server) const
+{
+    const auto load = m_context.state.server_loads.find(server);
+    return load == m_context.state.server_loads.end() || may_send(load->second.limit, load->second.in_flight);
+}
+
+bool server_selector::is_closed_to_new_work(const backend_server_name& server) const
+{
+    const auto load = m_context.state.server_loads.find(server);
+    return load != m_context.state.server_loads.end() && load->second.leaving_since &&
+           m_context.now - *load->second.leaving_since >= leaving_primary_timeout;
+}
+
+bool server_selector::is_isolated(const pending_statement& pending) const
+{
+    return pending.needs_primary && pending.connection == 0 && is_isolated(pending.route.group);
+}
+
+bool server_selector::is_isolated(const group_name& name) const
+{
+    const group_view* group = m_context.group(name);
+    if (group == nullptr) {
+        return false;
+    }
+    const bool has_lost_lease = m_context.now - m_context.state.view->lease_until >= isolation_delay;
+    const auto load = m_context.state.server_loads.find(group->primary);
+    const bool is_unreachable = group->is_open && load != m_context.state.server_loads.end() &&
+                                load->second.unreachable_since &&
+                                load->second.open_connections <= load->second.opening_connections &&
+                                m_context.now - *load->second.unreachable_since >= isolation_delay;
+    return has_lost_lease || is_unreachable;
+}
+
+void server_selector::update_concurrency_limit(const server_connection& connection, response_code code)
+{
+    server_load& load = m_context.state.server_loads[connection.server];
+    if (code == response_code::busy) {
+        load.limit = after_refusal(load.limit, load.in_flight, m_context.now);
+    } else if (code == response_code::done) {
+        load.limit = after_answer(load.limit, load.in_flight);
+    }
+}
+
+} // namespace hickorymount::sessions::detail
--- /dev/null
+++ b/src/sessions/internal/server_selector.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "sessions/internal/connection_pool.h"
+#include "sessions/internal/event_context.h"
+#include "sessions/internal/relay_ranking.h"
+
+#include <optional>
+#include <vector>
+
+namespace hickorymount::sessions::detail {
+
+/// Chooses the connection for a statement: to a server of its group, or to another entry host that relays it.
+/// Opens connections where more are needed, within the limits of the pool.
+class server_selector
+{
+public:
+    server_selector(event_context& context, connection_pool& connections);
+
+    /// An idle connection on which the session's queued statement can run now. Sets the position that its
+    /// read must have reached there.
+    std::optional<connection_number> find_connection(caller_session& session);
+
+    /// Other entry hosts run the statement when this host has no direct connections to the group, or is
+    /// isolated from it. A statement that was already relayed is not relayed again.
+    [[nodiscard]] bool uses_relay(const caller_session& session) const;
+
+    [[nodiscard]] bool is_isolated(const pending_statement& pending) const;
+    /// True when this host can't reach the primary or has lost its lease for longer than a change of primary
+    /// takes. Refusing the statement at once lets the caller try another host.
+    [[nodiscard]] bool is_isolated(const group_name& name) const;
+
+    /// Adapts the limit on the statements in flight at the connection's server to a response.
+    void update_concurrency_limit(const server_connection& connection, response_code code);
+
+private:
+    [[nodiscard]] std::vector<relay_candidate> find_relays(const caller_session& session) const;
+    std::optional<connection_number> find_relay_connection(caller_session& session);
+    /// The position that a read of the session must have reached, regardless of its allowed staleness.
+    static std::optional<group_position> required_position(const caller_session& session);
+    std::optional<connection_number> find_primary_connection(const caller_session& session,
+                                                             const group_name& group);
+    std::optional<connection_number> find_read_connection(caller_session& session);
+    [[nodiscard]] bool has_capacity(const backend_server_name& server) const;
+    [[nodiscard]] bool is_closed_to_new_work(const backend_server_name& server) const;
+
+    event_context& m_context;
+    connection_pool& m_connections;
+};
+
+} // namespace hickorymount::sessions::detail
--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -5,8 +5,6 @@
 #include "sessions/internal/position_samples.h"
 #include "sessions/internal/queue_cursor.h"
 #include "sessions/internal/queue_order.h"
-#include "sessions/internal/read_ranking.h"
-#include "sessions/internal/relay_ranking.h"
 #include "sessions/internal/wait_cause.h"
 
 #include <algorithm>
@@ -18,8 +16,6 @@
 
 namespace {
 
-/// Subtracted from a read's maximum staleness, because clocks are rounded to whole milliseconds.
-constexpr milliseconds clock_rounding_margin{5};
 /// Longest interval between two checks of the queued statements.
 constexpr milliseconds max_check_interval{1000};
 
@@ -53,7 +49,7 @@
 } // namespace
 
 statement_dispatcher::statement_dispatcher(event_context& context, connection_pool& connections)
-    : m_context(context), m_connections(connections)
+    : m_context(context), m_connections(connections), m_selector(context, connections)
 {
 }
 
@@ -366,7 +362,7 @@
 bool statement_dispatcher::holds_up_lane(const caller_session& session) const
 {
     const pending_statement& pending = *session.pending;
-    return pending.tried_servers.empty() || (pending.needs_primary && !uses_relay(session));
+    return pending.tried_servers.empty() || (pending.needs_primary && !m_selector.uses_relay(session));
 }
 
 /// Sends queued statements after a connection for the group has become free or was lost.
@@ -403,12 +399,7 @@
         advance(pending.connection, session);
         return true;
     }
-    if (uses_relay(session)) {
-        return try_relay(number, session);
-    }
-    const std::optional<connection_number> connection =
-        pending.needs_primary ? find_primary_connection(session, pending.route.group)
-                              : find_read_connection(session);
+    const std::optional<connection_number> connection = m_selector.find_connection(session);
     if (!connection) {
         return false;
     }
@@ -416,126 +407,6 @@
     return true;
 }
 
-/// Other entry hosts run the statement when this host has no direct connections to the group, or is isolated
-/// from it. A statement that was already relayed is not relayed again.
-bool statement_dispatcher::uses_relay(const caller_session& session) const
-{
-    const protocol::group_access* access = m_context.group_access(session.pending->route.group);
-    if (session.is_relayed || access == nullptr || access->relay_indexes.empty()) {
-        return false;
-    }
-    return !access->is_direct || (is_isolated(*session.pending) && !find_relays(session).empty());
-}
-
-std::vector<relay_candidate> statement_dispatcher::find_relays(const caller_session& session) const
-{
-    std::vector<relay_candidate> candidates;
-    for (const std::uint32_t plan_index :
-         m_context.group_access(session.pending->route.group)->relay_indexes) {
-        const protocol::relay_host& host = m_context.state.view->relay_plan->relays.at(plan_index);
-        const backend_server_name name{host.name.value};
-        const auto load = m_context.state.server_loads.find(name);
-        const bool is_known = load != m_context.state.server_loads.end();
-        candidates.push_back({plan_index, host.zone == m_context.state.zone,
-                              is_known ? load->second.connections_in_use : 0,
-                              is_known && m_context.now < load->second.avoid_until,
-                              session.pending->tried_servers.contains(name)});
-    }
-    return rank_relays(std::move(candidates));
-}
-
-bool statement_dispatcher::try_relay(session_number number, caller_session& session)
-{
-    pending_statement& pending = *session.pending;
-    for (const relay_candidate& candidate : find_relays(session)) {
-        const protocol::relay_host& host = m_context.state.view->relay_plan->relays.at(candidate.plan_index);
-        const backend_server_name name{host.name.value};
-        if (const std::optional<connection_number> connection = m_connections.find_idle(name, session)) {
-            pending.minimum_position = required_position(session);
-            start_on_connection(*connection, number, session);
-            return true;
-        }
-        const std::size_t waiting = m_context.queued_count(pending.route.group);
-        if (m_context.state.server_loads[name].opening_connections < waiting) {
-            m_connections.open_relay(host, pending.route.group, session.database);
-        }
-        if (m_context.state.server_loads[name].opening_connections > 0) {
-            return false;
-        }
-    }
-    return false;
-}
-
-/// The position that a read of the session must have reached, regardless of its allowed staleness.
-std::optional<group_position> statement_dispatcher::required_position(const caller_session& session)
-{
-    const pending_statement& pending = *session.pending;
-    const auto own_commit = session.commit_positions.find(pending.route.group);
-    const bool needs_own_commit =
-        pending.is_read_only && own_commit != session.commit_positions.end() &&
-        pending.route.consistency == configuration::read_consistency::read_your_writes;
-    return needs_own_commit ? std::max(pending.request.minimum_position, std::optional(own_commit->second))
-                            : pending.request.minimum_position;
-}
-
-std::optional<connection_number> statement_dispatcher::find_primary_connection(const caller_session& session,
-                                                                               const group_name& group)
-{
-    const group_view* known = m_context.group(group);
-    if (known == nullptr || !m_context.is_primary_usable(*known) || known->is_held ||
-        is_closed_to_new_work(known->primary) || !has_capacity(known->primary)) {
-        return std::nullopt;
-    }
-    const std::optional<connection_number> connection = m_connections.find_idle(known->primary, session);
-    if (!connection) {
-        m_connections.open_if_allowed(known->primary, session.customer);
-    }
-    return connection;
-}
-
-bool statement_dispatcher::has_capacity(const backend_server_name& server) const
-{
-    const auto load = m_context.state.server_loads.find(server);
-    return load == m_context.state.server_loads.end() || may_send(load->second.limit, load->second.in_flight);
-}
-
-std::optional<connection_number> statement_dispatcher::find_read_connection(caller_session& session)
-{
-    pending_statement& pending = *session.pending;
-    const group_name& group = pending.route.group;
-    const group_view* known = m_context.group(group);
-    std::optional<group_position> minimum_position =
-        position_covering(m_context.state.position_samples[group],
-                          pending.request.received_at - pending.route.max_staleness + clock_rounding_margin);
-    if (!minimum_position) {
-        return find_primary_connection(session, group);
-    }
-    minimum_position = std::max(minimum_position, required_position(session));
-    std::vector<read_candidate> servers;
-    for (const backend_server_name& name : m_context.servers_of(group)) {
-        const server_view& server = *m_context.server(name);
-        const bool is_primary = known != nullptr && known->primary == name;
-        const bool is_usable = !is_primary || (m_context.is_primary_usable(*known) && !known->is_held);
-        if (server.is_leaving || !is_usable || pending.tried_servers.contains(name) || !has_capacity(name)) {
-            continue;
-        }
-        const server_load& load = m_context.state.server_loads[name];
-        servers.push_back({name, is_primary, server.zone == m_context.state.zone, load.in_flight,
-                           load.latency_ms, m_context.now < load.avoid_until});
-    }
-    const std::vector<read_candidate> preferred = rank_read_servers(std::move(servers));
-    for (const read_candidate& server : preferred) {
-        const std::optional<connection_number> connection = m_connections.find_idle(server.name, session);
-        if (connection) {
-            pending.minimum_position = server.is_primary ? std::nullopt : minimum_position;
-            return connection;
-        }
-        // The pool to a better server grows even if another server can run this read now.
-        m_connections.open_if_allowed(server.name, session.customer);
-    }
-    return std::nullopt;
-}
-
 void statement_dispatcher::start_on_connection(connection_number connection, session_number number,
                                                caller_session& session)
 {
@@ -644,7 +515,7 @@
         "refused before it ran: code=" + std::to_string(static_cast<int>(response.code));
     connection.internal_statement.reset();
     m_connections.back_off(server);
-    update_concurrency_limit(connection, response.code);
+    m_selector.update_concurrency_limit(connection, response.code);
     record_refusal(*session.pending, server, response.code);
     // A failed begin leaves the connection unchanged. After any other failure its variables are unknown.
     if (is_begin && response.state == transaction_state::none) {
@@ -679,7 +550,7 @@
         add_sample(m_context.state.position_samples[group], {connection.sent_at, *response.position},
                    m_context.now);
     }
-    update_concurrency_limit(connection, response.code);
+    m_selector.update_concurrency_limit(connection, response.code);
     connection.is_in_transaction = response.state != transaction_state::none;
     m_connections.set_stage(number, connection, connection_stage::reserved);
     const session_number holder = connection.holder;
@@ -1142,7 +1013,7 @@
 void statement_dispatcher::refuse_isolated(const group_name& group)
 {
     const auto queue = m_context.state.queues.find(group);
-    if (queue == m_context.state.queues.end() || !is_isolated(group)) {
+    if (queue == m_context.state.queues.end() || !m_selector.is_isolated(group)) {
         return;
     }
     std::vector<session_number> waiting;
@@ -1161,7 +1032,7 @@
 void statement_dispatcher::refuse_if_isolated(session_number number, caller_session& session)
 {
     const bool is_refused = session.pending && session.pending->stage == statement_stage::queued &&
-                            is_isolated(*session.pending) && !uses_relay(session);
+                            m_selector.is_isolated(*session.pending) && !m_selector.uses_relay(session);
     if (is_refused) {
         reply_with_code(number, session, response_code::busy,
                         "this host is cut off from the primary or from control");
@@ -1199,7 +1070,7 @@
 {
     pending_statement& pending = *session.pending;
     if (pending.stage == statement_stage::queued && is_too_late(pending, m_context.now)) {
-        pending.waited_for = find_wait_cause(m_context, pending, uses_relay(session));
+        pending.waited_for = find_wait_cause(m_context, pending, m_selector.uses_relay(session));
         reply_with_code(number, session, response_code::busy,
                         fmt::format("no server was free in time: {}", to_string(pending.waited_for)));
         return;
@@ -1251,16 +1122,6 @@
     }
 }
 
-void statement_dispatcher::update_concurrency_limit(const server_connection& connection, response_code code)
-{
-    server_load& load = m_context.state.server_loads[connection.server];
-    if (code == response_code::busy) {
-        load.limit = after_refusal(load.limit, load.in_flight, m_context.now);
-    } else if (code == response_code::done) {
-        load.limit = after_answer(load.limit, load.in_flight);
-    }
-}
-
 void statement_dispatcher::record_relay_response(const server_connection& connection)
 {
     if (connection.is_relay) {
@@ -1291,28 +1152,6 @@
     resolve(number, session, std::nullopt, "no answer in time");
 }
 
-bool statement_dispatcher::is_isolated(const pending_statement& pending) const
-{
-    return pending.needs_primary && pending.connection == 0 && is_isolated(pending.route.group);
-}
-
-/// True when this host can't reach the primary or has lost its lease for longer than a change of primary
-/// takes. Refusing the statement at once lets the caller try another host.
-bool statement_dispatcher::is_isolated(const group_name& name) const
-{
-    const group_view* group = m_context.group(name);
-    if (group == nullptr) {
-        return false;
-    }
-    const bool has_lost_lease = m_context.now - m_context.state.view->lease_until >= isolation_delay;
-    const auto load = m_context.state.server_loads.find(group->primary);
-    const bool is_unreachable = group->is_open && load != m_context.state.server_loads.end() &&
-                                load->second.unreachable_since &&
-                                load->second.open_connections <= load->second.opening_connections &&
-                                m_context.now - *load->second.unreachable_since >= isolation_delay;
-    return has_lost_lease || is_unreachable;
-}
-
 void statement_dispatcher::suspect_if_primary(const server_connection& connection, const std::string& reason,
                                               bool are_commits_stalled)
 {
@@ -1397,11 +1236,4 @@
                                             : statement_scope::commit_of_reads;
 }
 
-bool statement_dispatcher::is_closed_to_new_work(const backend_server_name& server) const
-{
-    const auto load = m_context.state.server_loads.find(server);
-    return load != m_context.state.server_loads.end() && load->second.leaving_since &&
-           m_context.now - *load->second.leaving_since >= leaving_primary_timeout;
-}
-
 } // namespace hickorymount::sessions::detail
--- a/src/sessions/internal/statement_dispatcher.h
+++ b/src/sessions/internal/statement_dispatcher.h
@@ -2,8 +2,8 @@
 
 #include "sessions/internal/connection_pool.h"
 #include "sessions/internal/event_context.h"
-#include "sessions/internal/relay_ranking.h"
 #include "sessions/internal/response_action.h"
+#include "sessions/internal/server_selector.h"
 
 #include <optional>
 #include <string>
@@ -63,13 +63,6 @@
     void dispatch_after(const group_name& group, bool was_relay);
     [[nodiscard]] bool holds_up_lane(const caller_session& session) const;
     bool try_dispatch(session_number number, caller_session& session);
-    [[nodiscard]] bool uses_relay(const caller_session& session) const;
-    [[nodiscard]] std::vector<relay_candidate> find_relays(const caller_session& session) const;
-    bool try_relay(session_number number, caller_session& session);
-    static std::optional<group_position> required_position(const caller_session& session);
-    std::optional<connection_number> find_primary_connection(const caller_session& session,
-                                                             const group_name& group);
-    std::optional<connection_number> find_read_connection(caller_session& session);
     void start_on_connection(connection_number connection, session_number number, caller_session& session);
     void advance(connection_number connection, caller_session& session);
     [[nodiscard]] bool has_lost_primary(const server_connection& connection,
@@ -110,23 +103,19 @@
     void end_idle_transactions(const group_name& group);
     void check_deadlines(session_number number, caller_session& session);
     void abandon_unanswered(session_number number, caller_session& session);
-    [[nodiscard]] bool has_capacity(const backend_server_name& server) const;
     [[nodiscard]] bool was_refused_after_wait(const pending_statement& pending,
                                               const std::optional<response_code>& code) const;
-    void update_concurrency_limit(const server_connection& connection, response_code code);
     void check_relay_silence(session_number number, caller_session& session,
                              const server_connection& connection);
     void record_relay_response(const server_connection& connection);
     void suspect_if_primary(const server_connection& connection, const std::string& reason,
                             bool are_commits_stalled = false);
-    [[nodiscard]] bool is_isolated(const pending_statement& pending) const;
-    [[nodiscard]] bool is_isolated(const group_name& name) const;
 
     [[nodiscard]] statement_scope scope_of(const caller_session& session) const;
-    [[nodiscard]] bool is_closed_to_new_work(const backend_server_name& server) const;
 
     event_context& m_context;
     connection_pool& m_connections;
+    server_selector m_selector;
 };
 
 } // namespace hickorymount::sessions::detail
