Answer busy to statements that no server has received

An entry host that runs statements for another one (relay) counted the whole time limit from the arrival there, so that it refused a queued statement after the other host had already resolved it as unknown. A commit whose connection was lost while it was being prepared, or after the server had refused it, was answered as unknown. A statement whose preparation was answered after the deadline was still sent. A statement in preparation at a stop got no response at all.

What no relay could answer in time is not relayed. A statement in preparation is refused at the end of its time and is not sent. A commit that was not sent is answered as aborted, since the server rolls its transaction back. A read at a silent relay is answered busy at its deadline: whether it ran is unknown, but it has no effect. A write or commit at a silent or lost relay stays unknown, and a read unanswered by a server stays timed out.

The load test of relays passes on the caller and the remaining time of a statement, as the real link does.

--- a/src/gateway/internal/session_server.cpp
+++ b/src/gateway/internal/session_server.cpp
@@ -280,7 +280,8 @@
     if (const auto* request = std::get_if<sessions::statement_request>(&decoded);
         request != nullptr && caller_state.is_open) {
         handle_event(sessions::statement_received{number, request->id, request->body,
-                                                  request->minimum_position, request->caller});
+                                                  request->minimum_position, request->caller,
+                                                  request->remaining_time});
         return;
     }
     if (caller_state.is_open && std::holds_alternative<sessions::malformed_request>(decoded)) {
@@ -438,8 +439,8 @@
 {
     const auto found = m_server_connections.find(effect.connection);
     if (found != m_server_connections.end()) {
-        found->second.connection->send(
-            m_codec->encode_statement({effect.id, effect.body, effect.minimum_position, effect.caller}));
+        found->second.connection->send(m_codec->encode_statement(
+            {effect.id, effect.body, effect.minimum_position, effect.caller, effect.remaining_time}));
     }
 }
 
--- a/src/gateway/tests/relay_load_tests.cpp
+++ b/src/gateway/tests/relay_load_tests.cpp
@@ -398,7 +398,8 @@
         schedule(network_delay, [this, host, effect, end] {
             if (end.relay_session != 0) {
                 apply(end.relay_host, sessions::statement_received{end.relay_session, effect.id, effect.body,
-                                                                   effect.minimum_position});
+                                                                   effect.minimum_position, effect.caller,
+                                                                   effect.remaining_time});
                 return;
             }
             run_at_server(host, effect, end.server);
--- a/src/sessions/internal/connection_pool.cpp
+++ b/src/sessions/internal/connection_pool.cpp
@@ -1,6 +1,7 @@
 #include "sessions/internal/connection_pool.h"
 
 #include "sessions/internal/next_check.h"
+#include "sessions/internal/relay_deadline.h"
 
 #include <algorithm>
 
@@ -232,7 +233,8 @@
     const bool is_first_read = !connection.is_in_transaction && pending.is_read_only;
     m_context.emit(send_statement{
         number, pending.request.id, std::move(body), is_first_read ? pending.minimum_position : std::nullopt,
-        changed_caller(connection, m_context.state.sessions.at(connection.holder))});
+        changed_caller(connection, m_context.state.sessions.at(connection.holder)),
+        connection.is_relay ? remaining_time_to_name(pending, m_context.now) : std::nullopt});
 }
 
 void connection_pool::apply_internal_result(server_connection& connection)
--- a/src/sessions/internal/next_check.cpp
+++ b/src/sessions/internal/next_check.cpp
@@ -33,7 +33,7 @@
         return pending.retry_at > now ? std::min(pending.retry_at, too_late_at) : too_late_at;
     }
     case statement_stage::preparing:
-        return no_check;
+        return pending.deadline - send_margin;
     case statement_stage::running:
         return relay == nullptr ? next_direct_check(pending, now) : next_relay_check(pending, *relay, now);
     }
--- a/src/sessions/internal/reduce.cpp
+++ b/src/sessions/internal/reduce.cpp
@@ -39,8 +39,9 @@
 
     void apply(const statement_received& request)
     {
-        m_dispatcher.submit(request.session, {request.id, request.body, m_context.now,
-                                              request.minimum_position, request.caller});
+        m_dispatcher.submit(request.session,
+                            {request.id, request.body, m_context.now, request.minimum_position,
+                             request.caller, request.remaining_time});
     }
 
     void apply(const malformed_statement_received& request)
--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -6,6 +6,7 @@
 #include "sessions/internal/queue_cursor.h"
 #include "sessions/internal/queue_order.h"
 #include "sessions/internal/read_ranking.h"
+#include "sessions/internal/relay_deadline.h"
 #include "sessions/internal/relay_ranking.h"
 #include "sessions/internal/wait_cause.h"
 
@@ -325,7 +326,10 @@
     }
     pending.needs_primary =
         !pending.is_read_only || pending.route.consistency == configuration::read_consistency::primary;
-    pending.deadline = request.received_at + pending.route.statement_timeout;
+    const milliseconds time_limit = pending.route.statement_timeout;
+    pending.deadline = session.is_relayed
+                           ? relayed_deadline(request.received_at, time_limit, request.remaining_time)
+                           : request.received_at + time_limit;
     pending.retry_at = m_context.now;
     const group_name group = pending.route.group;
     session.pending = std::move(pending);
@@ -345,13 +349,16 @@
     }
     queue_cursor cursor(found->second, is_overloaded(m_context.now - *found->second.oldest_arrival()));
     std::vector<session_number> sent;
+    std::vector<session_number> too_late;
     while (const std::optional<queue_place> place = cursor.next()) {
         const session_number number = place->arrival.session;
         caller_session& session = m_context.state.sessions.at(number);
         if (session.pending->retry_at > m_context.now) {
             continue;
         }
-        if (try_dispatch(number, session)) {
+        if (is_too_late_to_send(session)) {
+            too_late.push_back(number);
+        } else if (try_dispatch(number, session)) {
             sent.push_back(number);
         } else if (holds_up_lane(session)) {
             cursor.skip_lane();
@@ -360,6 +367,43 @@
     for (const session_number number : sent) {
         remove_from_queue(m_context.state.sessions.at(number));
     }
+    for (const session_number number : too_late) {
+        caller_session* session = m_context.session(number);
+        if (session != nullptr && session->pending && session->pending->stage == statement_stage::queued) {
+            refuse_queued(number, *session);
+        }
+    }
+}
+
+/// True when the statement could not be answered before its deadline if it was sent now.
+bool statement_dispatcher::is_too_late_to_send(const caller_session& session) const
+{
+    const pending_statement& pending = *session.pending;
+    const server_connection* connection = m_context.connection(pending.connection);
+    const bool is_for_relay = connection == nullptr ? uses_relay(session) : connection->is_relay;
+    return is_for_relay ? is_too_late_to_relay(pending, m_context.now) : is_too_late(pending, m_context.now);
+}
+
+/// Refuses a queued statement for lack of time, and records what it waited for.
+void statement_dispatcher::refuse_queued(session_number number, caller_session& session)
+{
+    pending_statement& pending = *session.pending;
+    pending.waited_for = find_wait_cause(m_context, pending, uses_relay(session));
+    reply_with_code(number, session, response_code::busy,
+                    fmt::format("no server was free in time: {}", to_string(pending.waited_for)));
+}
+
+/// Refuses a statement whose connection was not prepared in time, so that it was not sent.
+void statement_dispatcher::refuse_unprepared(session_number number, caller_session& session)
+{
+    const connection_number connection = session.pending->connection;
+    const bool is_unanswered = m_context.connection(connection)->internal_statement.has_value();
+    if (!session.transaction && is_unanswered) {
+        m_connections.abandon(connection);
+    } else if (!session.transaction) {
+        m_connections.release(connection);
+    }
+    reply_with_code(number, session, response_code::busy, "no connection was prepared in time");
 }
 
 /// True when none of the statements behind this one in its lane can be sent either.
@@ -611,6 +655,11 @@
         dispatch_after(group, is_relay);
         return;
     }
+    if (response.code == response_code::done && is_too_late_to_send(*session)) {
+        refuse_unprepared(holder, *session);
+        dispatch_after(group, is_relay);
+        return;
+    }
     if (response.code == response_code::done) {
         advance(number, *session);
         return;
@@ -656,12 +705,13 @@
 }
 
 /// Handles a connection that was lost before the statement was sent: the statement is queued for another
-/// connection, unless its transaction has already run statements on the lost one.
+/// connection, unless its transaction has already run statements on the lost one. The server rolls these
+/// back, so that the outcome is known, even that of a commit.
 void statement_dispatcher::requeue_or_abort(session_number number, caller_session& session,
                                             const std::string& reason)
 {
     if (session.transaction && session.transaction->has_run) {
-        resolve(number, session, std::nullopt, reason);
+        report_aborted(number, session, reason);
         return;
     }
     requeue(number, session, reason);
@@ -800,16 +850,9 @@
         pending.retry_at = m_context.now + refusal_backoff;
         add_to_queue(number, session);
         return;
-    case response_action::report_aborted: {
-        const bool is_commit = pending.request.body.kind == statement_kind::commit;
-        if (is_commit) {
-            end_transaction(session);
-        } else {
-            fail_transaction(session);
-        }
-        reply_with_code(number, session, response_code::aborted, reason);
+    case response_action::report_aborted:
+        report_aborted(number, session, reason);
         return;
-    }
     case response_action::report_outcome_unknown:
         if (session.transaction) {
             end_transaction(session);
@@ -819,6 +862,17 @@
     }
 }
 
+void statement_dispatcher::report_aborted(session_number number, caller_session& session,
+                                          const std::string& reason)
+{
+    if (session.pending->request.body.kind == statement_kind::commit) {
+        end_transaction(session);
+    } else {
+        fail_transaction(session);
+    }
+    reply_with_code(number, session, response_code::aborted, reason);
+}
+
 /// True when another entry host queued the statement for so long that the servers must be overloaded.
 /// Retrying on yet another host would only add load.
 bool statement_dispatcher::was_refused_after_wait(const pending_statement& pending,
@@ -1199,9 +1253,11 @@
 {
     pending_statement& pending = *session.pending;
     if (pending.stage == statement_stage::queued && is_too_late(pending, m_context.now)) {
-        pending.waited_for = find_wait_cause(m_context, pending, uses_relay(session));
-        reply_with_code(number, session, response_code::busy,
-                        fmt::format("no server was free in time: {}", to_string(pending.waited_for)));
+        refuse_queued(number, session);
+        return;
+    }
+    if (pending.stage == statement_stage::preparing && is_too_late(pending, m_context.now)) {
+        refuse_unprepared(number, session);
         return;
     }
     if (pending.stage != statement_stage::running) {
@@ -1271,8 +1327,9 @@
 void statement_dispatcher::abandon_unanswered(session_number number, caller_session& session)
 {
     const connection_number connection = session.pending->connection;
+    const bool is_relayed = m_context.connection(connection)->is_relay;
     session.pending->tried_servers.insert(m_context.connection(connection)->server);
-    if (!m_context.connection(connection)->is_relay) {
+    if (!is_relayed) {
         m_connections.back_off(m_context.connection(connection)->server);
     }
     if (session.transaction) {
@@ -1285,7 +1342,9 @@
     }
     session.pending->connection = 0;
     if (m_context.now >= session.pending->deadline && scope_of(session) == statement_scope::single_read) {
-        reply_with_code(number, session, response_code::timed_out, "no answer in time");
+        // Whether the other entry host has sent the read to a server is unknown, but a read has no effect.
+        reply_with_code(number, session, is_relayed ? response_code::busy : response_code::timed_out,
+                        "no answer in time");
         return;
     }
     resolve(number, session, std::nullopt, "no answer in time");
@@ -1375,9 +1434,15 @@
     }
     for (const session_number number : all) {
         caller_session& session = m_context.state.sessions.at(number);
-        if (session.pending && session.pending->stage == statement_stage::queued) {
-            session.pipelined_statements.clear();
+        if (session.pending && session.pending->stage != statement_stage::running) {
+            const std::size_t behind = std::exchange(session.pipelined_statements, {}).size();
+            if (session.pending->stage == statement_stage::preparing && !session.transaction) {
+                m_connections.abandon(session.pending->connection);
+            }
             reply_with_code(number, session, response_code::busy, "the proxy stops");
+            for (std::size_t at = 0; at < behind; ++at) {
+                reply_with_code(number, session, response_code::busy, "the proxy stops");
+            }
         }
         m_context.emit(close_session{number});
         close(number);
--- a/src/sessions/internal/statement_dispatcher.h
+++ b/src/sessions/internal/statement_dispatcher.h
@@ -62,6 +62,9 @@
 
     void dispatch_after(const group_name& group, bool was_relay);
     [[nodiscard]] bool holds_up_lane(const caller_session& session) const;
+    [[nodiscard]] bool is_too_late_to_send(const caller_session& session) const;
+    void refuse_queued(session_number number, caller_session& session);
+    void refuse_unprepared(session_number number, caller_session& session);
     bool try_dispatch(session_number number, caller_session& session);
     [[nodiscard]] bool uses_relay(const caller_session& session) const;
     [[nodiscard]] std::vector<relay_candidate> find_relays(const caller_session& session) const;
@@ -81,6 +84,7 @@
                                  const statement_response& response);
     void requeue_or_abort(session_number number, caller_session& session, const std::string& reason);
     void requeue(session_number number, caller_session& session, const std::string& reason);
+    void report_aborted(session_number number, caller_session& session, const std::string& reason);
     void resolve(session_number number, caller_session& session, std::optional<statement_response> response,
                  const std::string& reason);
     void forward_response(session_number number, caller_session& session, statement_response response);
--- a/src/sessions/session_codec.h
+++ b/src/sessions/session_codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/millisecond_clock.h"
 #include "sessions/statement.h"
 
 #include <memory>
@@ -32,6 +33,9 @@
     std::optional<group_position> minimum_position{};
     /// Whose statement it is, if that changes on a connection between entry hosts.
     std::optional<relayed_caller> caller{};
+    /// Time left until the deadline of the statement at the entry host that relays it; nothing if it has not
+    /// waited there.
+    std::optional<milliseconds> remaining_time{};
 
     friend bool operator==(const statement_request&, const statement_request&) = default;
 };
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -97,6 +97,9 @@
     std::optional<group_position> minimum_position{};
     /// For a statement relayed by another entry host: whose it is, if that differs from the statement before.
     std::optional<relayed_caller> caller{};
+    /// For a statement relayed by another entry host: the time left until its deadline there, if it was
+    /// named.
+    std::optional<milliseconds> remaining_time{};
 
     friend bool operator==(const received_statement&, const received_statement&) = default;
 };
@@ -374,6 +377,7 @@
     statement body;
     std::optional<group_position> minimum_position{};
     std::optional<relayed_caller> caller{};
+    std::optional<milliseconds> remaining_time{};
 
     friend bool operator==(const statement_received&, const statement_received&) = default;
 };
@@ -517,6 +521,9 @@
     std::optional<group_position> minimum_position;
     /// Only to another entry host: whose statement it is, if that differs from the statement before.
     std::optional<relayed_caller> caller{};
+    /// Only to another entry host: the time left until the statement's deadline, if the statement has waited
+    /// here.
+    std::optional<milliseconds> remaining_time{};
 
     friend bool operator==(const send_statement&, const send_statement&) = default;
 };
