Hold a customer's connections near the server, and relay its statements there

Change: with customers and known regions, hosts of a server's region get most of its connections, and others two each at most. A statement is relayed to a holder in the region where it runs: the primary's, or the own region for reads. Among these, rendezvous hashing over group and customer chooses the host, unless that has four more statements in service. A read that a replica lacks the position for is returned to the host that relayed it. A statement waits for the connection that is being opened for its customer rather than opening one at each server.

--- a/src/framework/base/identifier.h
+++ b/src/framework/base/identifier.h
@@ -19,6 +19,8 @@
 
 using host_name = identifier<struct host_tag>;
 using availability_zone = identifier<struct availability_zone_tag>;
+/// Several availability zones that are close to each other.
+using region_name = identifier<struct region_tag>;
 using group_name = identifier<struct group_tag>;
 using class_name = identifier<struct class_tag>;
 using tenant_name = identifier<struct tenant_tag>;
--- a/src/gateway/internal/entry_service.cpp
+++ b/src/gateway/internal/entry_service.cpp
@@ -89,7 +89,7 @@
         m_transport = link::make_websocket_transport(m_settings.name.value, std::move(handlers));
         if (codec != nullptr && m_settings.session_address) {
             m_sessions = std::make_unique<detail::session_server>(
-                std::move(codec), m_settings.zone,
+                std::move(codec), m_settings.zone, m_settings.regions,
                 detail::session_server::handlers{
                     [this](routing::entry_event_payload kind) { post(std::move(kind)); },
                     [this] { handle_sessions_stopped(); }},
@@ -116,7 +116,7 @@
         m_control_thread.start();
         post(routing::entry_started{m_self, m_settings.zone, host_names(m_settings.control_hosts),
                                     m_sessions != nullptr ? m_settings.relay_address : std::nullopt,
-                                    m_sessions != nullptr});
+                                    m_sessions != nullptr, own_region()});
         if (m_sessions != nullptr) {
             BOOST_LEAF_CHECK(m_sessions->start(*m_settings.session_address, m_settings.relay_address));
         }
@@ -215,6 +215,12 @@
 
     void post(routing::entry_event_payload kind) { m_control_thread.post(event_now(std::move(kind))); }
 
+    [[nodiscard]] std::optional<region_name> own_region() const
+    {
+        const auto region = m_settings.regions.find(m_settings.zone);
+        return region == m_settings.regions.end() ? std::nullopt : std::optional(region->second);
+    }
+
     void receive(const std::string& peer, const std::string& bytes)
     {
         handle_failure(
--- a/src/gateway/internal/session_server.cpp
+++ b/src/gateway/internal/session_server.cpp
@@ -62,12 +62,13 @@
 } // namespace
 
 session_server::session_server(std::unique_ptr<sessions::session_codec> codec, availability_zone zone,
-                               handlers event_handlers, logging::log_writer& log,
-                               metrics::metric_registry& metrics)
+                               std::map<availability_zone, region_name> regions, handlers event_handlers,
+                               logging::log_writer& log, metrics::metric_registry& metrics)
     : m_codec(std::move(codec)), m_handlers(std::move(event_handlers)), m_log(log), m_metrics(metrics),
       m_acceptor(m_context), m_relay_acceptor(m_context), m_timer(m_context)
 {
     m_state.zone = std::move(zone);
+    m_state.regions = std::move(regions);
 }
 
 session_server::~session_server()
--- a/src/gateway/internal/session_server.h
+++ b/src/gateway/internal/session_server.h
@@ -35,7 +35,8 @@
     };
 
     session_server(std::unique_ptr<sessions::session_codec> codec, availability_zone zone,
-                   handlers event_handlers, logging::log_writer& log, metrics::metric_registry& metrics);
+                   std::map<availability_zone, region_name> regions, handlers event_handlers,
+                   logging::log_writer& log, metrics::metric_registry& metrics);
     session_server(const session_server&) = delete;
     session_server& operator=(const session_server&) = delete;
     ~session_server();
--- a/src/protocol/descriptions.h
+++ b/src/protocol/descriptions.h
@@ -104,7 +104,8 @@
                                                member{"relay", &type::relay_address},
                                                member{"relays_digest", &type::relay_plan_digest},
                                                member{"is_stopping", &type::is_stopping},
-                                               member{"granted", &type::granted_sequence}};
+                                               member{"granted", &type::granted_sequence},
+                                               member{"region", &type::region}};
 };
 
 template <>
--- a/src/protocol/types.h
+++ b/src/protocol/types.h
@@ -159,6 +159,8 @@
     /// Highest sequence number of the grants that the entry host has received. What control sent before that
     /// grant has arrived or is lost.
     std::uint64_t granted_sequence = 0;
+    /// Region of the entry host's availability zone, if it is known.
+    std::optional<region_name> region{};
 
     friend bool operator==(const lease_request&, const lease_request&) = default;
 };
--- a/src/routing/descriptions.h
+++ b/src/routing/descriptions.h
@@ -129,10 +129,12 @@
 {
     using type = routing::entry_started;
     static constexpr std::string_view name = "entry_started";
-    static constexpr auto members =
-        std::tuple{member{"self", &type::self}, member{"zone", &type::zone},
-                   member{"control_hosts", &type::control_hosts}, member{"relay", &type::relay_address},
-                   member{"traffic_thread", &type::has_traffic_thread}};
+    static constexpr auto members = std::tuple{member{"self", &type::self},
+                                               member{"zone", &type::zone},
+                                               member{"control_hosts", &type::control_hosts},
+                                               member{"relay", &type::relay_address},
+                                               member{"traffic_thread", &type::has_traffic_thread},
+                                               member{"region", &type::region}};
 };
 
 template <>
--- a/src/routing/internal/lease_client.cpp
+++ b/src/routing/internal/lease_client.cpp
@@ -184,6 +184,7 @@
     request.relay_plan_digest = m_context.state.relay_plan->digest;
     request.is_stopping = m_context.state.is_shutting_down;
     request.granted_sequence = lease.granted_sequence;
+    request.region = m_context.state.region;
     m_connections.reset_peaks();
     lease.send_times[request.sequence] = m_context.now;
     if (lease.send_times.size() > max_remembered_renewals) {
--- a/src/routing/internal/reduce.cpp
+++ b/src/routing/internal/reduce.cpp
@@ -41,6 +41,7 @@
         m_context.state = entry_state{};
         m_context.state.self = started.self;
         m_context.state.zone = started.zone;
+        m_context.state.region = started.region;
         m_context.state.control_hosts = started.control_hosts;
         m_context.state.relay_address = started.relay_address;
         m_context.state.has_traffic_thread = started.has_traffic_thread;
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -378,6 +378,7 @@
 {
     entry_process_id self;
     availability_zone zone;
+    std::optional<region_name> region;
     std::vector<host_name> control_hosts;
     std::optional<host_name> leader;
     /// Index in `control_hosts` of the first host to contact while the leader is unknown.
@@ -440,6 +441,7 @@
     /// The address at which this entry host runs statements for other entry hosts; empty if it does not.
     std::optional<protocol::endpoint> relay_address{};
     bool has_traffic_thread = false;
+    std::optional<region_name> region{};
 
     friend bool operator==(const entry_started&, const entry_started&) = default;
 };
--- a/src/sessions/internal/connection_pool.cpp
+++ b/src/sessions/internal/connection_pool.cpp
@@ -98,10 +98,8 @@
 {
     const server_view* known = m_context.server(server);
     server_load& load = m_context.state.server_loads[server];
-    const bool is_opening_for_customer =
-        m_context.identifies_customers() && load.opening_customers.contains(customer);
-    if (known == nullptr || is_opening_for_customer || load.opening_connections >= max_opening_connections ||
-        m_context.now < load.connect_after) {
+    if (known == nullptr || is_opening_for(server, customer) ||
+        load.opening_connections >= max_opening_connections || m_context.now < load.connect_after) {
         return;
     }
     if (load.open_connections >= known->connection_share && !close_idle_of_other_customer(server, customer)) {
@@ -120,6 +118,13 @@
     m_context.emit(open_connection{number, known->group, server, known->address, {}, customer});
 }
 
+bool connection_pool::is_opening_for(const backend_server_name& server, const customer_name& customer) const
+{
+    const auto load = m_context.state.server_loads.find(server);
+    return m_context.identifies_customers() && load != m_context.state.server_loads.end() &&
+           load->second.opening_customers.contains(customer);
+}
+
 bool connection_pool::close_idle_of_other_customer(const backend_server_name& server,
                                                    const customer_name& customer)
 {
--- a/src/sessions/internal/connection_pool.h
+++ b/src/sessions/internal/connection_pool.h
@@ -22,6 +22,9 @@
     /// customer that has been idle for the longest time is closed for it.
     void open_if_allowed(const backend_server_name& server, const customer_name& customer);
 
+    /// True while a connection to the server is being opened for the customer.
+    [[nodiscard]] bool is_opening_for(const backend_server_name& server, const customer_name& customer) const;
+
     /// Opens one more connection to another entry host, for a session on `database`, within the same kinds of
     /// limits.
     void open_relay(const protocol::relay_host& host, const group_name& group, const std::string& database);
--- a/src/sessions/internal/relay_ranking.h
+++ b/src/sessions/internal/relay_ranking.h
@@ -20,6 +20,11 @@
     bool is_avoided = false;
     /// The entry host has refused this statement or not answered it.
     bool was_tried = false;
+    /// The entry host is in the region where the statement is to run. True for all if that does not matter.
+    bool is_in_target_region = true;
+    /// Rank of the host among those that hold the connections of the session's customer, the highest first.
+    /// Zero for all without a customer.
+    std::uint64_t customer_rank = 0;
 
     friend bool operator==(const relay_candidate&, const relay_candidate&) = default;
 };
--- a/src/sessions/internal/server_selector.cpp
+++ b/src/sessions/internal/server_selector.cpp
@@ -5,6 +5,9 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+#include <xxhash.h>
+
 namespace hickorymount::sessions::detail {
 
 namespace {
@@ -12,6 +15,18 @@
 /// Subtracted from a read's maximum staleness, because clocks are rounded to whole milliseconds.
 constexpr milliseconds clock_rounding_margin{5};
 
+/// Rendezvous rank of an entry host for a customer's statements of one group: all hosts choose the same one,
+/// so that the customer's connections are opened at few hosts. Zero without a customer.
+std::uint64_t rank_for_customer(const caller_session& session, const host_name& host)
+{
+    if (session.customer.empty()) {
+        return 0;
+    }
+    const std::string text =
+        fmt::format("{} {} {}", session.pending->route.group.value, session.customer.value, host.value);
+    return XXH3_64bits(text.data(), text.size());
+}
+
 } // namespace
 
 server_selector::server_selector(event_context& context, connection_pool& connections)
@@ -35,11 +50,63 @@
     if (session.is_relayed || access == nullptr || access->relay_indexes.empty()) {
         return false;
     }
-    return !access->is_direct || (is_isolated(*session.pending) && !find_relays(session).empty());
+    if (!access->is_direct || !has_direct_connections(*session.pending)) {
+        return true;
+    }
+    return is_isolated(*session.pending) && !find_relays(session).empty();
+}
+
+bool server_selector::has_direct_connections(const pending_statement& pending) const
+{
+    const std::optional<region_name> target = target_region(pending);
+    return !target || target == region_of(m_context.state.zone);
+}
+
+bool server_selector::is_misplaced(const caller_session& session) const
+{
+    return session.is_relayed && session.pending->needs_primary && !session.transaction &&
+           !has_direct_connections(*session.pending);
+}
+
+std::optional<region_name> server_selector::target_region(const pending_statement& pending) const
+{
+    if (!m_context.identifies_customers()) {
+        return std::nullopt;
+    }
+    const group_view* group = m_context.group(pending.route.group);
+    if (pending.needs_primary) {
+        return group == nullptr ? std::nullopt : region_of(group->primary);
+    }
+    const std::optional<region_name> own = region_of(m_context.state.zone);
+    std::optional<region_name> other;
+    for (const backend_server_name& name : m_context.servers_of(pending.route.group)) {
+        const bool is_primary = group != nullptr && group->primary == name;
+        const bool is_usable = (!is_primary || group->is_open) && !m_context.server(name)->is_leaving &&
+                               !pending.tried_servers.contains(name);
+        const std::optional<region_name> region = region_of(name);
+        if (is_usable && region == own) {
+            return own;
+        }
+        other = is_usable && region ? region : other;
+    }
+    return other;
+}
+
+std::optional<region_name> server_selector::region_of(const availability_zone& zone) const
+{
+    const auto region = m_context.state.regions.find(zone);
+    return region == m_context.state.regions.end() ? std::nullopt : std::optional(region->second);
+}
+
+std::optional<region_name> server_selector::region_of(const backend_server_name& server) const
+{
+    const server_view* known = m_context.server(server);
+    return known == nullptr ? std::nullopt : region_of(known->zone);
 }
 
 std::vector<relay_candidate> server_selector::find_relays(const caller_session& session) const
 {
+    const std::optional<region_name> target = target_region(*session.pending);
     std::vector<relay_candidate> candidates;
     for (const std::uint32_t plan_index :
          m_context.group_access(session.pending->route.group)->relay_indexes) {
@@ -47,10 +114,12 @@
         const backend_server_name name{host.name.value};
         const auto load = m_context.state.server_loads.find(name);
         const bool is_known = load != m_context.state.server_loads.end();
+        const bool is_in_target_region = !target || region_of(host.zone) == target;
         candidates.push_back({plan_index, host.zone == m_context.state.zone,
                               is_known ? load->second.connections_in_use : 0,
                               is_known && m_context.now < load->second.avoid_until,
-                              session.pending->tried_servers.contains(name)});
+                              session.pending->tried_servers.contains(name), is_in_target_region,
+                              rank_for_customer(session, host.name)});
     }
     return rank_relays(std::move(candidates));
 }
@@ -135,6 +204,9 @@
         }
         // The pool to a better server grows even if another server can run this read now.
         m_connections.open_if_allowed(server.name, session.customer);
+        if (m_connections.is_opening_for(server.name, session.customer)) {
+            return std::nullopt;
+        }
     }
     return std::nullopt;
 }
--- a/src/sessions/internal/server_selector.h
+++ b/src/sessions/internal/server_selector.h
@@ -32,7 +32,16 @@
     /// Adapts the limit on the statements in flight at the connection's server to a response.
     void update_concurrency_limit(const server_connection& connection, response_code code);
 
+    /// True for a relayed statement that only a server of another region can run. The host that relayed it
+    /// has to send it there.
+    [[nodiscard]] bool is_misplaced(const caller_session& session) const;
+
 private:
+    [[nodiscard]] bool has_direct_connections(const pending_statement& pending) const;
+    /// The region where the statement is to run; nothing if that does not matter.
+    [[nodiscard]] std::optional<region_name> target_region(const pending_statement& pending) const;
+    [[nodiscard]] std::optional<region_name> region_of(const availability_zone& zone) const;
+    [[nodiscard]] std::optional<region_name> region_of(const backend_server_name& server) const;
     [[nodiscard]] std::vector<relay_candidate> find_relays(const caller_session& session) const;
     std::optional<connection_number> find_relay_connection(caller_session& session);
     /// The position that a read of the session must have reached, regardless of its allowed staleness.
--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -704,6 +704,13 @@
         forward_response(number, session, std::move(*response));
         return;
     case response_action::try_another_server:
+        if (code == response_code::lagging && m_selector.is_misplaced(session)) {
+            if (has_connection) {
+                m_connections.release(connection);
+            }
+            reply_with_code(number, session, response_code::lagging, "no server here has the position");
+            return;
+        }
         if (is_too_late(pending, m_context.now) || was_refused_after_wait(pending, code)) {
             if (has_connection) {
                 m_connections.release(connection);
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -328,6 +328,8 @@
 struct session_state
 {
     availability_zone zone;
+    /// The region of each availability zone; empty if regions are not known.
+    std::map<availability_zone, region_name> regions;
     shared_value<traffic_view> view;
     std::map<std::string, configuration::database_route> routes;
     /// The customers of the configuration in force, by the digests of their keys.
--- a/src/settings/internal/settings_parser.cpp
+++ b/src/settings/internal/settings_parser.cpp
@@ -157,6 +157,28 @@
         return fail_at(node->source(), m_file, "'log_level' to be \"debug\", \"info\" or \"warning\"");
     }
 
+    [[nodiscard]] result<std::map<availability_zone, region_name>> read_regions() const
+    {
+        std::map<availability_zone, region_name> regions;
+        const toml::node* node = m_table.get("regions");
+        if (node == nullptr) {
+            return regions;
+        }
+        const toml::table* table = node->as_table();
+        if (table == nullptr) {
+            return fail_at(node->source(), m_file, "'regions' to be a table of availability zones");
+        }
+        for (const auto& [zone, region] : *table) {
+            const auto name = region.value_exact<std::string>();
+            if (!name || name->empty()) {
+                return fail_at(region.source(), m_file,
+                               fmt::format("the region of '{}' to be a non-empty string", zone.str()));
+            }
+            regions[availability_zone{std::string(zone.str())}] = region_name{*name};
+        }
+        return regions;
+    }
+
     [[nodiscard]] result<std::vector<control_host>> read_control_hosts() const
     {
         const toml::node* node = m_table.get("control_hosts");
@@ -237,10 +259,11 @@
     const settings_reader reader(table, file);
     BOOST_LEAF_CHECK(reader.reject_unknown_keys({"name", "availability_zone", "callers", "sessions", "relay",
                                                  "control_hosts", "seeds", "link_port", "stop_time_ms",
-                                                 "metrics", "caller_connections", "log_level"}));
+                                                 "metrics", "caller_connections", "log_level", "regions"}));
     entry_settings host_settings;
     BOOST_LEAF_ASSIGN(host_settings.name.value, reader.read_name("name"));
     BOOST_LEAF_ASSIGN(host_settings.zone.value, reader.read_name("availability_zone"));
+    BOOST_LEAF_ASSIGN(host_settings.regions, reader.read_regions());
     BOOST_LEAF_ASSIGN(host_settings.caller_address, reader.read_address("callers"));
     if (reader.contains("seeds")) {
         BOOST_LEAF_AUTO(link_port, reader.read_count("link_port", 0, max_port));
--- a/src/settings/types.h
+++ b/src/settings/types.h
@@ -6,6 +6,7 @@
 #include "protocol/types.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -56,6 +57,8 @@
 {
     host_name name;
     availability_zone zone;
+    /// The region of each availability zone; empty if regions are not known.
+    std::map<availability_zone, region_name> regions;
     /// Address for callers' requests, backend servers' announcements and the load balancer's health checks.
     endpoint caller_address;
     /// Control hosts that the entry host connects to.
--- a/src/supervision/internal/connection_allocator.cpp
+++ b/src/supervision/internal/connection_allocator.cpp
@@ -1,6 +1,9 @@
 #include "supervision/internal/connection_allocator.h"
 
+#include "supervision/internal/region_share.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace hickorymount::supervision::detail {
 
@@ -95,11 +98,12 @@
                                               std::uint32_t connection_limit) const
 {
     const bool needs_reserve = report.interface == protocol::server_interface::sessions;
-    const std::uint32_t limit =
+    const std::uint32_t whole_limit =
         connection_limit -
         (needs_reserve ? std::min(max_reserved_connections, connection_limit / reserved_connections_divisor)
                        : 0);
-    const std::uint32_t holders = holder_count(report.group, request.entry);
+    const connection_part part = part_for(request, report, whole_limit);
+    const auto [limit, holders] = std::pair(part.limit, part.holders);
     const std::uint32_t wanted = std::max(1U, value_or_zero(request.wanted_connections, report.name));
     std::uint32_t held_by_others = 0;
     std::uint32_t wanted_by_all = wanted;
@@ -107,7 +111,8 @@
     const auto uses = m_context.state.connection_uses.find(report.name);
     if (uses != m_context.state.connection_uses.end()) {
         for (const auto& [entry, use] : uses->second) {
-            if (entry == request.entry || !is_live(entry)) {
+            if (entry == request.entry || !is_live(entry) ||
+                !shares(part, m_context.state.entry_hosts.find(entry)->zone)) {
                 continue;
             }
             held_by_others += use.held;
@@ -125,7 +130,7 @@
     // The connections of a host that this leader has not heard are unknown; assume an equal share, which is
     // one for as many hosts as there are connections.
     const std::uint32_t held_by_unheard =
-        unheard_holder_count(report.group, request.entry) * std::max(1U, limit / holders);
+        unheard_holder_count(report.group, request.entry, part) * std::max(1U, limit / holders);
     const std::uint32_t available = left_by_others > held_by_unheard ? left_by_others - held_by_unheard : 0;
     // A host keeps connections up to its target although others hold too many: they give up what exceeds
     // their own targets. Where hosts outnumber connections, the targets exceed the limit.
@@ -157,14 +162,55 @@
 }
 
 std::uint32_t connection_allocator::unheard_holder_count(const group_name& group,
-                                                         const entry_process_id& requester) const
+                                                         const entry_process_id& requester,
+                                                         const connection_part& part) const
 {
     return static_cast<std::uint32_t>(
         std::count_if(m_context.state.unheard_entries.begin(), m_context.state.unheard_entries.end(),
                       [&](const entry_process_id& unheard) {
                           return unheard.name != requester.name && is_live(unheard) &&
-                                 holds_connections(group, unheard.name);
+                                 holds_connections(group, unheard.name) &&
+                                 shares(part, m_context.state.entry_hosts.find(unheard)->zone);
                       }));
 }
 
+connection_allocator::connection_part connection_allocator::part_for(const protocol::lease_request& request,
+                                                                     const protocol::server_report& report,
+                                                                     std::uint32_t limit) const
+{
+    connection_part part{limit, holder_count(report.group, request.entry), std::nullopt, report.zone};
+    const std::optional<bool> is_near_server = is_near(request.zone, report.zone);
+    const auto holders = m_context.state.connection_holders.find(report.group);
+    if (!is_near_server || holders == m_context.state.connection_holders.end() || holders->second.empty()) {
+        return part;
+    }
+    const auto near_holders = static_cast<std::uint32_t>(std::count_if(
+        holders->second.begin(), holders->second.end(), [&](const protocol::relay_host& holder) {
+            return is_near(holder.zone, report.zone).value_or(false);
+        }));
+    const auto far_holders = static_cast<std::uint32_t>(holders->second.size()) - near_holders;
+    const region_split split = split_by_region(limit, near_holders, far_holders);
+    part.is_near = is_near_server;
+    part.limit = *is_near_server ? split.near_limit : split.far_limit;
+    part.holders = std::max(1U, *is_near_server ? near_holders : far_holders);
+    return part;
+}
+
+bool connection_allocator::shares(const connection_part& part, const availability_zone& zone) const
+{
+    const std::optional<bool> other = part.is_near ? is_near(zone, part.server_zone) : std::nullopt;
+    return !other || other == part.is_near;
+}
+
+std::optional<bool> connection_allocator::is_near(const availability_zone& zone,
+                                                  const availability_zone& server_zone) const
+{
+    const auto& regions = m_context.state.regions;
+    const auto region = regions.find(zone);
+    const auto server_region = regions.find(server_zone);
+    const bool is_known = m_context.directory().configuration->content.identifies_customers &&
+                          region != regions.end() && server_region != regions.end();
+    return is_known ? std::optional(region->second == server_region->second) : std::nullopt;
+}
+
 } // namespace hickorymount::supervision::detail
--- a/src/supervision/internal/lease_manager.cpp
+++ b/src/supervision/internal/lease_manager.cpp
@@ -80,6 +80,9 @@
         record_applied(status, request);
         status.is_stopping = request.is_stopping;
         status.is_replaced = false;
+        if (request.region) {
+            m_context.state.regions[request.zone] = *request.region;
+        }
         const bool is_first_request = known->last_request_at <= m_context.state.leading_since;
         m_context.state.unheard_entries.erase(entry);
         m_connections.record_request(request);
@@ -289,7 +292,8 @@
     const std::uint64_t plan_digest = m_context.state.holders_digest;
     const bool is_plan_in_transit = status.sent_relay_plan && status.sent_relay_plan->version == plan_digest;
     if (pending.request.relay_plan_digest != plan_digest && !is_plan_in_transit) {
-        grant.new_relay_plan = relay_plan_for(entry.name, status.zone, m_context.state.connection_holders);
+        grant.new_relay_plan = relay_plan_for(entry.name, status.zone, m_context.state.connection_holders,
+                                              relay_choice_for_configuration());
         status.sent_relay_plan = sent_document{plan_digest, status.last_grant_sequence, m_context.now()};
     }
     status.last_grant_sequence = pending.request.sequence;
@@ -300,6 +304,14 @@
     m_context.send(entry.name, std::move(grant));
 }
 
+/// With customers, a statement is relayed to the host that holds the customer's connections to a server of
+/// the chosen region, which may be any.
+relay_choice lease_manager::relay_choice_for_configuration() const
+{
+    return m_context.directory().configuration->content.identifies_customers ? relay_choice::all_holders
+                                                                             : relay_choice::few_holders;
+}
+
 void lease_manager::log_regained_lease(const entry_process_id& entry, const entry_status& status,
                                        const protocol::lease_request& request)
 {
@@ -402,12 +414,13 @@
     for (const auto& [name, group] : m_context.directory().configuration->content.groups) {
         holders[name] = select_connection_holders(name, group.connections, hosts);
     }
-    if (holders == m_context.state.connection_holders) {
+    const std::uint64_t digest = digest_holders(holders, relay_choice_for_configuration());
+    if (digest == m_context.state.holders_digest) {
         return;
     }
     m_context.state.next_relay_plan_at = m_context.now() + relay_plan_interval;
     m_context.state.connection_holders = std::move(holders);
-    m_context.state.holders_digest = digest_holders(m_context.state.connection_holders);
+    m_context.state.holders_digest = digest;
     m_context.log(logging::log_level::information, "plan_relays", "",
                   "hosts=" + std::to_string(hosts.size()) +
                       " groups=" + std::to_string(m_context.state.connection_holders.size()) +
--- a/src/supervision/internal/lease_manager.h
+++ b/src/supervision/internal/lease_manager.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "supervision/internal/connection_allocator.h"
+#include "supervision/internal/relay_planner.h"
 #include "supervision/internal/supervision_context.h"
 
 #include <set>
@@ -50,6 +51,7 @@
     void mark_replaced_entries(const entry_process_id& newest);
     [[nodiscard]] bool may_be_granted(const entry_process_id& entry) const;
     void grant_lease(const pending_lease_request& pending);
+    [[nodiscard]] relay_choice relay_choice_for_configuration() const;
     /// Records what the entry host has applied, and which documents are no longer in transit.
     void record_applied(entry_status& status, const protocol::lease_request& request);
     /// Logs the grant of a lease to a host that had none, with the revisions that decide what is sent along.
--- a/src/supervision/internal/relay_planner.cpp
+++ b/src/supervision/internal/relay_planner.cpp
@@ -83,10 +83,11 @@
 }
 
 protocol::relay_plan relay_plan_for(const host_name& self, const availability_zone& zone,
-                                    const std::map<group_name, std::vector<relay_host>>& holders)
+                                    const std::map<group_name, std::vector<relay_host>>& holders,
+                                    relay_choice choice)
 {
     protocol::relay_plan plan;
-    plan.digest = digest_holders(holders);
+    plan.digest = digest_holders(holders, choice);
     for (const auto& [group, group_holders] : holders) {
         std::vector<const relay_host*> same_zone;
         std::vector<const relay_host*> other_zones;
@@ -100,8 +101,10 @@
         }
         std::vector<relay_host> relays;
         const std::string hash_key = self.value + " " + group.value;
-        append_ranked_hosts(same_zone, hash_key, relays_in_own_zone, relays);
-        append_ranked_hosts(other_zones, hash_key, relays_in_other_zones, relays);
+        const bool lists_all = choice == relay_choice::all_holders;
+        append_ranked_hosts(same_zone, hash_key, lists_all ? same_zone.size() : relays_in_own_zone, relays);
+        append_ranked_hosts(other_zones, hash_key, lists_all ? other_zones.size() : relays_in_other_zones,
+                            relays);
         for (const relay_host& relay : relays) {
             access.relay_indexes.push_back(index_of_host(relay, plan.relays));
         }
@@ -110,9 +113,10 @@
     return plan;
 }
 
-std::uint64_t digest_holders(const std::map<group_name, std::vector<relay_host>>& holders)
+std::uint64_t digest_holders(const std::map<group_name, std::vector<relay_host>>& holders,
+                             relay_choice choice)
 {
-    std::string text;
+    std::string text = choice == relay_choice::all_holders ? "all;" : "";
     for (const auto& [group, group_holders] : holders) {
         text += group.value + ":";
         for (const relay_host& host : group_holders) {
--- a/src/supervision/types.h
+++ b/src/supervision/types.h
@@ -333,6 +333,8 @@
     std::map<entry_process_id, std::set<backend_server_name>> used_servers;
     /// Entry hosts in the directory that have not sent a lease request to this leader.
     std::set<entry_process_id> unheard_entries;
+    /// The region of each availability zone, as entry hosts have reported it.
+    std::map<availability_zone, region_name> regions;
     /// Entry hosts whose admission or dismissal is proposed and not committed yet.
     std::set<entry_process_id> proposed_admissions;
     std::set<entry_process_id> proposed_dismissals;
