--- a/src/sessions/internal/response_action.cpp
+++ b/src/sessions/internal/response_action.cpp
@@ -40,6 +40,11 @@
 
 } // namespace
 
+bool commits_writes(statement_scope scope)
+{
+    return scope == statement_scope::single_write || scope == statement_scope::commit_of_writes;
+}
+
 response_action choose_action(statement_scope scope, std::optional<response_code> code,
                               bool is_transaction_open)
 {
--- a/src/sessions/internal/response_action.h
+++ b/src/sessions/internal/response_action.h
@@ -21,6 +21,9 @@
     commit_of_writes
 };
 
+/// True for a statement that commits writes when it succeeds.
+bool commits_writes(statement_scope scope);
+
 /// What the proxy does with a server's response.
 enum class response_action
 {
