Queue statements fairly among customers, at a cost that does not grow with them

Cause: statements of one priority were sent in the order of their arrival whatever their customer, so that a customer with several times its usual demand delayed all others.

Change: the order is transactions in progress, the route's priority, the customer's priority, then turns of the customers in proportion to their limits (relative to the mean; 1 without a limit), then the oldest first, or the newest first while the customer's own oldest statement has waited for 250 ms. Turns follow start-time fair queueing in rounds of four average statements; deficit round robin gives the same shares, but visits customers of small weight that can't send yet. With customers, a lower priority gets one in 16 dispatches in a lasting overload. Lanes that can't send stay blocked: a pass looks at the first one of each kind, at customers with an idle connection, and at further ones only while that sends something or waits for a new connection. Statements before their retry are kept apart, and those that have tried servers have lanes of their own.

All sessions without a customer form one customer: a configuration without customers is served as before.

The tests of queue_cursor are replaced by those of statement_queue with the same cases, because the order now belongs to the queue.

--- a/src/sessions/internal/connection_pool.cpp
+++ b/src/sessions/internal/connection_pool.cpp
@@ -18,6 +18,9 @@
 constexpr std::uint32_t max_opening_relay_connections = 4;
 /// Weight of the newest observation in the moving average of the latency.
 constexpr double latency_weight = 0.1;
+/// A connection that no statement has used yet is kept for its customer for this long. Otherwise customers
+/// that compete for the share close each other's connections before the first statement.
+constexpr milliseconds unused_connection_protection{100};
 
 bool is_in_flight(connection_stage stage)
 {
@@ -129,7 +132,9 @@
         const server_connection& connection = m_context.state.connections.at(number);
         const bool is_earlier =
             !least_recent || connection.idle_since < m_context.state.connections.at(*least_recent).idle_since;
-        if (connection.customer != customer && is_earlier) {
+        const bool is_protected = connection.sent_at == time_point{} &&
+                                  m_context.now - connection.idle_since < unused_connection_protection;
+        if (connection.customer != customer && is_earlier && !is_protected) {
             least_recent = number;
         }
     }
--- a/src/sessions/internal/customer_identity.cpp
+++ b/src/sessions/internal/customer_identity.cpp
@@ -27,6 +27,23 @@
     return index;
 }
 
+std::map<customer_name, customer_rank> rank_customers(const configuration::configuration& content)
+{
+    double sum = 0;
+    double count = 0;
+    for (const auto& [name, settings] : content.customers) {
+        sum += settings.limit ? settings.limit->operations_per_second : 0;
+        count += settings.limit ? 1 : 0;
+    }
+    std::map<customer_name, customer_rank> ranks;
+    for (const auto& [name, settings] : content.customers) {
+        const bool has_weight = settings.limit && sum > 0;
+        ranks[name] = {settings.priority,
+                       has_weight ? settings.limit->operations_per_second * count / sum : 1};
+    }
+    return ranks;
+}
+
 std::optional<customer_name> customer_of_caller(const session_state& state, const caller_session& session)
 {
     const configuration::database_route* route = route_of(state, session);
--- a/src/sessions/internal/reduce.cpp
+++ b/src/sessions/internal/reduce.cpp
@@ -100,6 +100,8 @@
             update_routes();
             m_context.state.customers_by_key =
                 detail::index_customers(m_context.state.view->configuration->content);
+            m_context.state.customer_ranks =
+                detail::rank_customers(m_context.state.view->configuration->content);
             m_dispatcher.end_unauthorized_sessions();
             m_dispatcher.open_waiting_sessions();
         }
--- a/src/sessions/internal/statement_dispatcher.h
+++ b/src/sessions/internal/statement_dispatcher.h
@@ -2,6 +2,7 @@
 
 #include "sessions/internal/connection_pool.h"
 #include "sessions/internal/event_context.h"
+#include "sessions/internal/queue_pass.h"
 #include "sessions/internal/relay_ranking.h"
 #include "sessions/internal/response_action.h"
 
@@ -61,7 +62,9 @@
     void enqueue(session_number number, caller_session& session, const received_statement& request);
 
     void dispatch_after(const group_name& group, bool was_relay);
-    [[nodiscard]] bool holds_up_lane(const caller_session& session) const;
+    look_result look_at(const queue_place& place, std::vector<session_number>& too_late);
+    [[nodiscard]] bool is_connection_opening(const caller_session& session) const;
+    void unblock_customers_with_connections(const group_name& group, statement_queue& queue);
     [[nodiscard]] bool is_too_late_to_send(const caller_session& session) const;
     void refuse_queued(session_number number, caller_session& session);
     void refuse_unprepared(session_number number, caller_session& session);
--- a/src/sessions/internal/statement_queueing.cpp
+++ b/src/sessions/internal/statement_queueing.cpp
@@ -1,9 +1,10 @@
-#include "sessions/internal/queue_cursor.h"
 #include "sessions/internal/queue_order.h"
 #include "sessions/internal/relay_deadline.h"
 #include "sessions/internal/statement_dispatcher.h"
 #include "sessions/internal/wait_cause.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 
 namespace hickorymount::sessions::detail {
@@ -14,25 +15,14 @@
     if (found == m_context.state.queues.end()) {
         return;
     }
-    queue_cursor cursor(found->second, is_overloaded(m_context.now - *found->second.oldest_arrival()));
-    std::vector<session_number> sent;
+    statement_queue& queue = found->second;
     std::vector<session_number> too_late;
-    while (const std::optional<queue_place> place = cursor.next()) {
-        const session_number number = place->arrival.session;
-        caller_session& session = m_context.state.sessions.at(number);
-        if (session.pending->retry_at > m_context.now) {
-            continue;
-        }
-        if (is_too_late_to_send(session)) {
-            too_late.push_back(number);
-        } else if (try_dispatch(number, session)) {
-            sent.push_back(number);
-        } else if (holds_up_lane(session)) {
-            cursor.skip_lane();
-        }
-    }
-    for (const session_number number : sent) {
-        remove_from_queue(m_context.state.sessions.at(number));
+    queue.start_pass(m_context.now);
+    unblock_customers_with_connections(group, queue);
+    run_queue_pass(queue, m_context.now, m_context.identifies_customers(),
+                   [&](const queue_place& place) { return look_at(place, too_late); });
+    if (queue.is_empty()) {
+        m_context.state.queues.erase(found);
     }
     for (const session_number number : too_late) {
         caller_session* session = m_context.session(number);
@@ -42,6 +32,53 @@
     }
 }
 
+look_result statement_dispatcher::look_at(const queue_place& place, std::vector<session_number>& too_late)
+{
+    const session_number number = place.arrival.session;
+    caller_session& session = m_context.state.sessions.at(number);
+    if (is_too_late_to_send(session)) {
+        session.pending->place.reset();
+        too_late.push_back(number);
+        return look_result::too_late;
+    }
+    if (try_dispatch(number, session)) {
+        session.pending->place.reset();
+        return look_result::sent;
+    }
+    return is_connection_opening(session) ? look_result::awaits_connection : look_result::blocked;
+}
+
+/// True while a connection is being opened for the session's customer. Other customers may then open theirs.
+bool statement_dispatcher::is_connection_opening(const caller_session& session) const
+{
+    if (!m_context.identifies_customers()) {
+        return false;
+    }
+    const std::vector<backend_server_name>& servers = m_context.servers_of(session.pending->route.group);
+    return std::any_of(servers.begin(), servers.end(), [&](const backend_server_name& name) {
+        const auto load = m_context.state.server_loads.find(name);
+        return load != m_context.state.server_loads.end() &&
+               load->second.opening_customers.contains(session.customer);
+    });
+}
+
+/// Lets the customers be looked at that have an idle connection to a server of the group.
+void statement_dispatcher::unblock_customers_with_connections(const group_name& group, statement_queue& queue)
+{
+    if (!m_context.identifies_customers()) {
+        return;
+    }
+    for (const backend_server_name& name : m_context.servers_of(group)) {
+        const auto load = m_context.state.server_loads.find(name);
+        if (load == m_context.state.server_loads.end() || !has_capacity(name)) {
+            continue;
+        }
+        for (const connection_number number : load->second.idle_connections) {
+            queue.unblock_customer(m_context.state.connections.at(number).customer);
+        }
+    }
+}
+
 /// Sends queued statements after a connection for the group has become free or was lost.
 void statement_dispatcher::dispatch_after(const group_name& group, bool was_relay)
 {
@@ -69,13 +106,6 @@
     return groups;
 }
 
-/// True when none of the statements behind this one in its lane can be sent either.
-bool statement_dispatcher::holds_up_lane(const caller_session& session) const
-{
-    const pending_statement& pending = *session.pending;
-    return pending.tried_servers.empty() || (pending.needs_primary && !uses_relay(session));
-}
-
 /// True when the statement could not be answered before its deadline if it was sent now.
 bool statement_dispatcher::is_too_late_to_send(const caller_session& session) const
 {
@@ -102,10 +132,13 @@
     if (m_context.state.queues.empty()) {
         m_context.state.next_queue_check_at = m_context.now + queue_check_interval;
     }
+    const auto found = m_context.state.customer_ranks.find(session.customer);
+    const customer_rank rank =
+        found == m_context.state.customer_ranks.end() ? customer_rank{} : found->second;
     pending.place = {{pending.connection != 0, pending.route.priority, pending.needs_primary,
-                      session.database, session.customer},
+                      session.database, session.customer, rank.priority, pending.tried_servers},
                      {pending.request.received_at, number}};
-    m_context.state.queues[pending.route.group].insert(*pending.place);
+    m_context.state.queues[pending.route.group].insert(*pending.place, rank.weight, pending.retry_at);
     schedule_check(number, session);
 }
 
@@ -143,12 +176,7 @@
     if (queue == m_context.state.queues.end() || !is_isolated(group)) {
         return;
     }
-    std::vector<session_number> waiting;
-    for (const auto& [lane, arrivals] : queue->second.lanes()) {
-        for (const statement_arrival& arrival : arrivals) {
-            waiting.push_back(arrival.session);
-        }
-    }
+    const std::vector<session_number> waiting = queue->second.oldest_sessions(queue->second.size());
     for (const session_number number : waiting) {
         if (caller_session* session = m_context.session(number)) {
             refuse_if_isolated(number, *session);
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -256,6 +256,16 @@
     friend bool operator==(const position_sample&, const position_sample&) = default;
 };
 
+/// A customer's place in the order of queued statements.
+struct customer_rank
+{
+    std::uint32_t priority = 0;
+    /// Its limit relative to the mean of all limits; 1 without a limit.
+    double weight = 1;
+
+    friend bool operator==(const customer_rank&, const customer_rank&) = default;
+};
+
 /// A session that waits for the first configuration.
 struct opening_session
 {
@@ -332,6 +342,7 @@
     std::map<std::string, configuration::database_route> routes;
     /// The customers of the configuration in force, by the digests of their keys.
     std::map<key_digest, customer_name> customers_by_key;
+    std::map<customer_name, customer_rank> customer_ranks;
     std::map<session_number, caller_session> sessions;
     /// Sessions that wait for the first configuration.
     std::map<session_number, opening_session> opening_sessions;
