--- a/src/sessions/internal/server_selector.h
+++ b/src/sessions/internal/server_selector.h
@@ -32,6 +32,9 @@
     /// Adapts the limit on the statements in flight at the connection's server to a response.
     void update_concurrency_limit(const server_connection& connection, response_code code);
 
+    /// True when one more statement may be sent to the server now.
+    [[nodiscard]] bool has_capacity(const backend_server_name& server) const;
+
     /// True for a relayed statement that only a server of another region can run. The host that relayed it
     /// has to send it there.
     [[nodiscard]] bool is_misplaced(const caller_session& session) const;
@@ -49,7 +52,6 @@
     std::optional<connection_number> find_primary_connection(const caller_session& session,
                                                              const group_name& group);
     std::optional<connection_number> find_read_connection(caller_session& session);
-    [[nodiscard]] bool has_capacity(const backend_server_name& server) const;
     [[nodiscard]] bool is_closed_to_new_work(const backend_server_name& server) const;
 
     event_context& m_context;
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -259,6 +259,16 @@
     friend bool operator==(const position_sample&, const position_sample&) = default;
 };
 
+/// A customer's place in the order of queued statements.
+struct customer_rank
+{
+    std::uint32_t priority = 0;
+    /// Its limit relative to the mean of all limits; 1 without a limit.
+    double weight = 1;
+
+    friend bool operator==(const customer_rank&, const customer_rank&) = default;
+};
+
 /// A session that waits for the first configuration.
 struct opening_session
 {
@@ -351,6 +361,7 @@
     std::map<customer_name, limit_refusals> limit_refusals_by_customer;
     /// Earliest time for the next report because of a quota.
     time_point next_quota_report_at{};
+    std::map<customer_name, customer_rank> customer_ranks;
     std::map<session_number, caller_session> sessions;
     /// Sessions that wait for the first configuration.
     std::map<session_number, opening_session> opening_sessions;
