Rank servers for reads by measured round trip, service time and queueing

Cause: read_ranking used fixed costs, 20 ms a statement, 60 ms for the primary and 15 ms for another zone, on deployments whose statements take 6 to 47 ms and whose links take 0.2 to 12 ms. Reads left a region whose server had free slots, and queued at a primary whose slots writes needed.

Change: `response_times` estimates for each server the round trip (the fastest exchange, or half of an opening), the service time of reads, writes and commits (a low percentile that rises slowly), and the queueing time now. A read costs round trip, service time, queueing and what this host has in flight there, scaled by slots and queueing; other zones and regions cost a small penalty more, and so does opening a connection where callers have customers. A server whose round trip is 12 ms longer than the shortest of its group is far. The primary runs a read that a replica could run only while it has free slots beside those reserved for writes. Servers report their slots; a report without them stays valid, and 3 are assumed.

Tests: `latency_ms` of read_candidate is gone, so the fixture of the ranking tests sets the new fields; what the tests expect is unchanged.

--- a/src/gateway/internal/traffic_view.cpp
+++ b/src/gateway/internal/traffic_view.cpp
@@ -17,8 +17,8 @@
     for (const auto& [name, server] : state.servers) {
         const protocol::server_report& report = server.report;
         if (report.interface == protocol::server_interface::sessions && !report.has_left) {
-            view.servers[name] = {report.group,      report.address,    report.zone,
-                                  report.started_at, report.is_leaving, server.connections.share};
+            view.servers[name] = {report.group,      report.address,           report.zone, report.started_at,
+                                  report.is_leaving, server.connections.share, report.slots};
         }
     }
     view.relay_plan = state.relay_plan;
--- a/src/protocol/descriptions.h
+++ b/src/protocol/descriptions.h
@@ -58,7 +58,8 @@
                                                member{"leaving", &type::is_leaving},
                                                member{"speaks", &type::interface},
                                                member{"report_interval", &type::report_interval},
-                                               member{"is_gone", &type::has_left}};
+                                               member{"is_gone", &type::has_left},
+                                               member{"slots", &type::slots}};
 };
 
 template <>
--- a/src/protocol/types.h
+++ b/src/protocol/types.h
@@ -80,6 +80,8 @@
     milliseconds report_interval = default_report_interval;
     /// Last report of a process that shuts down.
     bool has_left = false;
+    /// Number of statements that the server executes at the same time, if it reports it.
+    std::optional<std::uint32_t> slots{};
 
     friend bool operator==(const server_report&, const server_report&) = default;
 };
--- a/src/sessions/internal/connection_pool.cpp
+++ b/src/sessions/internal/connection_pool.cpp
@@ -15,8 +15,6 @@
 constexpr std::uint32_t max_opening_connections = 2;
 /// Simultaneous connection attempts to one other entry host, where they are cheap.
 constexpr std::uint32_t max_opening_relay_connections = 4;
-/// Weight of the newest observation in the moving average of the latency.
-constexpr double latency_weight = 0.1;
 
 bool is_in_flight(connection_stage stage)
 {
@@ -237,6 +235,8 @@
 
 void connection_pool::apply_internal_result(server_connection& connection)
 {
+    server_load& load = m_context.state.server_loads[connection.server];
+    load.times = after_exchange(load.times, m_context.now - connection.sent_at, m_context.now);
     const statement& executed = *connection.internal_statement;
     switch (executed.kind) {
     case statement_kind::reset:
@@ -332,6 +332,7 @@
     server_load& load = m_context.state.server_loads[connection.server];
     forget_opening(connection, load);
     load.unreachable_since.reset();
+    load.times = after_opening(load.times, m_context.now - connection.opened_at, m_context.now);
     set_stage(number, connection, connection_stage::idle);
 }
 
@@ -359,13 +360,6 @@
     connection.stage = stage;
 }
 
-void connection_pool::record_latency(const server_connection& connection)
-{
-    server_load& load = m_context.state.server_loads[connection.server];
-    const auto took = static_cast<double>((m_context.now - connection.sent_at).count());
-    load.latency_ms += latency_weight * (took - load.latency_ms);
-}
-
 void connection_pool::back_off(const backend_server_name& server)
 {
     m_context.state.server_loads[server].avoid_until = m_context.now + refusal_backoff;
--- a/src/sessions/internal/connection_pool.h
+++ b/src/sessions/internal/connection_pool.h
@@ -61,8 +61,6 @@
     /// Closes idle connections that exceed the share or lead to servers that are gone or leaving.
     void close_surplus();
 
-    /// Adds the duration of the last statement to the server's average latency.
-    void record_latency(const server_connection& connection);
     /// Ranks the server last for the next `refusal_backoff`.
     void back_off(const backend_server_name& server);
 
--- a/src/sessions/internal/read_ranking.cpp
+++ b/src/sessions/internal/read_ranking.cpp
@@ -7,28 +7,84 @@
 
 namespace {
 
-/// Approximate time for which one statement occupies a slot.
-constexpr double statement_cost_ms = 20;
-/// Keeps capacity at the primary for writes, which no other server can run.
-constexpr double primary_penalty_ms = 60;
-/// Traffic between zones costs money and takes longer.
-constexpr double other_zone_penalty_ms = 15;
-
-double cost_ms(const read_candidate& server)
+/// Estimates for a server that has executed no statement of this host yet.
+constexpr double default_service_ms = 20;
+constexpr double default_round_trip_ms = 1;
+constexpr std::uint32_t default_slots = 3;
+/// Server time that opening a connection takes on the deployments measured so far.
+constexpr double opening_ms = 12;
+/// Bytes between zones cost money, those between regions most.
+constexpr double other_zone_penalty_ms = 2;
+constexpr double far_penalty_ms = 10;
+/// Round trips between the zones of a region are at most 9 ms, those between regions 24 ms. The difference of
+/// two measurements is free of what both include beyond the network.
+constexpr double far_difference_ms = 12;
+/// Share of a service time that a read displaces at the primary, where writes need the slots.
+constexpr double primary_penalty = 0.5;
+/// Queueing above this share of a service time shows that the primary has no free slot.
+constexpr double free_slot_queueing = 0.5;
+
+double slots_of(const read_candidate& server)
 {
-    return server.latency_ms + statement_cost_ms * server.in_flight +
-           (server.is_primary ? primary_penalty_ms : 0) + (server.is_in_own_zone ? 0 : other_zone_penalty_ms);
+    return std::max(1U, server.slots.value_or(default_slots));
 }
 
 } // namespace
 
+double expected_cost_ms(const read_candidate& server)
+{
+    const double service = server.service_ms.value_or(default_service_ms);
+    const double round_trip = server.round_trip_ms.value_or(default_round_trip_ms);
+    const double ahead = (service + server.queueing_ms) * server.in_flight / slots_of(server);
+    double cost = round_trip + service + server.queueing_ms + ahead;
+    cost += server.is_primary ? primary_penalty * service : 0;
+    cost += server.needs_opening ? opening_ms + round_trip : 0;
+    if (!server.is_in_own_zone) {
+        cost += server.is_far ? far_penalty_ms : other_zone_penalty_ms;
+    }
+    return cost;
+}
+
+void estimate_unmeasured(std::vector<read_candidate>& servers)
+{
+    std::optional<double> round_trip;
+    std::optional<double> service;
+    for (const read_candidate& server : servers) {
+        const double found = server.round_trip_ms.value_or(default_round_trip_ms);
+        round_trip = std::min(found, round_trip.value_or(found));
+        service =
+            server.service_ms ? std::min(*server.service_ms, service.value_or(*server.service_ms)) : service;
+    }
+    for (read_candidate& server : servers) {
+        server.round_trip_ms = server.round_trip_ms.value_or(round_trip.value_or(default_round_trip_ms));
+        server.service_ms = server.service_ms.value_or(service.value_or(default_service_ms));
+    }
+}
+
 std::vector<read_candidate> rank_read_servers(std::vector<read_candidate> servers)
 {
-    std::stable_sort(
-        servers.begin(), servers.end(), [](const read_candidate& left, const read_candidate& right) {
-            return std::tuple(left.is_avoided, cost_ms(left)) < std::tuple(right.is_avoided, cost_ms(right));
-        });
+    std::stable_sort(servers.begin(), servers.end(),
+                     [](const read_candidate& left, const read_candidate& right) {
+                         return std::tuple(left.is_avoided, expected_cost_ms(left)) <
+                                std::tuple(right.is_avoided, expected_cost_ms(right));
+                     });
     return servers;
 }
 
+bool is_far(std::optional<double> round_trip_ms, std::optional<double> shortest_of_group_ms)
+{
+    return round_trip_ms && shortest_of_group_ms &&
+           *round_trip_ms - *shortest_of_group_ms >= far_difference_ms;
+}
+
+bool may_read_at_primary(const read_candidate& primary)
+{
+    const double slots = slots_of(primary);
+    // A third of the slots, one at least, stays free for writes.
+    const double reserved = std::max(1.0, slots / 3);
+    const bool has_free_slot =
+        primary.queueing_ms <= free_slot_queueing * primary.service_ms.value_or(default_service_ms);
+    return has_free_slot && primary.in_flight + 1 + reserved <= slots;
+}
+
 } // namespace hickorymount::sessions::detail
--- a/src/sessions/internal/server_selector.cpp
+++ b/src/sessions/internal/server_selector.cpp
@@ -1,7 +1,7 @@
 #include "sessions/internal/server_selector.h"
 
 #include "sessions/internal/position_samples.h"
-#include "sessions/internal/read_ranking.h"
+#include "sessions/internal/queue_order.h"
 
 #include <algorithm>
 
@@ -106,7 +106,6 @@
 {
     pending_statement& pending = *session.pending;
     const group_name& group = pending.route.group;
-    const group_view* known = m_context.group(group);
     std::optional<group_position> minimum_position =
         position_covering(m_context.state.position_samples[group],
                           pending.request.received_at - pending.route.max_staleness + clock_rounding_margin);
@@ -114,29 +113,65 @@
         return find_primary_connection(session, group);
     }
     minimum_position = std::max(minimum_position, required_position(session));
+    std::vector<read_candidate> servers = find_read_servers(session);
+    std::erase_if(servers, [&](const read_candidate& each) { return !has_capacity(each.name); });
+    for (const read_candidate& server : rank_read_servers(std::move(servers))) {
+        const std::optional<connection_number> connection = m_connections.find_idle(server.name, session);
+        if (connection) {
+            pending.minimum_position = server.is_primary ? std::nullopt : minimum_position;
+            return connection;
+        }
+        // The pool to a better server grows even if another server can run this read now.
+        m_connections.open_if_allowed(server.name, session.customer);
+    }
+    return std::nullopt;
+}
+
+std::vector<read_candidate> server_selector::find_read_servers(const caller_session& session) const
+{
+    const pending_statement& pending = *session.pending;
+    const group_view* known = m_context.group(pending.route.group);
+    const std::optional<double> shortest = shortest_round_trip_ms(pending.route.group);
     std::vector<read_candidate> servers;
-    for (const backend_server_name& name : m_context.servers_of(group)) {
+    bool has_replica = false;
+    for (const backend_server_name& name : m_context.servers_of(pending.route.group)) {
         const server_view& server = *m_context.server(name);
         const bool is_primary = known != nullptr && known->primary == name;
         const bool is_usable = !is_primary || (m_context.is_primary_usable(*known) && !known->is_held);
-        if (server.is_leaving || !is_usable || pending.tried_servers.contains(name) || !has_capacity(name)) {
+        if (server.is_leaving || !is_usable || pending.tried_servers.contains(name)) {
             continue;
         }
         const server_load& load = m_context.state.server_loads[name];
-        servers.push_back({name, is_primary, server.zone == m_context.state.zone, load.in_flight,
-                           load.latency_ms, m_context.now < load.avoid_until});
+        read_candidate candidate{name, is_primary, server.zone == m_context.state.zone};
+        candidate.round_trip_ms = round_trip_ms(load.times);
+        candidate.is_far = is_far(candidate.round_trip_ms, shortest);
+        candidate.in_flight = load.in_flight;
+        candidate.slots = server.slots;
+        candidate.service_ms = service_ms(load.times, work_kind::read);
+        candidate.queueing_ms = queueing_ms(load.times, m_context.now);
+        candidate.needs_opening = m_context.identifies_customers() && !m_connections.find_idle(name, session);
+        candidate.is_avoided = m_context.now < load.avoid_until;
+        has_replica = has_replica || (!is_primary && !load.unreachable_since && load.open_connections > 0);
+        servers.push_back(std::move(candidate));
     }
-    const std::vector<read_candidate> preferred = rank_read_servers(std::move(servers));
-    for (const read_candidate& server : preferred) {
-        const std::optional<connection_number> connection = m_connections.find_idle(server.name, session);
-        if (connection) {
-            pending.minimum_position = server.is_primary ? std::nullopt : minimum_position;
-            return connection;
+    estimate_unmeasured(servers);
+    const bool has_waited = m_context.now - pending.request.received_at >= overload_threshold;
+    std::erase_if(servers, [&](const read_candidate& each) {
+        return each.is_primary && has_replica && !has_waited && !may_read_at_primary(each);
+    });
+    return servers;
+}
+
+std::optional<double> server_selector::shortest_round_trip_ms(const group_name& group) const
+{
+    std::optional<double> shortest;
+    for (const backend_server_name& name : m_context.servers_of(group)) {
+        const std::optional<double> measured = round_trip_ms(m_context.state.server_loads[name].times);
+        if (measured) {
+            shortest = std::min(*measured, shortest.value_or(*measured));
         }
-        // The pool to a better server grows even if another server can run this read now.
-        m_connections.open_if_allowed(server.name, session.customer);
     }
-    return std::nullopt;
+    return shortest;
 }
 
 bool server_selector::has_capacity(const backend_server_name& server) const
@@ -172,14 +207,29 @@
     return has_lost_lease || is_unreachable;
 }
 
-void server_selector::update_concurrency_limit(const server_connection& connection, response_code code)
+void server_selector::record_response(const server_connection& connection, response_code code)
 {
     server_load& load = m_context.state.server_loads[connection.server];
     if (code == response_code::busy) {
         load.limit = after_refusal(load.limit, load.in_flight, m_context.now);
     } else if (code == response_code::done) {
+        record_execution(connection, load);
         load.limit = after_answer(load.limit, load.in_flight);
     }
 }
 
+void server_selector::record_execution(const server_connection& connection, server_load& load)
+{
+    const caller_session* session = m_context.session(connection.holder);
+    if (connection.stage != connection_stage::running || session == nullptr || !session->pending) {
+        return;
+    }
+    const pending_statement& pending = *session->pending;
+    const bool commits = !session->transaction || pending.request.body.kind == statement_kind::commit;
+    const work_kind kind = pending.is_read_only ? work_kind::read
+                           : commits            ? work_kind::commit
+                                                : work_kind::write;
+    load.times = after_statement(load.times, kind, m_context.now - connection.sent_at, m_context.now);
+}
+
 } // namespace hickorymount::sessions::detail
--- a/src/sessions/internal/server_selector.h
+++ b/src/sessions/internal/server_selector.h
@@ -2,6 +2,7 @@
 
 #include "sessions/internal/connection_pool.h"
 #include "sessions/internal/event_context.h"
+#include "sessions/internal/read_ranking.h"
 #include "sessions/internal/relay_ranking.h"
 
 #include <optional>
@@ -29,8 +30,9 @@
     /// takes. Refusing the statement at once lets the caller try another host.
     [[nodiscard]] bool is_isolated(const group_name& name) const;
 
-    /// Adapts the limit on the statements in flight at the connection's server to a response.
-    void update_concurrency_limit(const server_connection& connection, response_code code);
+    /// Adapts the estimates of the connection's server, and the limit on the statements in flight there, to a
+    /// response.
+    void record_response(const server_connection& connection, response_code code);
 
 private:
     [[nodiscard]] std::vector<relay_candidate> find_relays(const caller_session& session) const;
@@ -40,6 +42,12 @@
     std::optional<connection_number> find_primary_connection(const caller_session& session,
                                                              const group_name& group);
     std::optional<connection_number> find_read_connection(caller_session& session);
+    /// The servers that may run the session's read. The primary is among them only if a read may use its
+    /// slots.
+    [[nodiscard]] std::vector<read_candidate> find_read_servers(const caller_session& session) const;
+    /// The shortest round trip to a server of the group, once one is measured.
+    [[nodiscard]] std::optional<double> shortest_round_trip_ms(const group_name& group) const;
+    void record_execution(const server_connection& connection, server_load& load);
     [[nodiscard]] bool has_capacity(const backend_server_name& server) const;
     [[nodiscard]] bool is_closed_to_new_work(const backend_server_name& server) const;
 
--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -515,7 +515,7 @@
         "refused before it ran: code=" + std::to_string(static_cast<int>(response.code));
     connection.internal_statement.reset();
     m_connections.back_off(server);
-    m_selector.update_concurrency_limit(connection, response.code);
+    m_selector.record_response(connection, response.code);
     record_refusal(*session.pending, server, response.code);
     // A failed begin leaves the connection unchanged. After any other failure its variables are unknown.
     if (is_begin && response.state == transaction_state::none) {
@@ -543,14 +543,13 @@
     server_connection& connection = *m_context.connection(number);
     const group_name group = connection.group;
     const bool is_relay = connection.is_relay;
-    m_connections.record_latency(connection);
     record_relay_response(connection);
     if (connection.sent_in_term != 0 && response.position &&
         m_context.is_term_usable(group, connection.sent_in_term)) {
         add_sample(m_context.state.position_samples[group], {connection.sent_at, *response.position},
                    m_context.now);
     }
-    m_selector.update_concurrency_limit(connection, response.code);
+    m_selector.record_response(connection, response.code);
     connection.is_in_transaction = response.state != transaction_state::none;
     m_connections.set_stage(number, connection, connection_stage::reserved);
     const session_number holder = connection.holder;
--- a/src/sessions/tests/decision_tests.cpp
+++ b/src/sessions/tests/decision_tests.cpp
@@ -3,6 +3,7 @@
 #include "sessions/internal/queue_order.h"
 #include "sessions/internal/read_ranking.h"
 #include "sessions/internal/response_action.h"
+#include "sessions/response_times.h"
 
 #include <algorithm>
 #include <optional>
@@ -114,7 +115,9 @@
     static read_candidate server(const char* name, bool is_primary, bool is_in_own_zone,
                                  std::uint32_t in_flight)
     {
-        return {backend_server_name{name}, is_primary, is_in_own_zone, in_flight, 20, false};
+        read_candidate made{backend_server_name{name}, is_primary, is_in_own_zone};
+        made.in_flight = in_flight;
+        return made;
     }
 
     static std::vector<std::string> names(const std::vector<read_candidate>& servers)
@@ -134,6 +137,7 @@
               (std::vector<std::string>{"near", "far", "primary"}));
 }
 
+// Guards against statements that queue at the nearest server while another one is idle.
 TEST_F(read_ranking_fixture, busy_server_is_ranked_after_an_idle_one)
 {
     EXPECT_EQ(names(rank_read_servers({server("near", false, true, 3), server("far", false, false, 0)})),
@@ -148,6 +152,149 @@
               (std::vector<std::string>{"primary", "near"}));
 }
 
+// Guards against bytes between regions that the nearest server's free slots would have saved.
+TEST_F(read_ranking_fixture, server_of_the_own_region_with_free_slots_is_preferred_to_an_idle_one_of_another)
+{
+    read_candidate near = server("near", false, false, 3);
+    near.slots = 5;
+    near.round_trip_ms = 9;
+    near.service_ms = 24;
+    read_candidate far = server("far", false, false, 0);
+    far.slots = 5;
+    far.round_trip_ms = 24;
+    far.service_ms = 24;
+    far.is_far = true;
+    EXPECT_EQ(names(rank_read_servers({far, near})), (std::vector<std::string>{"near", "far"}));
+    near.queueing_ms = 60;
+    EXPECT_EQ(names(rank_read_servers({far, near})), (std::vector<std::string>{"far", "near"}));
+}
+
+// Guards against connections that are opened, for 12 ms of a slot, to save less than that.
+TEST_F(read_ranking_fixture, idle_connection_is_preferred_to_opening_one_at_a_slightly_better_server)
+{
+    read_candidate closed = server("closed", false, true, 0);
+    closed.needs_opening = true;
+    EXPECT_EQ(names(rank_read_servers({closed, server("open", false, false, 0)})),
+              (std::vector<std::string>{"open", "closed"}));
+}
+
+// Guards against a server that is never tried because nothing is known about it.
+TEST_F(read_ranking_fixture, server_without_measurements_is_taken_to_be_as_good_as_the_best)
+{
+    read_candidate measured = server("measured", true, false, 0);
+    measured.round_trip_ms = 3;
+    measured.service_ms = 7;
+    std::vector<read_candidate> servers{measured, server("new", false, false, 0)};
+    estimate_unmeasured(servers);
+    EXPECT_EQ(servers[1].service_ms, 7);
+    EXPECT_LE(*servers[1].round_trip_ms, 3);
+    EXPECT_EQ(names(rank_read_servers(servers)).front(), "new");
+}
+
+TEST_F(read_ranking_fixture, server_is_far_when_its_round_trip_is_that_between_regions)
+{
+    EXPECT_FALSE(is_far(std::nullopt, 1));
+    EXPECT_FALSE(is_far(24, std::nullopt));
+    EXPECT_FALSE(is_far(9, 0.4));
+    EXPECT_TRUE(is_far(24, 0.4));
+    // The own zone has no server: the nearest is in another zone of the region.
+    EXPECT_TRUE(is_far(24, 9));
+}
+
+// Guards against writes that queue behind reads which a replica could have run.
+TEST_F(read_ranking_fixture, read_leaves_the_last_slots_of_the_primary_free)
+{
+    read_candidate primary = server("primary", true, true, 0);
+    primary.slots = 5;
+    EXPECT_TRUE(may_read_at_primary(primary));
+    primary.in_flight = 3;
+    EXPECT_FALSE(may_read_at_primary(primary));
+    primary.in_flight = 0;
+    primary.queueing_ms = 30;
+    EXPECT_FALSE(may_read_at_primary(primary));
+}
+
+class response_times_fixture : public ::testing::Test
+{
+protected:
+    void respond(std::int64_t took_ms, work_kind kind = work_kind::read)
+    {
+        m_now += milliseconds{20};
+        m_times = after_statement(m_times, kind, milliseconds{took_ms}, m_now);
+    }
+
+    time_point m_now{milliseconds{1000}};
+    response_times m_times;
+};
+
+TEST_F(response_times_fixture, round_trip_is_the_fastest_exchange_and_half_of_an_opening)
+{
+    EXPECT_EQ(round_trip_ms(m_times), std::nullopt);
+    m_times = after_opening(m_times, milliseconds{36}, m_now);
+    EXPECT_EQ(round_trip_ms(m_times), 18);
+    m_times = after_exchange(m_times, milliseconds{9}, m_now);
+    m_times = after_exchange(m_times, milliseconds{40}, m_now);
+    EXPECT_EQ(round_trip_ms(m_times), 9);
+}
+
+TEST_F(response_times_fixture, round_trip_that_has_become_longer_is_adopted_after_two_periods)
+{
+    m_times = after_exchange(m_times, milliseconds{2}, m_now);
+    for (int at = 0; at < 3; ++at) {
+        m_now += milliseconds{20'000};
+        m_times = after_exchange(m_times, milliseconds{30}, m_now);
+    }
+    EXPECT_EQ(round_trip_ms(m_times), 30);
+}
+
+// Guards against a queue that is taken for the time that statements need.
+TEST_F(response_times_fixture, seconds_of_queueing_hardly_change_the_service_time)
+{
+    m_times = after_exchange(m_times, milliseconds{1}, m_now);
+    for (int at = 0; at < 50; ++at) {
+        respond(25);
+    }
+    EXPECT_NEAR(*service_ms(m_times, work_kind::read), 24, 1);
+    EXPECT_NEAR(queueing_ms(m_times, m_now), 0, 1);
+    for (int at = 0; at < 60; ++at) {
+        respond(100);
+    }
+    EXPECT_LT(*service_ms(m_times, work_kind::read), 36);
+    EXPECT_GT(queueing_ms(m_times, m_now), 60);
+}
+
+TEST_F(response_times_fixture, server_that_has_become_slower_for_good_is_known_as_such)
+{
+    for (int at = 0; at < 50; ++at) {
+        respond(25);
+    }
+    for (int at = 0; at < 600; ++at) {
+        respond(120);
+    }
+    EXPECT_NEAR(*m_times.base_ms[0], 120, 5);
+    EXPECT_LT(queueing_ms(m_times, m_now), 10);
+}
+
+TEST_F(response_times_fixture, short_writes_do_not_make_reads_look_queued)
+{
+    for (int at = 0; at < 50; ++at) {
+        respond(40);
+        respond(8, work_kind::write);
+    }
+    EXPECT_LT(queueing_ms(m_times, m_now), 2);
+}
+
+// Guards against a server that gets no statements for ever because of an old measurement.
+TEST_F(response_times_fixture, queueing_that_is_no_longer_measured_is_forgotten)
+{
+    respond(20);
+    for (int at = 0; at < 20; ++at) {
+        respond(200);
+    }
+    EXPECT_GT(queueing_ms(m_times, m_now), 100);
+    EXPECT_LT(queueing_ms(m_times, m_now + milliseconds{5000}), 10);
+}
+
 class queue_order_fixture : public ::testing::Test
 {
 protected:
--- a/src/sessions/traffic_view.h
+++ b/src/sessions/traffic_view.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 namespace hickorymount::sessions {
 
@@ -38,6 +39,8 @@
     bool is_leaving = false;
     /// Maximum number of connections that this host may have open to the server.
     std::uint32_t connection_share = 0;
+    /// Number of statements that the server executes at the same time, if it reports it.
+    std::optional<std::uint32_t> slots{};
 
     friend bool operator==(const server_view&, const server_view&) = default;
 };
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -7,6 +7,7 @@
 #include "logging/types.h"
 #include "sessions/check_schedule.h"
 #include "sessions/concurrency_limit.h"
+#include "sessions/response_times.h"
 #include "sessions/statement.h"
 #include "sessions/statement_queue.h"
 #include "sessions/traffic_view.h"
@@ -281,8 +282,7 @@
     /// Unanswered statements, including the proxy's internal ones.
     std::uint32_t in_flight = 0;
     concurrency_limit limit;
-    /// Exponential moving average of the time from sending a statement to its response.
-    double latency_ms = 0;
+    response_times times;
     time_point avoid_until{};
     time_point connect_after{};
     std::optional<time_point> leaving_since;
