Eject outlier servers from reads, and readmit them with few statements

Cause: a server that is slow, fails part of its statements, lags, is silent or comes and goes kept its share of the reads, apart from a back-off of 30 ms after a refusal. A read that met a lagging replica went to the primary although the other replica had the position.

Change: `server_health` is a value for each server with its recent outcomes, lost connections and silence. At most every 100 ms the servers of a group are compared: one whose reads take three times as long as the fastest and 50 ms more, that fails 20% or lags with 50% of its statements while another does at most half as often, that is silent for 500 ms while another responds, or that lost connections twice within seconds, is not used for reads for 500 ms, twice as long each time in a row, 4 s at most. At most half of a group's servers are ejected, and reads use an ejected one when no other is connected. Afterwards, and after a restart of the process, reads in flight there start at one. Statements that need the primary ignore this, and statements in flight are left alone. Ejections are logged and counted.

The estimate of the service time became an average that rises slowly and falls quickly; as a percentile with relative steps it never left a first response of 0 ms.

--- a/src/gateway/internal/session_server.cpp
+++ b/src/gateway/internal/session_server.cpp
@@ -494,6 +494,17 @@
     }
 }
 
+void session_server::execute(sessions::record_ejection_metrics&& effect)
+{
+    const bool is_ejected = effect.reason != sessions::ejection_reason::none;
+    const std::string label = fmt::format("server=\"{}\"", effect.server.value);
+    m_metrics.set("hickorymount_server_ejected", label, is_ejected ? 1 : 0);
+    if (is_ejected) {
+        m_metrics.count("hickorymount_server_ejections_total",
+                        fmt::format("{},reason=\"{}\"", label, to_string(effect.reason)));
+    }
+}
+
 void session_server::execute(sessions::report_stopped&& /*effect*/)
 {
     m_handlers.on_stopped();
--- a/src/sessions/internal/connection_pool.cpp
+++ b/src/sessions/internal/connection_pool.cpp
@@ -291,10 +291,17 @@
 void connection_pool::close(connection_number number)
 {
     m_context.emit(close_connection{number});
-    remove(number);
+    forget(number);
 }
 
-void connection_pool::remove(connection_number number)
+void connection_pool::remove_lost(connection_number number)
+{
+    server_load& load = m_context.state.server_loads[m_context.state.connections.at(number).server];
+    load.health = after_loss(load.health, m_context.now);
+    forget(number);
+}
+
+void connection_pool::forget(connection_number number)
 {
     const auto found = m_context.state.connections.find(number);
     const server_connection& connection = found->second;
@@ -305,6 +312,9 @@
     }
     load.connections_in_use -= connection.holder != 0 ? 1 : 0;
     load.in_flight -= is_in_flight(connection.stage) ? 1 : 0;
+    if (load.in_flight == 0) {
+        load.health.waiting_since.reset();
+    }
     load.idle_connections.erase(number);
     m_context.state.connections.erase(found);
 }
@@ -355,9 +365,16 @@
     } else if (connection.stage == connection_stage::idle) {
         load.idle_connections.erase(number);
     }
+    const bool was_in_flight = is_in_flight(connection.stage);
     load.in_flight += is_in_flight(stage) ? 1 : 0;
-    load.in_flight -= is_in_flight(connection.stage) ? 1 : 0;
+    load.in_flight -= was_in_flight ? 1 : 0;
     connection.stage = stage;
+    if (load.in_flight == 0) {
+        load.health.waiting_since.reset();
+    } else if (was_in_flight || !load.health.waiting_since) {
+        // A stage without a statement in flight follows one only when the response has arrived.
+        load.health.waiting_since = m_context.now;
+    }
 }
 
 void connection_pool::back_off(const backend_server_name& server)
--- a/src/sessions/internal/connection_pool.h
+++ b/src/sessions/internal/connection_pool.h
@@ -55,8 +55,8 @@
     /// Detaches the connection from its session while a statement is unanswered. The connection is reused
     /// once the response arrives: a replacement would take a slot of a server that has none free.
     void abandon(connection_number number);
-    /// Removes a connection that has been closed.
-    void remove(connection_number number);
+    /// Removes a connection that the other side has closed, or that could not be opened.
+    void remove_lost(connection_number number);
 
     /// Closes idle connections that exceed the share or lead to servers that are gone or leaving.
     void close_surplus();
@@ -68,6 +68,7 @@
     void send_internal_statement(connection_number number, server_connection& connection, statement body,
                                  const std::optional<group_position>& minimum_position);
     [[nodiscard]] bool is_surplus(const server_connection& connection) const;
+    void forget(connection_number number);
     /// True if statements of the session can run on the connection.
     [[nodiscard]] bool serves(const server_connection& connection, const caller_session& session) const;
     /// Closes the idle connection of another customer that was used least recently. Returns false if there is
--- a/src/sessions/internal/read_ranking.h
+++ b/src/sessions/internal/read_ranking.h
@@ -31,6 +31,8 @@
     bool needs_opening = false;
     /// The server recently refused a statement.
     bool is_avoided = false;
+    /// The server is ejected, or has all reads in flight that its slow start allows.
+    bool is_ejected = false;
 
     friend bool operator==(const read_candidate&, const read_candidate&) = default;
 };
--- a/src/sessions/internal/response_times.cpp
+++ b/src/sessions/internal/response_times.cpp
@@ -9,14 +9,19 @@
 
 /// Round trips change when traffic is rerouted, not with load, so their minimum is kept for long.
 constexpr milliseconds period{20'000};
-/// The percentile that the base follows, and the relative size of its steps. It rises by 0.5% and falls
-/// by 4.5% with a response, so that an overload of a few seconds raises it by less than half.
-constexpr double base_percentile = 0.1;
-constexpr double base_step = 0.05;
+/// The base moves by these parts of the difference to a response above or below it. An overload of a few
+/// seconds, about 60 responses, raises it by a fifth of the queueing.
+constexpr double base_rise = 0.004;
+constexpr double base_fall = 0.05;
+/// The first responses move it up faster, since the very first may be untypical.
+constexpr double first_base_rise = 0.1;
+constexpr std::uint32_t first_responses = 20;
 /// Weight of the newest response in the moving averages.
 constexpr double response_weight = 0.15;
 /// After this time without a response, the moving averages count half.
 constexpr double half_life_ms = 1000;
+/// A comparison of servers uses reads of this time.
+constexpr milliseconds recent_reads_time{2000};
 /// Clocks are rounded to whole milliseconds, and the round trip is only bounded from above.
 constexpr double min_service_ms = 5;
 
@@ -57,22 +62,27 @@
 {
     const double took_ms = in_ms(took);
     response_times next = with_fastest(times, took_ms, now);
-    std::optional<double>& base = next.base_ms.at(static_cast<std::size_t>(kind));
-    if (!base) {
-        base = took_ms;
-    } else if (took_ms < *base) {
-        base = std::max(took_ms, *base * (1 - base_step * (1 - base_percentile)));
-    } else {
-        base = std::min(took_ms, *base * (1 + base_step * base_percentile));
+    work_time& work = next.work.at(static_cast<std::size_t>(kind));
+    if (work.responses == 0) {
+        work.base_ms = took_ms;
     }
+    const double rise = work.responses < first_responses ? first_base_rise : base_rise;
+    work.base_ms += (took_ms < work.base_ms ? base_fall : rise) * (took_ms - work.base_ms);
+    work.responses = std::min(work.responses + 1, first_responses);
     const double age_weight = weight_by_age(times, now);
-    const double queueing = std::max(0.0, took_ms - *base);
+    const double queueing = std::max(0.0, took_ms - work.base_ms);
     const bool is_first = times.responded_at == time_point{};
     next.queueing_ms = age_weight * times.queueing_ms;
     next.queueing_ms += response_weight * (queueing - next.queueing_ms);
     next.response_ms = is_first ? took_ms : times.response_ms;
     next.response_ms += response_weight * (took_ms - next.response_ms);
     next.responded_at = now;
+    if (kind == work_kind::read) {
+        const bool is_first_read = times.read_at == time_point{};
+        next.read_response_ms = is_first_read ? took_ms : times.read_response_ms;
+        next.read_response_ms += response_weight * (took_ms - next.read_response_ms);
+        next.read_at = now;
+    }
     return next;
 }
 
@@ -86,11 +96,11 @@
 
 std::optional<double> service_ms(const response_times& times, work_kind kind)
 {
-    const std::optional<double> base = times.base_ms.at(static_cast<std::size_t>(kind));
-    if (!base) {
+    const work_time& work = times.work.at(static_cast<std::size_t>(kind));
+    if (work.responses == 0) {
         return std::nullopt;
     }
-    return std::max(min_service_ms, *base - round_trip_ms(times).value_or(0));
+    return std::max(min_service_ms, work.base_ms - round_trip_ms(times).value_or(0));
 }
 
 double queueing_ms(const response_times& times, time_point now)
@@ -103,4 +113,12 @@
     return weight_by_age(times, now) * times.response_ms;
 }
 
+std::optional<double> recent_read_ms(const response_times& times, time_point now)
+{
+    if (times.read_at == time_point{} || now - times.read_at >= recent_reads_time) {
+        return std::nullopt;
+    }
+    return std::max(0.0, times.read_response_ms - round_trip_ms(times).value_or(0));
+}
+
 } // namespace hickorymount::sessions
--- a/src/sessions/internal/server_selector.cpp
+++ b/src/sessions/internal/server_selector.cpp
@@ -5,12 +5,32 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+
 namespace hickorymount::sessions::detail {
 
 namespace {
 
 /// Subtracted from a read's maximum staleness, because clocks are rounded to whole milliseconds.
 constexpr milliseconds clock_rounding_margin{5};
+/// Interval between two comparisons of the servers of a group.
+constexpr milliseconds comparison_interval{100};
+
+/// What the response tells about the server. A full queue is the concern of the concurrency limit.
+std::optional<server_outcome> outcome_of(response_code code)
+{
+    switch (code) {
+    case response_code::done:
+        return server_outcome::executed;
+    case response_code::lagging:
+        return server_outcome::lagging;
+    case response_code::failed:
+    case response_code::timed_out:
+        return server_outcome::failed;
+    default:
+        return std::nullopt;
+    }
+}
 
 } // namespace
 
@@ -113,6 +133,7 @@
         return find_primary_connection(session, group);
     }
     minimum_position = std::max(minimum_position, required_position(session));
+    compare_servers(group);
     std::vector<read_candidate> servers = find_read_servers(session);
     std::erase_if(servers, [&](const read_candidate& each) { return !has_capacity(each.name); });
     for (const read_candidate& server : rank_read_servers(std::move(servers))) {
@@ -132,6 +153,7 @@
     const pending_statement& pending = *session.pending;
     const group_view* known = m_context.group(pending.route.group);
     const std::optional<double> shortest = shortest_round_trip_ms(pending.route.group);
+    bool has_healthy = false;
     std::vector<read_candidate> servers;
     bool has_replica = false;
     for (const backend_server_name& name : m_context.servers_of(pending.route.group)) {
@@ -142,6 +164,8 @@
             continue;
         }
         const server_load& load = m_context.state.server_loads[name];
+        const bool is_starting =
+            load.in_flight >= slow_start_limit(load.health, m_context.now).value_or(load.in_flight + 1);
         read_candidate candidate{name, is_primary, server.zone == m_context.state.zone};
         candidate.round_trip_ms = round_trip_ms(load.times);
         candidate.is_far = is_far(candidate.round_trip_ms, shortest);
@@ -151,17 +175,65 @@
         candidate.queueing_ms = queueing_ms(load.times, m_context.now);
         candidate.needs_opening = m_context.identifies_customers() && !m_connections.find_idle(name, session);
         candidate.is_avoided = m_context.now < load.avoid_until;
-        has_replica = has_replica || (!is_primary && !load.unreachable_since && load.open_connections > 0);
+        candidate.is_ejected = is_ejected(load.health, m_context.now) || is_starting;
+        const bool is_connected = !load.unreachable_since && load.open_connections > 0;
+        has_replica = has_replica || (!is_primary && is_connected);
+        has_healthy = has_healthy || (is_connected && !candidate.is_ejected);
         servers.push_back(std::move(candidate));
     }
     estimate_unmeasured(servers);
     const bool has_waited = m_context.now - pending.request.received_at >= overload_threshold;
     std::erase_if(servers, [&](const read_candidate& each) {
-        return each.is_primary && has_replica && !has_waited && !may_read_at_primary(each);
+        return (each.is_ejected && has_healthy) ||
+               (each.is_primary && has_replica && !has_waited && !may_read_at_primary(each));
     });
     return servers;
 }
 
+void server_selector::compare_servers(const group_name& group)
+{
+    group_selection& selection = m_context.state.selections[group];
+    if (m_context.now < selection.next_comparison_at) {
+        return;
+    }
+    selection.next_comparison_at = m_context.now + comparison_interval;
+    std::vector<observed_server> observed;
+    for (const backend_server_name& name : m_context.servers_of(group)) {
+        server_load& load = m_context.state.server_loads[name];
+        const unix_milliseconds started_at = m_context.server(name)->started_at;
+        const bool was_restarted = load.health.process_started_at != started_at &&
+                                   load.health.process_started_at != unix_milliseconds{0};
+        load.health.process_started_at = started_at;
+        const bool has_served_ejection = load.health.ejected_until && !is_ejected(load.health, m_context.now);
+        if (has_served_ejection) {
+            m_context.log(logging::log_level::information, "readmit_server", name.value,
+                          "group=" + group.value);
+            m_context.emit(record_ejection_metrics{name});
+        }
+        if (was_restarted || has_served_ejection) {
+            load.health = readmit(load.health, m_context.now);
+        }
+        observed.push_back({name, load.health, recent_read_ms(load.times, m_context.now)});
+    }
+    for (const ejection& each : choose_ejections(observed, m_context.now)) {
+        eject_server(group, each);
+    }
+}
+
+void server_selector::eject_server(const group_name& group, const ejection& chosen)
+{
+    server_load& load = m_context.state.server_loads[chosen.server];
+    load.health = eject(load.health, m_context.now);
+    m_context.log(logging::log_level::warning, "eject_server", chosen.server.value,
+                  fmt::format("group={} reason={} for_ms={} failed_share={:.2f} lagging_share={:.2f} "
+                              "read_ms={:.0f} in_flight={}",
+                              group.value, to_string(chosen.reason),
+                              (*load.health.ejected_until - m_context.now).count(), load.health.failed_share,
+                              load.health.lagging_share,
+                              recent_read_ms(load.times, m_context.now).value_or(0), load.in_flight));
+    m_context.emit(record_ejection_metrics{chosen.server, chosen.reason});
+}
+
 std::optional<double> server_selector::shortest_round_trip_ms(const group_name& group) const
 {
     std::optional<double> shortest;
@@ -210,6 +282,9 @@
 void server_selector::record_response(const server_connection& connection, response_code code)
 {
     server_load& load = m_context.state.server_loads[connection.server];
+    if (const std::optional<server_outcome> outcome = outcome_of(code)) {
+        load.health = after_outcome(load.health, *outcome, m_context.now);
+    }
     if (code == response_code::busy) {
         load.limit = after_refusal(load.limit, load.in_flight, m_context.now);
     } else if (code == response_code::done) {
--- a/src/sessions/internal/server_selector.h
+++ b/src/sessions/internal/server_selector.h
@@ -47,6 +47,9 @@
     [[nodiscard]] std::vector<read_candidate> find_read_servers(const caller_session& session) const;
     /// The shortest round trip to a server of the group, once one is measured.
     [[nodiscard]] std::optional<double> shortest_round_trip_ms(const group_name& group) const;
+    /// Ejects and readmits servers of the group for reads, at intervals.
+    void compare_servers(const group_name& group);
+    void eject_server(const group_name& group, const ejection& chosen);
     void record_execution(const server_connection& connection, server_load& load);
     [[nodiscard]] bool has_capacity(const backend_server_name& server) const;
     [[nodiscard]] bool is_closed_to_new_work(const backend_server_name& server) const;
--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -592,7 +592,7 @@
                               was_opening, holder, reason));
     suspect_if_primary(connection, reason);
     const backend_server_name server = connection.server;
-    m_connections.remove(number);
+    m_connections.remove_lost(number);
     caller_session* session = holder == 0 ? nullptr : m_context.session(holder);
     if (session != nullptr && session->transaction && session->transaction->connection == number) {
         session->transaction->connection = 0;
--- a/src/sessions/response_times.h
+++ b/src/sessions/response_times.h
@@ -21,6 +21,17 @@
 
 inline constexpr std::size_t work_kind_count = 3;
 
+/// What a response to one kind of statement takes without queueing.
+struct work_time
+{
+    /// Average of the response times that rises slowly and falls quickly.
+    double base_ms = 0;
+    /// Number of responses, as far as it matters.
+    std::uint32_t responses = 0;
+
+    friend bool operator==(const work_time&, const work_time&) = default;
+};
+
 /// Response times of one server, or of one entry host that runs statements for this one, as measured here.
 struct response_times
 {
@@ -29,14 +40,15 @@
     std::optional<double> fastest_ms;
     std::optional<double> previous_fastest_ms;
     time_point period_began_at{};
-    /// Low percentile of the response times of each kind of statement: what a response takes without
-    /// queueing.
-    std::array<std::optional<double>, work_kind_count> base_ms{};
+    std::array<work_time, work_kind_count> work{};
     /// Moving average of the time by which responses exceed the base of their kind.
     double queueing_ms = 0;
     /// Moving average of the response time of all kinds.
     double response_ms = 0;
     time_point responded_at{};
+    /// Moving average of the response time of reads, and when the last one arrived.
+    double read_response_ms = 0;
+    time_point read_at{};
 
     friend bool operator==(const response_times&, const response_times&) = default;
 };
@@ -58,5 +70,7 @@
 double queueing_ms(const response_times& times, time_point now);
 /// Response time of a statement sent now; loses weight with age as well.
 double response_ms(const response_times& times, time_point now);
+/// Recent response time of reads without the round trip; empty if there were none lately.
+std::optional<double> recent_read_ms(const response_times& times, time_point now);
 
 } // namespace hickorymount::sessions
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -8,6 +8,7 @@
 #include "sessions/check_schedule.h"
 #include "sessions/concurrency_limit.h"
 #include "sessions/response_times.h"
+#include "sessions/server_health.h"
 #include "sessions/statement.h"
 #include "sessions/statement_queue.h"
 #include "sessions/traffic_view.h"
@@ -283,6 +284,7 @@
     std::uint32_t in_flight = 0;
     concurrency_limit limit;
     response_times times;
+    server_health health;
     time_point avoid_until{};
     time_point connect_after{};
     std::optional<time_point> leaving_since;
@@ -321,6 +323,15 @@
     friend bool operator==(const primary_use_trace&, const primary_use_trace&) = default;
 };
 
+/// What this host remembers for choosing servers and relays for a group's statements.
+struct group_selection
+{
+    /// When the group's servers are compared next.
+    time_point next_comparison_at{};
+
+    friend bool operator==(const group_selection&, const group_selection&) = default;
+};
+
 /// The whole state of the traffic thread; only `reduce` changes it.
 struct session_state
 {
@@ -334,6 +345,7 @@
     std::map<session_number, opening_session> opening_sessions;
     std::map<connection_number, server_connection> connections;
     std::map<backend_server_name, server_load> server_loads;
+    std::map<group_name, group_selection> selections;
     std::map<group_name, std::deque<position_sample>> position_samples;
     std::map<group_name, primary_use_trace> primary_use_traces;
     /// Servers of the current view, by group.
@@ -570,15 +582,26 @@
     friend bool operator==(const record_statement_metrics&, const record_statement_metrics&) = default;
 };
 
+/// Records the metrics of a server that was ejected or readmitted.
+struct record_ejection_metrics
+{
+    backend_server_name server;
+    /// `none` for a readmission.
+    ejection_reason reason = ejection_reason::none;
+
+    friend bool operator==(const record_ejection_metrics&, const record_ejection_metrics&) = default;
+};
+
 /// Reports that every session has ended.
 struct report_stopped
 {
     friend bool operator==(const report_stopped&, const report_stopped&) = default;
 };
 
-using effect = std::variant<accept_session, refuse_session, send_response, close_session, open_connection,
-                            send_statement, close_connection, report_suspected_primary, report_to_control,
-                            record_statement_metrics, report_stopped, logging::log_record>;
+using effect =
+    std::variant<accept_session, refuse_session, send_response, close_session, open_connection,
+                 send_statement, close_connection, report_suspected_primary, report_to_control,
+                 record_statement_metrics, record_ejection_metrics, report_stopped, logging::log_record>;
 
 struct transition
 {
