--- a/src/sessions/internal/connection_pool.cpp
+++ b/src/sessions/internal/connection_pool.cpp
@@ -16,8 +16,6 @@
 constexpr std::uint32_t max_opening_connections = 2;
 /// Simultaneous connection attempts to one other entry host, where they are cheap.
 constexpr std::uint32_t max_opening_relay_connections = 4;
-/// Weight of the newest observation in the moving average of the latency.
-constexpr double latency_weight = 0.1;
 /// A connection that no statement has used yet is kept for its customer for this long. Otherwise customers
 /// that compete for the share close each other's connections before the first statement.
 constexpr milliseconds unused_connection_protection{100};
@@ -249,6 +247,8 @@
 
 void connection_pool::apply_internal_result(server_connection& connection)
 {
+    server_load& load = m_context.state.server_loads[connection.server];
+    load.times = after_exchange(load.times, m_context.now - connection.sent_at, m_context.now);
     const statement& executed = *connection.internal_statement;
     switch (executed.kind) {
     case statement_kind::reset:
@@ -303,10 +303,17 @@
 void connection_pool::close(connection_number number)
 {
     m_context.emit(close_connection{number});
-    remove(number);
+    forget(number);
+}
+
+void connection_pool::remove_lost(connection_number number)
+{
+    server_load& load = m_context.state.server_loads[m_context.state.connections.at(number).server];
+    load.health = after_loss(load.health, m_context.now);
+    forget(number);
 }
 
-void connection_pool::remove(connection_number number)
+void connection_pool::forget(connection_number number)
 {
     const auto found = m_context.state.connections.find(number);
     const server_connection& connection = found->second;
@@ -317,6 +324,9 @@
     }
     load.connections_in_use -= connection.holder != 0 ? 1 : 0;
     load.in_flight -= is_in_flight(connection.stage) ? 1 : 0;
+    if (load.in_flight == 0) {
+        load.health.waiting_since.reset();
+    }
     load.idle_connections.erase(number);
     m_context.state.connections.erase(found);
 }
@@ -344,6 +354,7 @@
     server_load& load = m_context.state.server_loads[connection.server];
     forget_opening(connection, load);
     load.unreachable_since.reset();
+    load.times = after_opening(load.times, m_context.now - connection.opened_at, m_context.now);
     set_stage(number, connection, connection_stage::idle);
 }
 
@@ -366,16 +377,16 @@
     } else if (connection.stage == connection_stage::idle) {
         load.idle_connections.erase(number);
     }
+    const bool was_in_flight = is_in_flight(connection.stage);
     load.in_flight += is_in_flight(stage) ? 1 : 0;
-    load.in_flight -= is_in_flight(connection.stage) ? 1 : 0;
+    load.in_flight -= was_in_flight ? 1 : 0;
     connection.stage = stage;
-}
-
-void connection_pool::record_latency(const server_connection& connection)
-{
-    server_load& load = m_context.state.server_loads[connection.server];
-    const auto took = static_cast<double>((m_context.now - connection.sent_at).count());
-    load.latency_ms += latency_weight * (took - load.latency_ms);
+    if (load.in_flight == 0) {
+        load.health.waiting_since.reset();
+    } else if (was_in_flight || !load.health.waiting_since) {
+        // A stage without a statement in flight follows one only when the response has arrived.
+        load.health.waiting_since = m_context.now;
+    }
 }
 
 void connection_pool::back_off(const backend_server_name& server)
--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -351,7 +351,7 @@
         "refused before it ran: code=" + std::to_string(static_cast<int>(response.code));
     connection.internal_statement.reset();
     m_connections.back_off(server);
-    m_selector.update_concurrency_limit(connection, response.code);
+    m_selector.record_response(connection, response.code);
     record_refusal(*session.pending, server, response.code);
     // A failed begin leaves the connection unchanged. After any other failure its variables are unknown.
     if (is_begin && response.state == transaction_state::none) {
@@ -380,14 +380,13 @@
     server_connection& connection = *m_context.connection(number);
     const group_name group = connection.group;
     const bool is_relay = connection.is_relay;
-    m_connections.record_latency(connection);
     record_relay_response(connection);
     if (connection.sent_in_term != 0 && response.position &&
         m_context.is_term_usable(group, connection.sent_in_term)) {
         add_sample(m_context.state.position_samples[group], {connection.sent_at, *response.position},
                    m_context.now);
     }
-    m_selector.update_concurrency_limit(connection, response.code);
+    m_selector.record_response(connection, response.code);
     connection.is_in_transaction = response.state != transaction_state::none;
     m_connections.set_stage(number, connection, connection_stage::reserved);
     const session_number holder = connection.holder;
@@ -430,7 +429,7 @@
                               was_opening, holder, reason));
     suspect_if_primary(connection, reason);
     const backend_server_name server = connection.server;
-    m_connections.remove(number);
+    m_connections.remove_lost(number);
     caller_session* session = holder == 0 ? nullptr : m_context.session(holder);
     if (session != nullptr && session->transaction && session->transaction->connection == number) {
         session->transaction->connection = 0;
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -8,6 +8,8 @@
 #include "logging/types.h"
 #include "sessions/check_schedule.h"
 #include "sessions/concurrency_limit.h"
+#include "sessions/response_times.h"
+#include "sessions/server_health.h"
 #include "sessions/statement.h"
 #include "sessions/statement_queue.h"
 #include "sessions/traffic_view.h"
@@ -297,8 +299,8 @@
     /// Unanswered statements, including the proxy's internal ones.
     std::uint32_t in_flight = 0;
     concurrency_limit limit;
-    /// Exponential moving average of the time from sending a statement to its response.
-    double latency_ms = 0;
+    response_times times;
+    server_health health;
     time_point avoid_until{};
     time_point connect_after{};
     std::optional<time_point> leaving_since;
@@ -346,6 +348,15 @@
     friend bool operator==(const limit_refusals&, const limit_refusals&) = default;
 };
 
+/// What this host remembers for choosing servers and relays for a group's statements.
+struct group_selection
+{
+    /// When the group's servers are compared next.
+    time_point next_comparison_at{};
+
+    friend bool operator==(const group_selection&, const group_selection&) = default;
+};
+
 /// The whole state of the traffic thread; only `reduce` changes it.
 struct session_state
 {
@@ -367,6 +378,7 @@
     std::map<session_number, opening_session> opening_sessions;
     std::map<connection_number, server_connection> connections;
     std::map<backend_server_name, server_load> server_loads;
+    std::map<group_name, group_selection> selections;
     std::map<group_name, std::deque<position_sample>> position_samples;
     std::map<group_name, primary_use_trace> primary_use_traces;
     /// Servers of the current view, by group.
@@ -618,16 +630,26 @@
     friend bool operator==(const record_limit_refusal&, const record_limit_refusal&) = default;
 };
 
+/// Records the metrics of a server that was ejected or readmitted.
+struct record_ejection_metrics
+{
+    backend_server_name server;
+    /// `none` for a readmission.
+    ejection_reason reason = ejection_reason::none;
+
+    friend bool operator==(const record_ejection_metrics&, const record_ejection_metrics&) = default;
+};
+
 /// Reports that every session has ended.
 struct report_stopped
 {
     friend bool operator==(const report_stopped&, const report_stopped&) = default;
 };
 
-using effect =
-    std::variant<accept_session, refuse_session, send_response, close_session, open_connection,
-                 send_statement, close_connection, report_suspected_primary, report_to_control,
-                 record_statement_metrics, record_limit_refusal, report_stopped, logging::log_record>;
+using effect = std::variant<accept_session, refuse_session, send_response, close_session, open_connection,
+                            send_statement, close_connection, report_suspected_primary, report_to_control,
+                            record_statement_metrics, record_limit_refusal, record_ejection_metrics,
+                            report_stopped, logging::log_record>;
 
 struct transition
 {
