--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "sessions/internal/statement_dispatcher.h"
 
+#include "sessions/internal/operation_limit.h"
 #include "sessions/internal/position_samples.h"
 #include "sessions/internal/queue_order.h"
 #include "sessions/internal/relay_deadline.h"
