Refuse statements at once that can't be answered before their deadline

Cause: a statement behind more work than the servers finish before its deadline waited for it in vain.

Change: each host measures for each group how many statements are finished per second while others wait, separately for those that need the primary and for reads. A statement that stays queued is refused with `busy` (cause "too much work ahead") if the queued statements before it exceed 1.5 times what is finished in its remaining time. The oldest 16 of an overloaded queue are checked again every 100 ms. The rate is unknown until statements have waited for 0.6 s, is kept while the primary is being replaced and for 2.5 s of silence, and is forgotten after 5 s without a queue; while it is unknown, everything is admitted.

Statements that will arrive later and precede one in a lasting overload do not count.

New metrics: queued statements by group, and the time until a statement is first sent.

No measurement on a deployment yet.

--- a/src/gateway/internal/session_server.cpp
+++ b/src/gateway/internal/session_server.cpp
@@ -489,12 +489,30 @@
         m_metrics.count("hickorymount_customer_statements_total",
                         fmt::format("{},code=\"{}\"", customer_label, code_name(effect.code)));
     }
+    if (effect.queued_for) {
+        m_metrics.observe_ms("hickorymount_statement_queueing_ms", labels,
+                             static_cast<double>(effect.queued_for->count()));
+    }
     if (effect.waited_for != sessions::wait_cause::none) {
         m_metrics.count("hickorymount_statements_refused_in_queue_total",
                         fmt::format("cause=\"{}\"", to_string(effect.waited_for)));
     }
 }
 
+void session_server::execute(sessions::record_queue_metrics&& effect)
+{
+    for (const group_name& group : m_queued_groups) {
+        if (!effect.queued_statements.contains(group)) {
+            m_metrics.set("hickorymount_statements_queued", fmt::format("group=\"{}\"", group.value), 0);
+        }
+    }
+    for (const auto& [group, count] : effect.queued_statements) {
+        m_metrics.set("hickorymount_statements_queued", fmt::format("group=\"{}\"", group.value),
+                      static_cast<double>(count));
+        m_queued_groups.insert(group);
+    }
+}
+
 void session_server::execute(sessions::report_stopped&& /*effect*/)
 {
     m_handlers.on_stopped();
--- a/src/gateway/internal/session_server.h
+++ b/src/gateway/internal/session_server.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -88,6 +89,7 @@
     void execute(sessions::report_suspected_primary&& effect);
     void execute(sessions::report_to_control&& effect);
     void execute(sessions::record_statement_metrics&& effect);
+    void execute(sessions::record_queue_metrics&& effect);
     void execute(sessions::report_stopped&& effect);
     void execute(logging::log_record&& effect);
 
@@ -96,6 +98,8 @@
                              const server_call_result& call_result);
     void report_probe(const routing::probe_server& order, std::optional<protocol::server_report> status);
 
+    /// Groups whose queue length was ever recorded.
+    std::set<group_name> m_queued_groups;
     std::unique_ptr<sessions::session_codec> m_codec;
     handlers m_handlers;
     logging::log_writer& m_log;
--- a/src/sessions/internal/reduce.cpp
+++ b/src/sessions/internal/reduce.cpp
@@ -233,6 +233,20 @@
             load.peak_connections_in_use = load.connections_in_use;
         }
         m_context.emit(std::move(update));
+        record_queues();
+    }
+
+    /// Records the lengths of the queues if they have changed.
+    void record_queues()
+    {
+        std::map<group_name, std::size_t> queued;
+        for (const auto& [group, queue] : m_context.state.queues) {
+            queued[group] = queue.size();
+        }
+        if (queued != m_context.state.recorded_queues) {
+            m_context.state.recorded_queues = queued;
+            m_context.emit(record_queue_metrics{std::move(queued)});
+        }
     }
 
     [[nodiscard]] std::map<group_name, hold_progress> holds() const
--- a/src/sessions/internal/response_action.cpp
+++ b/src/sessions/internal/response_action.cpp
@@ -4,24 +4,6 @@
 
 namespace {
 
-/// True when the code guarantees that the server has not run the statement.
-bool is_not_run(response_code code)
-{
-    switch (code) {
-    case response_code::busy:
-    case response_code::lagging:
-    case response_code::read_only:
-    case response_code::misrouted:
-    case response_code::too_many_connections:
-    case response_code::unknown_statement:
-    // An entry host that has an older configuration may not know the customer yet.
-    case response_code::not_authorized:
-        return true;
-    default:
-        return false;
-    }
-}
-
 response_action choose_action_after_loss(statement_scope scope)
 {
     switch (scope) {
@@ -40,6 +22,23 @@
 
 } // namespace
 
+bool is_not_run(response_code code)
+{
+    switch (code) {
+    case response_code::busy:
+    case response_code::lagging:
+    case response_code::read_only:
+    case response_code::misrouted:
+    case response_code::too_many_connections:
+    case response_code::unknown_statement:
+    // An entry host that has an older configuration may not know the customer yet.
+    case response_code::not_authorized:
+        return true;
+    default:
+        return false;
+    }
+}
+
 bool commits_writes(statement_scope scope)
 {
     return scope == statement_scope::single_write || scope == statement_scope::commit_of_writes;
--- a/src/sessions/internal/response_action.h
+++ b/src/sessions/internal/response_action.h
@@ -24,6 +24,9 @@
 /// True for a statement that commits writes when it succeeds.
 bool commits_writes(statement_scope scope);
 
+/// True when the code guarantees that the server has not run the statement.
+bool is_not_run(response_code code);
+
 /// What the proxy does with a server's response.
 enum class response_action
 {
--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -218,6 +218,7 @@
     session.pending = std::move(pending);
     add_to_queue(number, session);
     dispatch(group);
+    refuse_if_hopeless(number, session);
     if (m_context.queued_count(group) == 1) {
         end_idle_transactions(group);
     }
@@ -385,6 +386,7 @@
     }
     pending.stage = statement_stage::running;
     pending.sent_at = m_context.now;
+    pending.first_sent_at = pending.first_sent_at.value_or(m_context.now);
     m_connections.send_pending(connection, pending);
     trace_primary_use(*m_context.connection(connection), pending);
     schedule_check(m_context.connection(connection)->holder, session);
@@ -523,6 +525,7 @@
         dispatch_after(group, is_relay);
         return;
     }
+    record_finished(*session->pending, response.code);
     if (response.code != response_code::done) {
         if (!connection.is_relay) {
             m_connections.back_off(connection.server);
@@ -763,7 +766,9 @@
         const bool ran_on_relay = connection != nullptr && connection->is_relay;
         m_context.emit(record_statement_metrics{
             session.database, response.code, pending.minimum_position.has_value() && !ran_on_relay,
-            pending.is_read_only, took, ran_on_relay, pending.waited_for, session.customer});
+            pending.is_read_only, took, ran_on_relay, pending.waited_for, session.customer,
+            pending.first_sent_at ? std::optional(*pending.first_sent_at - pending.request.received_at)
+                                  : std::nullopt});
         if (response.code != response_code::done) {
             m_context.log(logging::log_level::information, "refuse_statement", "",
                           fmt::format("id={} database={} group={} code={} stage={} attempts={} took_ms={} {} "
--- a/src/sessions/internal/statement_dispatcher.h
+++ b/src/sessions/internal/statement_dispatcher.h
@@ -103,6 +103,10 @@
     void remove_from_queue(caller_session& session);
     [[nodiscard]] std::vector<group_name> queued_groups() const;
     void check_queues();
+    void recheck_admission(const group_name& group);
+    void refuse_if_hopeless(session_number number, caller_session& session);
+    void observe_drain(const group_name& group);
+    void record_finished(const pending_statement& pending, response_code code);
     void refuse_isolated(const group_name& group);
     void refuse_if_isolated(session_number number, caller_session& session);
 
--- a/src/sessions/internal/statement_queue.cpp
+++ b/src/sessions/internal/statement_queue.cpp
@@ -66,6 +66,15 @@
     }
 }
 
+std::size_t statement_queue::count(bool needs_primary) const
+{
+    std::size_t counted = 0;
+    for (const auto& [order, rotation] : m_classes) {
+        counted += rotation.count(needs_primary);
+    }
+    return counted;
+}
+
 std::optional<time_point> statement_queue::oldest_arrival() const
 {
     return m_arrivals.empty() ? std::nullopt : std::optional(m_arrivals.begin()->received_at);
--- a/src/sessions/internal/statement_queueing.cpp
+++ b/src/sessions/internal/statement_queueing.cpp
@@ -23,6 +23,7 @@
                    [&](const queue_place& place) { return look_at(place, too_late); });
     if (queue.is_empty()) {
         m_context.state.queues.erase(found);
+        observe_drain(group);
     }
     for (const session_number number : too_late) {
         caller_session* session = m_context.session(number);
@@ -138,6 +139,7 @@
     pending.place = {{pending.connection != 0, pending.route.priority, pending.needs_primary,
                       session.database, session.customer, rank.priority, pending.tried_servers},
                      {pending.request.received_at, number}};
+    observe_drain(pending.route.group);
     m_context.state.queues[pending.route.group].insert(*pending.place, rank.weight, pending.retry_at);
     schedule_check(number, session);
 }
@@ -152,6 +154,7 @@
     queue->second.erase(*pending.place);
     if (queue->second.is_empty()) {
         m_context.state.queues.erase(queue);
+        observe_drain(pending.route.group);
     }
     pending.place.reset();
 }
@@ -165,6 +168,7 @@
     for (const group_name& group : queued_groups()) {
         end_idle_transactions(group);
         dispatch(group);
+        recheck_admission(group);
         refuse_isolated(group);
     }
 }
--- a/src/sessions/internal/wait_cause.cpp
+++ b/src/sessions/internal/wait_cause.cpp
@@ -84,6 +84,8 @@
         return "no relay connected";
     case wait_cause::relays_busy:
         return "relays busy";
+    case wait_cause::too_much_work_ahead:
+        return "too much work ahead";
     }
     return "none";
 }
--- a/src/sessions/statement_queue.h
+++ b/src/sessions/statement_queue.h
@@ -55,6 +55,9 @@
 
     [[nodiscard]] bool is_empty() const { return m_arrivals.empty(); }
     [[nodiscard]] std::size_t size() const { return m_arrivals.size(); }
+    /// The number of statements that need the primary, or that any server can run, without those that wait
+    /// for their retry.
+    [[nodiscard]] std::size_t count(bool needs_primary) const;
     /// When the oldest statement was received; nothing if the queue is empty.
     [[nodiscard]] std::optional<time_point> oldest_arrival() const;
     /// Up to `count` sessions, those of the oldest statements first.
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -7,6 +7,7 @@
 #include "logging/types.h"
 #include "sessions/check_schedule.h"
 #include "sessions/concurrency_limit.h"
+#include "sessions/drain_rate.h"
 #include "sessions/statement.h"
 #include "sessions/statement_queue.h"
 #include "sessions/traffic_view.h"
@@ -147,7 +148,9 @@
     /// All connections are in use, or the server accepts no more statements.
     servers_busy,
     no_relay_connected,
-    relays_busy
+    relays_busy,
+    /// Too much other work precedes the statement.
+    too_much_work_ahead
 };
 
 std::string_view to_string(wait_cause cause);
@@ -170,6 +173,8 @@
     /// Servers that refused the statement or did not answer it.
     std::set<backend_server_name> tried_servers;
     time_point sent_at{};
+    /// When it was sent for the first time, to a server or another entry host.
+    std::optional<time_point> first_sent_at;
     /// Where the statement waits while it is in the queue.
     std::optional<queue_place> place;
     /// Set when the statement is refused in the queue.
@@ -356,6 +361,8 @@
     bool has_held_groups = false;
     /// Statements that wait for a connection, by group; without empty queues.
     std::map<group_name, statement_queue> queues;
+    /// How fast the queues of the groups are drained.
+    std::map<group_name, group_drain> drains;
     time_point next_queue_check_at{};
     /// Deadlines of statements and connections.
     check_schedule checks;
@@ -364,6 +371,8 @@
     std::optional<time_point> stopping_since;
     milliseconds stop_timeout{0};
     time_point next_report_at{};
+    /// The queue lengths that were recorded last.
+    std::map<group_name, std::size_t> recorded_queues;
     std::map<group_name, hold_progress> reported_holds;
     bool is_stopped = false;
 
@@ -584,19 +593,30 @@
     /// For a statement that was refused in the queue.
     wait_cause waited_for = wait_cause::none;
     customer_name customer{};
+    /// Time from the arrival until the statement was first sent; nothing if it was not.
+    std::optional<milliseconds> queued_for{};
 
     friend bool operator==(const record_statement_metrics&, const record_statement_metrics&) = default;
 };
 
+/// Records how many statements wait, by group; without the groups where none does.
+struct record_queue_metrics
+{
+    std::map<group_name, std::size_t> queued_statements;
+
+    friend bool operator==(const record_queue_metrics&, const record_queue_metrics&) = default;
+};
+
 /// Reports that every session has ended.
 struct report_stopped
 {
     friend bool operator==(const report_stopped&, const report_stopped&) = default;
 };
 
-using effect = std::variant<accept_session, refuse_session, send_response, close_session, open_connection,
-                            send_statement, close_connection, report_suspected_primary, report_to_control,
-                            record_statement_metrics, report_stopped, logging::log_record>;
+using effect =
+    std::variant<accept_session, refuse_session, send_response, close_session, open_connection,
+                 send_statement, close_connection, report_suspected_primary, report_to_control,
+                 record_statement_metrics, record_queue_metrics, report_stopped, logging::log_record>;
 
 struct transition
 {
