Limit the proxy's own retries by a budget for each customer

Cause: each statement that servers refuse or do not answer is sent again to another server until its deadline. When servers refuse most statements, these retries multiply the load that makes them refuse.

Change: each host has a retry budget for each customer, and one for callers without a customer: a fifth of a retry for each statement, at most 100, and at least ten after a pause. A refused statement is answered `busy` (cause "no retry left") when it is used up. Only refusals for lack of capacity, failures, silence and lost connections count; answers that name another server, such as `lagging` or `read_only`, do not. A transaction that has run a statement uses the budget, but is retried in any case, since its refusal would waste its work.

--- a/src/sessions/internal/reduce.cpp
+++ b/src/sessions/internal/reduce.cpp
@@ -102,6 +102,9 @@
                 detail::index_customers(m_context.state.view->configuration->content);
             m_context.state.customer_ranks =
                 detail::rank_customers(m_context.state.view->configuration->content);
+            std::erase_if(m_context.state.retry_budgets, [this](const auto& each) {
+                return !each.first.empty() && !m_context.state.customer_ranks.contains(each.first);
+            });
             m_dispatcher.end_unauthorized_sessions();
             m_dispatcher.open_waiting_sessions();
         }
--- a/src/sessions/internal/response_action.cpp
+++ b/src/sessions/internal/response_action.cpp
@@ -44,6 +44,12 @@
     return scope == statement_scope::single_write || scope == statement_scope::commit_of_writes;
 }
 
+bool adds_load_when_retried(std::optional<response_code> code)
+{
+    return !code || *code == response_code::busy || *code == response_code::too_many_connections ||
+           *code == response_code::failed || *code == response_code::timed_out;
+}
+
 response_action choose_action(statement_scope scope, std::optional<response_code> code,
                               bool is_transaction_open)
 {
--- a/src/sessions/internal/response_action.h
+++ b/src/sessions/internal/response_action.h
@@ -27,6 +27,10 @@
 /// True when the code guarantees that the server has not run the statement.
 bool is_not_run(response_code code);
 
+/// True when a retry after the response, or after none, adds load to servers that may be overloaded. The
+/// other refusals say that the statement belongs to another server.
+bool adds_load_when_retried(std::optional<response_code> code);
+
 /// What the proxy does with a server's response.
 enum class response_action
 {
--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -216,6 +216,8 @@
     pending.retry_at = m_context.now;
     const group_name group = pending.route.group;
     session.pending = std::move(pending);
+    retry_budget& budget = m_context.state.retry_budgets[session.customer];
+    budget = after_first_attempt(budget, m_context.now);
     add_to_queue(number, session);
     dispatch(group);
     refuse_if_hopeless(number, session);
@@ -487,6 +489,14 @@
     } else {
         m_connections.close(number);
     }
+    if (adds_load_when_retried(response.code) && !(session.transaction && session.transaction->has_run) &&
+        !take_retry(session)) {
+        if (session.transaction) {
+            session.transaction->connection = 0;
+        }
+        refuse_retry(holder, session);
+        return;
+    }
     requeue_or_abort(holder, session, reason);
 }
 
@@ -627,12 +637,21 @@
             reply_with_code(number, session, response_code::busy, "no server could run it in time");
             return;
         }
+        if (adds_load_when_retried(code) && !take_retry(session)) {
+            if (has_connection) {
+                m_connections.release(connection);
+            }
+            refuse_retry(number, session);
+            return;
+        }
         requeue(number, session, response ? response->detail : reason);
         if (has_connection) {
             m_connections.release(connection);
         }
         return;
     case response_action::retry_on_same_connection:
+        // The refusal of a transaction in progress would waste what it has done, so it only uses the budget.
+        take_retry(session);
         pending.stage = statement_stage::queued;
         pending.retry_at = m_context.now + refusal_backoff;
         add_to_queue(number, session);
--- a/src/sessions/internal/statement_dispatcher.h
+++ b/src/sessions/internal/statement_dispatcher.h
@@ -88,6 +88,8 @@
     void requeue_or_abort(session_number number, caller_session& session, const std::string& reason);
     void requeue(session_number number, caller_session& session, const std::string& reason);
     void report_aborted(session_number number, caller_session& session, const std::string& reason);
+    bool take_retry(const caller_session& session);
+    void refuse_retry(session_number number, caller_session& session);
     void resolve(session_number number, caller_session& session, std::optional<statement_response> response,
                  const std::string& reason);
     void forward_response(session_number number, caller_session& session, statement_response response);
--- a/src/sessions/internal/wait_cause.cpp
+++ b/src/sessions/internal/wait_cause.cpp
@@ -86,6 +86,8 @@
         return "relays busy";
     case wait_cause::too_much_work_ahead:
         return "too much work ahead";
+    case wait_cause::no_retry_left:
+        return "no retry left";
     }
     return "none";
 }
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -8,6 +8,7 @@
 #include "sessions/check_schedule.h"
 #include "sessions/concurrency_limit.h"
 #include "sessions/drain_rate.h"
+#include "sessions/retry_budget.h"
 #include "sessions/statement.h"
 #include "sessions/statement_queue.h"
 #include "sessions/traffic_view.h"
@@ -150,7 +151,9 @@
     no_relay_connected,
     relays_busy,
     /// Too much other work precedes the statement.
-    too_much_work_ahead
+    too_much_work_ahead,
+    /// The statement was refused by a server, and its customer's retry budget is used up.
+    no_retry_left
 };
 
 std::string_view to_string(wait_cause cause);
@@ -177,7 +180,7 @@
     std::optional<time_point> first_sent_at;
     /// Where the statement waits while it is in the queue.
     std::optional<queue_place> place;
-    /// Set when the statement is refused in the queue.
+    /// Set when the statement is refused in the queue, or instead of a retry.
     wait_cause waited_for = wait_cause::none;
 
     friend bool operator==(const pending_statement&, const pending_statement&) = default;
@@ -348,6 +351,8 @@
     /// The customers of the configuration in force, by the digests of their keys.
     std::map<key_digest, customer_name> customers_by_key;
     std::map<customer_name, customer_rank> customer_ranks;
+    /// Of callers without a customer, under an empty name.
+    std::map<customer_name, retry_budget> retry_budgets;
     std::map<session_number, caller_session> sessions;
     /// Sessions that wait for the first configuration.
     std::map<session_number, opening_session> opening_sessions;
