--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -500,19 +500,6 @@
     requeue_or_abort(holder, session, reason);
 }
 
-/// Handles a connection that was lost before the statement was sent: the statement is queued for another
-/// connection, unless its transaction has already run statements on the lost one. The server rolls these
-/// back, so that the outcome is known, even that of a commit.
-void statement_dispatcher::requeue_or_abort(session_number number, caller_session& session,
-                                            const std::string& reason)
-{
-    if (session.transaction && session.transaction->has_run) {
-        report_aborted(number, session, reason);
-        return;
-    }
-    requeue(number, session, reason);
-}
-
 void statement_dispatcher::handle_response(connection_number number, statement_response response)
 {
     server_connection& connection = *m_context.connection(number);
@@ -598,25 +585,6 @@
     m_connections.close(number);
 }
 
-/// Returns a statement that has not run, or is safe to run again, to the queue for another server.
-void statement_dispatcher::requeue(session_number number, caller_session& session, const std::string& reason)
-{
-    pending_statement& pending = *session.pending;
-    if (session.transaction) {
-        session.transaction->connection = 0;
-    }
-    pending.connection = 0;
-    pending.stage = statement_stage::queued;
-    pending.minimum_position.reset();
-    pending.retry_at =
-        pending.needs_primary && pending.attempts > 0 ? m_context.now + refusal_backoff : m_context.now;
-    m_context.log(logging::log_level::information, "retry_statement", "",
-                  fmt::format("id={} database={} attempts={} waited_ms={} reason=\"{}\"", pending.request.id,
-                              session.database, pending.attempts,
-                              (m_context.now - pending.request.received_at).count(), reason));
-    add_to_queue(number, session);
-}
-
 void statement_dispatcher::resolve(session_number number, caller_session& session,
                                    std::optional<statement_response> response, const std::string& reason)
 {
@@ -668,27 +636,6 @@
     }
 }
 
-void statement_dispatcher::report_aborted(session_number number, caller_session& session,
-                                          const std::string& reason)
-{
-    if (session.pending->request.body.kind == statement_kind::commit) {
-        end_transaction(session);
-    } else {
-        fail_transaction(session);
-    }
-    reply_with_code(number, session, response_code::aborted, reason);
-}
-
-/// True when another entry host queued the statement for so long that the servers must be overloaded.
-/// Retrying on yet another host would only add load.
-bool statement_dispatcher::was_refused_after_wait(const pending_statement& pending,
-                                                  const std::optional<response_code>& code) const
-{
-    const server_connection* connection = m_context.connection(pending.connection);
-    return connection != nullptr && connection->is_relay && code == response_code::busy &&
-           m_context.now - pending.sent_at >= overload_threshold;
-}
-
 void statement_dispatcher::forward_response(session_number number, caller_session& session,
                                             statement_response response)
 {
