--- a/src/sessions/internal/reduce.cpp
+++ b/src/sessions/internal/reduce.cpp
@@ -104,6 +104,9 @@
                 detail::index_customers(m_context.state.view->configuration->content);
             m_context.state.customer_ranks =
                 detail::rank_customers(m_context.state.view->configuration->content);
+            std::erase_if(m_context.state.retry_budgets, [this](const auto& each) {
+                return !each.first.empty() && !m_context.state.customer_ranks.contains(each.first);
+            });
             m_dispatcher.end_unauthorized_sessions();
             m_dispatcher.open_waiting_sessions();
         }
@@ -239,6 +242,20 @@
             load.peak_connections_in_use = load.connections_in_use;
         }
         m_context.emit(std::move(update));
+        record_queues();
+    }
+
+    /// Records the lengths of the queues if they have changed.
+    void record_queues()
+    {
+        std::map<group_name, std::size_t> queued;
+        for (const auto& [group, queue] : m_context.state.queues) {
+            queued[group] = queue.size();
+        }
+        if (queued != m_context.state.recorded_queues) {
+            m_context.state.recorded_queues = queued;
+            m_context.emit(record_queue_metrics{std::move(queued)});
+        }
     }
 
     [[nodiscard]] std::map<group_name, hold_progress> holds() const
--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -216,8 +216,11 @@
     pending.retry_at = m_context.now;
     const group_name group = pending.route.group;
     session.pending = std::move(pending);
+    retry_budget& budget = m_context.state.retry_budgets[session.customer];
+    budget = after_first_attempt(budget, m_context.now);
     add_to_queue(number, session);
     dispatch(group);
+    refuse_if_hopeless(number, session);
     if (m_context.queued_count(group) == 1) {
         end_idle_transactions(group);
     }
@@ -260,6 +263,7 @@
     }
     pending.stage = statement_stage::running;
     pending.sent_at = m_context.now;
+    pending.first_sent_at = pending.first_sent_at.value_or(m_context.now);
     m_connections.send_pending(connection, pending);
     trace_primary_use(*m_context.connection(connection), pending);
     schedule_check(m_context.connection(connection)->holder, session);
@@ -360,20 +364,15 @@
     } else {
         m_connections.close(number);
     }
-    requeue_or_abort(holder, session, reason);
-}
-
-/// Handles a connection that was lost before the statement was sent: the statement is queued for another
-/// connection, unless its transaction has already run statements on the lost one. The server rolls these
-/// back, so that the outcome is known, even that of a commit.
-void statement_dispatcher::requeue_or_abort(session_number number, caller_session& session,
-                                            const std::string& reason)
-{
-    if (session.transaction && session.transaction->has_run) {
-        report_aborted(number, session, reason);
+    if (adds_load_when_retried(response.code) && !(session.transaction && session.transaction->has_run) &&
+        !take_retry(session)) {
+        if (session.transaction) {
+            session.transaction->connection = 0;
+        }
+        refuse_retry(holder, session);
         return;
     }
-    requeue(number, session, reason);
+    requeue_or_abort(holder, session, reason);
 }
 
 void statement_dispatcher::handle_response(connection_number number, statement_response response)
@@ -397,6 +396,7 @@
         dispatch_after(group, is_relay);
         return;
     }
+    record_finished(*session->pending, response.code);
     if (response.code != response_code::done) {
         if (!connection.is_relay) {
             m_connections.back_off(connection.server);
@@ -459,25 +459,6 @@
     m_connections.close(number);
 }
 
-/// Returns a statement that has not run, or is safe to run again, to the queue for another server.
-void statement_dispatcher::requeue(session_number number, caller_session& session, const std::string& reason)
-{
-    pending_statement& pending = *session.pending;
-    if (session.transaction) {
-        session.transaction->connection = 0;
-    }
-    pending.connection = 0;
-    pending.stage = statement_stage::queued;
-    pending.minimum_position.reset();
-    pending.retry_at =
-        pending.needs_primary && pending.attempts > 0 ? m_context.now + refusal_backoff : m_context.now;
-    m_context.log(logging::log_level::information, "retry_statement", "",
-                  fmt::format("id={} database={} attempts={} waited_ms={} reason=\"{}\"", pending.request.id,
-                              session.database, pending.attempts,
-                              (m_context.now - pending.request.received_at).count(), reason));
-    add_to_queue(number, session);
-}
-
 void statement_dispatcher::resolve(session_number number, caller_session& session,
                                    std::optional<statement_response> response, const std::string& reason)
 {
@@ -505,12 +486,21 @@
             reply_with_code(number, session, response_code::busy, "no server could run it in time");
             return;
         }
+        if (adds_load_when_retried(code) && !take_retry(session)) {
+            if (has_connection) {
+                m_connections.release(connection);
+            }
+            refuse_retry(number, session);
+            return;
+        }
         requeue(number, session, response ? response->detail : reason);
         if (has_connection) {
             m_connections.release(connection);
         }
         return;
     case response_action::retry_on_same_connection:
+        // The refusal of a transaction in progress would waste what it has done, so it only uses the budget.
+        take_retry(session);
         pending.stage = statement_stage::queued;
         pending.retry_at = m_context.now + refusal_backoff;
         add_to_queue(number, session);
@@ -527,27 +517,6 @@
     }
 }
 
-void statement_dispatcher::report_aborted(session_number number, caller_session& session,
-                                          const std::string& reason)
-{
-    if (session.pending->request.body.kind == statement_kind::commit) {
-        end_transaction(session);
-    } else {
-        fail_transaction(session);
-    }
-    reply_with_code(number, session, response_code::aborted, reason);
-}
-
-/// True when another entry host queued the statement for so long that the servers must be overloaded.
-/// Retrying on yet another host would only add load.
-bool statement_dispatcher::was_refused_after_wait(const pending_statement& pending,
-                                                  const std::optional<response_code>& code) const
-{
-    const server_connection* connection = m_context.connection(pending.connection);
-    return connection != nullptr && connection->is_relay && code == response_code::busy &&
-           m_context.now - pending.sent_at >= overload_threshold;
-}
-
 void statement_dispatcher::forward_response(session_number number, caller_session& session,
                                             statement_response response)
 {
@@ -644,7 +613,9 @@
         const bool ran_on_relay = connection != nullptr && connection->is_relay;
         m_context.emit(record_statement_metrics{
             session.database, response.code, pending.minimum_position.has_value() && !ran_on_relay,
-            pending.is_read_only, took, ran_on_relay, pending.waited_for, session.customer});
+            pending.is_read_only, took, ran_on_relay, pending.waited_for, session.customer,
+            pending.first_sent_at ? std::optional(*pending.first_sent_at - pending.request.received_at)
+                                  : std::nullopt});
         if (response.code != response_code::done) {
             m_context.log(logging::log_level::information, "refuse_statement", "",
                           fmt::format("id={} database={} group={} code={} stage={} attempts={} took_ms={} {} "
--- a/src/sessions/internal/statement_dispatcher.h
+++ b/src/sessions/internal/statement_dispatcher.h
@@ -81,6 +81,8 @@
     void requeue_or_abort(session_number number, caller_session& session, const std::string& reason);
     void requeue(session_number number, caller_session& session, const std::string& reason);
     void report_aborted(session_number number, caller_session& session, const std::string& reason);
+    bool take_retry(const caller_session& session);
+    void refuse_retry(session_number number, caller_session& session);
     void resolve(session_number number, caller_session& session, std::optional<statement_response> response,
                  const std::string& reason);
     void forward_response(session_number number, caller_session& session, statement_response response);
@@ -96,6 +98,10 @@
     void remove_from_queue(caller_session& session);
     [[nodiscard]] std::vector<group_name> queued_groups() const;
     void check_queues();
+    void recheck_admission(const group_name& group);
+    void refuse_if_hopeless(session_number number, caller_session& session);
+    void observe_drain(const group_name& group);
+    void record_finished(const pending_statement& pending, response_code code);
     void refuse_isolated(const group_name& group);
     void refuse_if_isolated(session_number number, caller_session& session);
 
--- a/src/sessions/internal/wait_cause.cpp
+++ b/src/sessions/internal/wait_cause.cpp
@@ -84,6 +84,10 @@
         return "no relay connected";
     case wait_cause::relays_busy:
         return "relays busy";
+    case wait_cause::too_much_work_ahead:
+        return "too much work ahead";
+    case wait_cause::no_retry_left:
+        return "no retry left";
     }
     return "none";
 }
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -8,7 +8,9 @@
 #include "logging/types.h"
 #include "sessions/check_schedule.h"
 #include "sessions/concurrency_limit.h"
+#include "sessions/drain_rate.h"
 #include "sessions/response_times.h"
+#include "sessions/retry_budget.h"
 #include "sessions/server_health.h"
 #include "sessions/statement.h"
 #include "sessions/statement_queue.h"
@@ -152,7 +154,11 @@
     /// All connections are in use, or the server accepts no more statements.
     servers_busy,
     no_relay_connected,
-    relays_busy
+    relays_busy,
+    /// Too much other work precedes the statement.
+    too_much_work_ahead,
+    /// The statement was refused by a server, and its customer's retry budget is used up.
+    no_retry_left
 };
 
 std::string_view to_string(wait_cause cause);
@@ -175,9 +181,11 @@
     /// Servers that refused the statement or did not answer it.
     std::set<backend_server_name> tried_servers;
     time_point sent_at{};
+    /// When it was sent for the first time, to a server or another entry host.
+    std::optional<time_point> first_sent_at;
     /// Where the statement waits while it is in the queue.
     std::optional<queue_place> place;
-    /// Set when the statement is refused in the queue.
+    /// Set when the statement is refused in the queue, or instead of a retry.
     wait_cause waited_for = wait_cause::none;
 
     friend bool operator==(const pending_statement&, const pending_statement&) = default;
@@ -373,6 +381,8 @@
     /// Earliest time for the next report because of a quota.
     time_point next_quota_report_at{};
     std::map<customer_name, customer_rank> customer_ranks;
+    /// Of callers without a customer, under an empty name.
+    std::map<customer_name, retry_budget> retry_budgets;
     std::map<session_number, caller_session> sessions;
     /// Sessions that wait for the first configuration.
     std::map<session_number, opening_session> opening_sessions;
@@ -387,6 +397,8 @@
     bool has_held_groups = false;
     /// Statements that wait for a connection, by group; without empty queues.
     std::map<group_name, statement_queue> queues;
+    /// How fast the queues of the groups are drained.
+    std::map<group_name, group_drain> drains;
     time_point next_queue_check_at{};
     /// Deadlines of statements and connections.
     check_schedule checks;
@@ -395,6 +407,8 @@
     std::optional<time_point> stopping_since;
     milliseconds stop_timeout{0};
     time_point next_report_at{};
+    /// The queue lengths that were recorded last.
+    std::map<group_name, std::size_t> recorded_queues;
     std::map<group_name, hold_progress> reported_holds;
     bool is_stopped = false;
 
@@ -618,6 +632,8 @@
     /// For a statement that was refused in the queue.
     wait_cause waited_for = wait_cause::none;
     customer_name customer{};
+    /// Time from the arrival until the statement was first sent; nothing if it was not.
+    std::optional<milliseconds> queued_for{};
 
     friend bool operator==(const record_statement_metrics&, const record_statement_metrics&) = default;
 };
@@ -640,6 +656,14 @@
     friend bool operator==(const record_ejection_metrics&, const record_ejection_metrics&) = default;
 };
 
+/// Records how many statements wait, by group; without the groups where none does.
+struct record_queue_metrics
+{
+    std::map<group_name, std::size_t> queued_statements;
+
+    friend bool operator==(const record_queue_metrics&, const record_queue_metrics&) = default;
+};
+
 /// Reports that every session has ended.
 struct report_stopped
 {
@@ -649,7 +673,7 @@
 using effect = std::variant<accept_session, refuse_session, send_response, close_session, open_connection,
                             send_statement, close_connection, report_suspected_primary, report_to_control,
                             record_statement_metrics, record_limit_refusal, record_ejection_metrics,
-                            report_stopped, logging::log_record>;
+                            record_queue_metrics, report_stopped, logging::log_record>;
 
 struct transition
 {
