Limit statements in flight by queueing time before servers refuse them

Cause: the limit on the statements that a host has in flight at a server fell only when the server refused one. Twelve hosts that share a server with 3 to 6 slots kept its queue of 40 full, and refusals and retries went on through an overload.

The service time no longer rises with the number of queued responses but with a time constant of 60 s, and commits do not count as queueing, since they may wait for replicas.

--- a/src/sessions/internal/response_times.cpp
+++ b/src/sessions/internal/response_times.cpp
@@ -9,13 +9,14 @@
 
 /// Round trips change when traffic is rerouted, not with load, so their minimum is kept for long.
 constexpr milliseconds period{20'000};
-/// The base moves by these parts of the difference to a response above or below it. An overload of a few
-/// seconds, about 60 responses, raises it by a fifth of the queueing.
-constexpr double base_rise = 0.004;
+/// The base falls by this part of the difference to a faster response; by more at first, since the very first
+/// response may be untypical.
 constexpr double base_fall = 0.05;
-/// The first responses move it up faster, since the very first may be untypical.
-constexpr double first_base_rise = 0.1;
-constexpr std::uint32_t first_responses = 20;
+constexpr double first_base_fall = 0.3;
+constexpr std::uint32_t first_responses = 10;
+/// It rises towards slower responses with this time constant, whatever their number: statements that wait for
+/// seconds in an overload must not look as if they took that long to execute.
+constexpr double base_rise_time_ms = 60'000;
 /// Weight of the newest response in the moving averages.
 constexpr double response_weight = 0.15;
 /// After this time without a response, the moving averages count half.
@@ -41,9 +42,9 @@
     return static_cast<double>(duration.count());
 }
 
-double weight_by_age(const response_times& times, time_point now)
+double weight_by_age(time_point measured_at, time_point now)
 {
-    return std::exp2(-in_ms(now - times.responded_at) / half_life_ms);
+    return std::exp2(-in_ms(now - measured_at) / half_life_ms);
 }
 
 } // namespace
@@ -65,15 +66,20 @@
     work_time& work = next.work.at(static_cast<std::size_t>(kind));
     if (work.responses == 0) {
         work.base_ms = took_ms;
+        work.responded_at = now;
     }
-    const double rise = work.responses < first_responses ? first_base_rise : base_rise;
-    work.base_ms += (took_ms < work.base_ms ? base_fall : rise) * (took_ms - work.base_ms);
+    const double fall = work.responses < first_responses ? first_base_fall : base_fall;
+    const double rise = 1 - std::exp(-in_ms(now - work.responded_at) / base_rise_time_ms);
+    work.base_ms += (took_ms < work.base_ms ? fall : rise) * (took_ms - work.base_ms);
+    work.responded_at = now;
     work.responses = std::min(work.responses + 1, first_responses);
-    const double age_weight = weight_by_age(times, now);
-    const double queueing = std::max(0.0, took_ms - work.base_ms);
+    if (kind != work_kind::commit) {
+        const double queueing = std::max(0.0, took_ms - work.base_ms);
+        next.queueing_ms = queueing_ms(times, now);
+        next.queueing_ms += response_weight * (queueing - next.queueing_ms);
+        next.queueing_measured_at = now;
+    }
     const bool is_first = times.responded_at == time_point{};
-    next.queueing_ms = age_weight * times.queueing_ms;
-    next.queueing_ms += response_weight * (queueing - next.queueing_ms);
     next.response_ms = is_first ? took_ms : times.response_ms;
     next.response_ms += response_weight * (took_ms - next.response_ms);
     next.responded_at = now;
@@ -105,12 +111,12 @@
 
 double queueing_ms(const response_times& times, time_point now)
 {
-    return weight_by_age(times, now) * times.queueing_ms;
+    return weight_by_age(times.queueing_measured_at, now) * times.queueing_ms;
 }
 
 double response_ms(const response_times& times, time_point now)
 {
-    return weight_by_age(times, now) * times.response_ms;
+    return weight_by_age(times.responded_at, now) * times.response_ms;
 }
 
 std::optional<double> recent_read_ms(const response_times& times, time_point now)
--- a/src/sessions/internal/server_selector.cpp
+++ b/src/sessions/internal/server_selector.cpp
@@ -288,16 +288,27 @@
     if (code == response_code::busy) {
         load.limit = after_refusal(load.limit, load.in_flight, m_context.now);
     } else if (code == response_code::done) {
-        record_execution(connection, load);
-        load.limit = after_answer(load.limit, load.in_flight);
+        const std::optional<work_kind> kind = record_execution(connection, load);
+        load.limit = after_answer(load.limit, load.in_flight, queueing_at(load, kind), m_context.now);
     }
 }
 
-void server_selector::record_execution(const server_connection& connection, server_load& load)
+queueing_signal server_selector::queueing_at(const server_load& load, std::optional<work_kind> kind) const
+{
+    // Another entry host queues the statements itself.
+    if (load.is_relay || !kind) {
+        return {};
+    }
+    return {queueing_ms(load.times, m_context.now), service_ms(load.times, *kind).value_or(0),
+            response_ms(load.times, m_context.now)};
+}
+
+std::optional<work_kind> server_selector::record_execution(const server_connection& connection,
+                                                           server_load& load)
 {
     const caller_session* session = m_context.session(connection.holder);
     if (connection.stage != connection_stage::running || session == nullptr || !session->pending) {
-        return;
+        return std::nullopt;
     }
     const pending_statement& pending = *session->pending;
     const bool commits = !session->transaction || pending.request.body.kind == statement_kind::commit;
@@ -305,6 +316,7 @@
                            : commits            ? work_kind::commit
                                                 : work_kind::write;
     load.times = after_statement(load.times, kind, m_context.now - connection.sent_at, m_context.now);
+    return kind;
 }
 
 } // namespace hickorymount::sessions::detail
--- a/src/sessions/internal/server_selector.h
+++ b/src/sessions/internal/server_selector.h
@@ -50,7 +50,9 @@
     /// Ejects and readmits servers of the group for reads, at intervals.
     void compare_servers(const group_name& group);
     void eject_server(const group_name& group, const ejection& chosen);
-    void record_execution(const server_connection& connection, server_load& load);
+    [[nodiscard]] queueing_signal queueing_at(const server_load& load, std::optional<work_kind> kind) const;
+    /// Records the response time of the caller's statement that the connection has run; returns its kind.
+    std::optional<work_kind> record_execution(const server_connection& connection, server_load& load);
     [[nodiscard]] bool has_capacity(const backend_server_name& server) const;
     [[nodiscard]] bool is_closed_to_new_work(const backend_server_name& server) const;
 
--- a/src/sessions/response_times.h
+++ b/src/sessions/response_times.h
@@ -28,6 +28,7 @@
     double base_ms = 0;
     /// Number of responses, as far as it matters.
     std::uint32_t responses = 0;
+    time_point responded_at{};
 
     friend bool operator==(const work_time&, const work_time&) = default;
 };
@@ -41,8 +42,10 @@
     std::optional<double> previous_fastest_ms;
     time_point period_began_at{};
     std::array<work_time, work_kind_count> work{};
-    /// Moving average of the time by which responses exceed the base of their kind.
+    /// Moving average of the time by which responses exceed the base of their kind. Commits do not count:
+    /// they may wait for replicas.
     double queueing_ms = 0;
+    time_point queueing_measured_at{};
     /// Moving average of the response time of all kinds.
     double response_ms = 0;
     time_point responded_at{};
