Test what misbehaving clients do to the running processes

Cause: nothing showed how much memory and how many descriptors clients can take that send long or unfinished messages, send or read slowly, or never open a session.

--- /dev/null
+++ b/src/soak/tests/process_cluster.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "base/millisecond_clock.h"
+#include "platform/session_codec.h"
+#include "protocol/types.h"
+
+#include <atomic>
+#include <cstdint>
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <sys/types.h>
+
+namespace hickorymount::net {
+class line_connection;
+}
+
+namespace hickorymount::soak {
+
+/// What one process uses, from /proc.
+struct process_usage
+{
+    bool is_running = false;
+    /// Largest resident memory since the start of the process.
+    std::size_t peak_memory_bytes = 0;
+    std::size_t open_descriptors = 0;
+};
+
+/// A program that the test starts, and ends in the destructor.
+class child_process
+{
+public:
+    child_process(const std::string& program, const std::string& settings_file, const std::string& log_file);
+    ~child_process();
+    child_process(const child_process&) = delete;
+    child_process& operator=(const child_process&) = delete;
+
+    [[nodiscard]] process_usage usage();
+
+private:
+    bool is_running();
+
+    pid_t m_id = 0;
+    bool m_has_ended = false;
+};
+
+/// A backend server that accepts sessions and answers every statement. `READ rows N` gets a row of N bytes.
+class stand_in_server
+{
+public:
+    stand_in_server();
+    ~stand_in_server();
+    stand_in_server(const stand_in_server&) = delete;
+    stand_in_server& operator=(const stand_in_server&) = delete;
+
+    [[nodiscard]] std::uint16_t port() const { return m_port; }
+    /// While set, statements of callers are received but not answered.
+    void hold_answers(bool is_held) { m_is_held = is_held; }
+
+private:
+    void accept();
+    void handle_line(const std::shared_ptr<net::line_connection>& connection, std::string_view line);
+
+    std::unique_ptr<sessions::session_codec> m_codec = platform::make_session_codec();
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::uint16_t m_port = 0;
+    std::atomic<bool> m_is_held{false};
+    std::thread m_thread;
+};
+
+/// A control host, an entry host and a backend server on loopback. Only the backend server runs in the test's
+/// own process.
+class process_cluster
+{
+public:
+    /// Starts everything and waits until a statement is answered; `is_started` tells whether that succeeded.
+    process_cluster();
+    ~process_cluster();
+    process_cluster(const process_cluster&) = delete;
+    process_cluster& operator=(const process_cluster&) = delete;
+
+    [[nodiscard]] bool is_started() const { return m_is_started; }
+    [[nodiscard]] stand_in_server& server() { return m_server; }
+    [[nodiscard]] process_usage entry_usage() { return m_entry->usage(); }
+    [[nodiscard]] process_usage control_usage() { return m_control->usage(); }
+    /// Prints the last lines of the processes' logs.
+    void print_logs() const;
+
+    std::uint16_t session_port = 0;
+    std::uint16_t relay_port = 0;
+    std::uint16_t http_port = 0;
+    std::uint16_t operator_port = 0;
+    std::uint16_t link_port = 0;
+
+private:
+    bool start();
+    void write_settings();
+    void report_server();
+
+    std::filesystem::path m_folder;
+    stand_in_server m_server;
+    std::unique_ptr<child_process> m_control;
+    std::unique_ptr<child_process> m_entry;
+    std::atomic<bool> m_is_ending{false};
+    std::thread m_reports;
+    bool m_is_started = false;
+};
+
+/// The database that callers open.
+inline constexpr const char* test_database = "ledger";
+
+/// Repeats a new session with one statement until it is answered; false when that fails for `time`.
+bool is_statement_answered(std::uint16_t port, milliseconds time);
+
+/// Repeats a GET request until a status below 500 arrives; false when that fails for `time`.
+bool is_request_answered(std::uint16_t port, const std::string& path, milliseconds time);
+
+} // namespace hickorymount::soak
