Bound the bytes of connections together, and pause reading

Cause: each line connection buffered up to 1 MiB, with no bound over all of them. It searched and copied an unfinished line from its start with each piece, and delivered lines however much was unsent.

--- a/src/framework/net/internal/line_connection.cpp
+++ b/src/framework/net/internal/line_connection.cpp
@@ -1,6 +1,7 @@
 #include "net/line_connection.h"
 
 #include <array>
+#include <new>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
@@ -57,7 +58,8 @@
 
 void line_connection::wait_for_bytes()
 {
-    if (m_is_closed || m_is_reading || m_closes_when_sent || m_unsent.size() > m_limits.unsent_bytes) {
+    if (m_is_closed || m_is_reading || m_closes_when_sent || m_has_undelivered_line ||
+        unsent_bytes() > m_limits.unsent_bytes) {
         return;
     }
     m_is_reading = true;
@@ -77,6 +79,10 @@
 
 void line_connection::read()
 {
+    // Asked only once there is something to read, so that idle connections do not count as waiting.
+    if (m_handlers.may_read && !m_handlers.may_read()) {
+        return;
+    }
     // One buffer for each thread, so that idle connections hold none.
     thread_local std::array<char, read_bytes> read_buffer;
     boost::system::error_code error;
@@ -85,35 +91,85 @@
         close_with_reason(error == asio::error::eof ? "closed by the peer" : "read: " + error.message());
         return;
     }
-    m_received.append(read_buffer.data(), count);
-    deliver_lines();
-    if (!m_is_closed && m_received.size() > m_limits.line_bytes) {
-        close_with_reason("a line is longer than the limit");
+    try {
+        m_received.append(read_buffer.data(), count);
+    } catch (const std::bad_alloc&) {
+        close_with_reason("read: out of memory");
         return;
     }
-    wait_for_bytes();
+    m_total_received += count;
+    deliver_lines();
 }
 
 void line_connection::deliver_lines()
 {
     const auto self = shared_from_this();
-    std::string bytes;
-    bytes.swap(m_received);
-    std::size_t line_start = 0;
+    if (std::exchange(m_is_delivering, true)) {
+        return;
+    }
+    m_has_undelivered_line = false;
     while (!m_is_closed && !m_closes_when_sent) {
-        const std::size_t line_end = bytes.find('\n', line_start);
+        const std::size_t line_end = m_received.find('\n', m_searched);
         if (line_end == std::string::npos) {
+            m_searched = m_received.size();
             break;
         }
-        std::string_view line(bytes.data() + line_start, line_end - line_start);
+        m_searched = line_end;
+        const bool accepts_lines = unsent_bytes() <= m_limits.unsent_bytes &&
+                                   (!m_handlers.accepts_lines || m_handlers.accepts_lines());
+        if (!accepts_lines) {
+            m_has_undelivered_line = true;
+            break;
+        }
+        std::string_view line(m_received.data() + m_delivered, line_end - m_delivered);
         if (!line.empty() && line.back() == '\r') {
             line.remove_suffix(1);
         }
-        line_start = line_end + 1;
+        m_delivered = m_searched = line_end + 1;
         m_handlers.on_line(line);
     }
-    if (line_start < bytes.size()) {
-        m_received.assign(bytes, line_start);
+    m_is_delivering = false;
+    discard_delivered();
+    if (m_is_closed) {
+        return;
+    }
+    if (!m_has_undelivered_line && received_bytes() > m_limits.line_bytes) {
+        close_with_reason("a line is longer than the limit");
+        return;
+    }
+    report_buffers();
+    wait_for_bytes();
+}
+
+void line_connection::discard_delivered()
+{
+    if (m_delivered == m_received.size()) {
+        // Assigned, not cleared, so that idle connections hold no memory.
+        m_received = std::string();
+    } else {
+        m_received.erase(0, m_delivered);
+    }
+    m_searched -= m_delivered;
+    m_delivered = 0;
+}
+
+void line_connection::resume()
+{
+    if (m_is_closed || std::exchange(m_is_resume_posted, true)) {
+        return;
+    }
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        self->m_is_resume_posted = false;
+        if (!self->m_is_closed) {
+            self->deliver_lines();
+        }
+    });
+}
+
+void line_connection::report_buffers()
+{
+    if (!m_is_closed && m_handlers.on_buffers_changed) {
+        m_handlers.on_buffers_changed();
     }
 }
 
@@ -126,15 +182,21 @@
     if (!m_is_writing) {
         write();
     }
+    report_buffers();
 }
 
 void line_connection::write()
 {
-    while (!m_unsent.empty()) {
+    while (unsent_bytes() > 0) {
         boost::system::error_code error;
-        const std::size_t count = m_socket.write_some(asio::buffer(m_unsent), error);
-        m_unsent.erase(0, count);
+        const std::size_t count =
+            m_socket.write_some(asio::buffer(m_unsent.data() + m_sent, unsent_bytes()), error);
+        m_sent += count;
         if (error == asio::error::would_block) {
+            // Each byte is moved at most once for each half of the buffer.
+            if (m_sent > m_unsent.size() / 2) {
+                m_unsent.erase(0, std::exchange(m_sent, 0));
+            }
             m_is_writing = true;
             m_socket.async_wait(tcp::socket::wait_write,
                                 [self = shared_from_this()](const boost::system::error_code& wait_error) {
@@ -147,7 +209,7 @@
                                         return;
                                     }
                                     self->write();
-                                    self->wait_for_bytes();
+                                    self->deliver_lines();
                                 });
             return;
         }
@@ -159,6 +221,8 @@
             return;
         }
     }
+    m_unsent = std::string();
+    m_sent = 0;
     if (m_closes_when_sent) {
         close();
     }
@@ -167,7 +231,7 @@
 void line_connection::close_after_sending()
 {
     m_closes_when_sent = true;
-    if (m_unsent.empty()) {
+    if (unsent_bytes() == 0) {
         close();
     }
 }
