Limit the time that slow HTTP clients hold a thread

Cause: CivetWeb's read returns only when its buffer is full or nothing has come for the request timeout, so a client that sent byte after byte held a thread without limit. Exceptions while a request was received left CivetWeb's thread.

Change: a request timeout apart from the keep-alive timeout; a time limit for the body that grows with what has arrived; reads of 16 bytes, so that the limit is checked; all of a request's handling is guarded against exceptions.

--- a/src/framework/http/internal/server.cpp
+++ b/src/framework/http/internal/server.cpp
@@ -1,5 +1,7 @@
 #include "http/server.h"
 
+#include "base/millisecond_clock.h"
+
 #include <array>
 #include <atomic>
 #include <exception>
@@ -13,7 +15,9 @@
 
 namespace {
 
-constexpr std::size_t read_bytes = std::size_t{16} << 10;
+/// CivetWeb's read returns only when the buffer is full or nothing has come for the request timeout. With a
+/// small one, a client that sends byte after byte does not hold a thread for long.
+constexpr std::size_t read_bytes = 16;
 constexpr int internal_error = 500;
 
 class civetweb_server final : public server
@@ -35,7 +39,8 @@
             listening_addresses += "," + m_options.additional_address;
         }
         const std::string threads = std::to_string(m_options.threads);
-        const std::string timeout = std::to_string(m_options.keep_alive_timeout_ms);
+        const std::string keep_alive_timeout = std::to_string(m_options.keep_alive_timeout_ms);
+        const std::string request_timeout = std::to_string(m_options.request_timeout_ms);
         const std::array<const char*, 13> settings{"listening_ports",
                                                    listening_addresses.c_str(),
                                                    "num_threads",
@@ -43,9 +48,9 @@
                                                    "enable_keep_alive",
                                                    "yes",
                                                    "keep_alive_timeout_ms",
-                                                   timeout.c_str(),
+                                                   keep_alive_timeout.c_str(),
                                                    "request_timeout_ms",
-                                                   timeout.c_str(),
+                                                   request_timeout.c_str(),
                                                    "tcp_nodelay",
                                                    "1",
                                                    nullptr};
@@ -89,7 +94,19 @@
 private:
     static std::uint64_t connection_number(void* data) { return reinterpret_cast<std::uintptr_t>(data); }
 
+    /// An exception must not leave CivetWeb's thread, which would end the process.
     int serve(mg_connection* connection, const mg_request_info& info)
+    {
+        try {
+            return receive_and_answer(connection, info);
+        } catch (const std::exception&) {
+            // Such as out of memory. Nothing has been sent, or only a part of the response.
+            mg_disable_connection_keep_alive(connection);
+            return internal_error;
+        }
+    }
+
+    int receive_and_answer(mg_connection* connection, const mg_request_info& info)
     {
         request incoming;
         incoming.method = info.request_method;
@@ -108,7 +125,6 @@
         return answer.status;
     }
 
-    /// An exception must not leave CivetWeb's thread, which would end the process.
     response handle(const request& incoming) const
     {
         try {
@@ -122,12 +138,21 @@
         }
     }
 
+    /// Whether the body arrives more slowly than a client on a poor line would send it.
+    [[nodiscard]] bool is_body_overdue(time_point started_at, std::size_t received_bytes) const
+    {
+        const milliseconds allowed{m_options.body_timeout_ms +
+                                   1000 * received_bytes / m_options.body_bytes_per_second};
+        return millisecond_clock::now() - started_at >= allowed;
+    }
+
     void read_body(mg_connection* connection, const mg_request_info& info, request& incoming) const
     {
         if (info.content_length > static_cast<long long>(m_options.max_body_bytes)) {
             incoming.is_body_too_large = true;
             return;
         }
+        const time_point started_at = millisecond_clock::now();
         std::array<char, read_bytes> buffer{};
         for (;;) {
             const int count = mg_read(connection, buffer.data(), buffer.size());
@@ -140,6 +165,11 @@
                 incoming.is_body_too_large = true;
                 return;
             }
+            if (is_body_overdue(started_at, incoming.body.size())) {
+                incoming.body.clear();
+                incoming.is_body_truncated = true;
+                return;
+            }
         }
         const bool is_short =
             info.content_length > 0 && incoming.body.size() < static_cast<std::size_t>(info.content_length);
--- a/src/framework/http/server.h
+++ b/src/framework/http/server.h
@@ -25,6 +25,11 @@
     unsigned max_kept_alive_connections = 12;
     /// An idle connection is closed after this time, in milliseconds.
     unsigned keep_alive_timeout_ms = 10'000;
+    /// A connection is closed when a request's header takes longer than this, or a write of the response.
+    unsigned request_timeout_ms = 10'000;
+    /// A request's body may take this long, and a second more for each `body_bytes_per_second` received.
+    unsigned body_timeout_ms = 5000;
+    std::size_t body_bytes_per_second = std::size_t{16} << 10;
     std::size_t max_body_bytes = std::size_t{1} << 20;
 
     friend bool operator==(const server_options&, const server_options&) = default;
