Limit what unknown peers send on the link port

Cause: a peer that had not named itself could send a message of 64 MiB or an HTTP body of 32 MB, and stay without a name.

Change: until a connection has named its peer, a message may have 64 bytes, and the name has to arrive within 10 s; afterwards 16 MiB. The number of accepted connections is limited: a new one replaces the oldest without a name, or is closed.

--- a/src/framework/link/internal/websocket_transport.cpp
+++ b/src/framework/link/internal/websocket_transport.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -45,7 +46,14 @@
 
 constexpr std::size_t max_message_bytes = std::size_t{64} << 20;
 constexpr std::size_t max_buffered_bytes = std::size_t{16} << 20;
+/// Of a message that a peer sends on a connection that it has opened. A sender closes the connection rather
+/// than queue more.
+constexpr std::size_t max_incoming_message_bytes = max_buffered_bytes;
 constexpr std::size_t max_name_bytes = 64;
+/// A peer names itself as soon as its connection is open. One that has not done so in this time is closed.
+constexpr long name_timeout_ms = 10'000;
+/// Links carry no HTTP bodies; the library's default is 32 MB.
+constexpr std::size_t max_http_body_bytes = 1024;
 constexpr std::chrono::milliseconds reconnect_interval{100};
 constexpr long handshake_timeout_ms = 1000;
 /// A connection whose bytes are not acknowledged for this long is closed and opened again.
@@ -66,8 +74,8 @@
 class websocket_transport final : public peer_transport
 {
 public:
-    websocket_transport(std::string own_name, peer_handlers handlers)
-        : m_own_name(std::move(own_name)), m_handlers(std::move(handlers))
+    websocket_transport(std::string own_name, peer_handlers handlers, std::size_t max_connections)
+        : m_own_name(std::move(own_name)), m_handlers(std::move(handlers)), m_max_connections(max_connections)
     {
         configure(m_client);
         configure(m_server);
@@ -77,7 +85,9 @@
         m_client.set_message_handler([this](connection_hdl handle, client::message_ptr message) {
             receive_on_outgoing(std::move(handle), message->get_payload());
         });
-        m_server.set_open_handler([this](connection_hdl handle) { set_socket_options(m_server, handle); });
+        m_server.set_tcp_pre_init_handler([this](connection_hdl handle) { admit_incoming(handle); });
+        m_server.set_open_handler([this](connection_hdl handle) { await_name(handle); });
+        m_server.set_fail_handler([this](connection_hdl handle) { remove_incoming(handle); });
         m_server.set_close_handler([this](connection_hdl handle) { remove_incoming(handle); });
         m_server.set_message_handler([this](connection_hdl handle, server::message_ptr message) {
             receive_on_incoming(std::move(handle), message->get_opcode(), message->get_payload());
@@ -165,6 +175,7 @@
         endpoint.clear_error_channels(websocketpp::log::elevel::all);
         endpoint.init_asio(&m_context);
         endpoint.set_max_message_size(max_message_bytes);
+        endpoint.set_max_http_body_size(max_http_body_bytes);
         endpoint.set_open_handshake_timeout(handshake_timeout_ms);
     }
 
@@ -180,6 +191,69 @@
         }
     }
 
+    /// Registers an accepted connection, and closes one if there are too many.
+    void admit_incoming(const connection_hdl& handle)
+    {
+        if (m_accepted.size() >= m_max_connections) {
+            const connection_hdl closed = m_unnamed.empty() ? handle : m_unnamed.begin()->second;
+            report_refusal();
+            terminate_incoming(closed);
+            if (m_unnamed.empty()) {
+                return;
+            }
+            forget_accepted(closed);
+        }
+        m_accepted[handle] = ++m_last_accepted;
+        m_unnamed[m_last_accepted] = handle;
+    }
+
+    void forget_accepted(const connection_hdl& handle)
+    {
+        const auto found = m_accepted.find(handle);
+        if (found != m_accepted.end()) {
+            m_unnamed.erase(found->second);
+            m_accepted.erase(found);
+        }
+    }
+
+    void terminate_incoming(const connection_hdl& handle)
+    {
+        websocketpp::lib::error_code error;
+        const auto connection = m_server.get_con_from_hdl(handle, error);
+        if (!error) {
+            boost::system::error_code ignored;
+            connection->get_raw_socket().close(ignored);
+        }
+    }
+
+    /// Logs at most one line a second.
+    void report_refusal()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        if (now >= m_next_refusal_report) {
+            m_next_refusal_report = now + std::chrono::seconds(1);
+            m_handlers.on_error("unknown", "too many connections; one without a name is closed");
+        }
+    }
+
+    /// Until a connection has named its peer, only a name is received, and only for a time.
+    void await_name(const connection_hdl& handle)
+    {
+        set_socket_options(m_server, handle);
+        websocketpp::lib::error_code error;
+        const auto connection = m_server.get_con_from_hdl(handle, error);
+        if (error) {
+            return;
+        }
+        connection->set_max_message_size(max_name_bytes);
+        connection->set_timer(name_timeout_ms,
+                              [this, handle](const websocketpp::lib::error_code& timer_error) {
+                                  if (!timer_error && m_incoming_peers.count(handle) == 0) {
+                                      terminate_incoming(handle);
+                                  }
+                              });
+    }
+
     void connect(const std::string& peer)
     {
         websocketpp::lib::error_code error;
@@ -242,12 +316,22 @@
             m_server.close(handle, websocketpp::close::status::policy_violation, "expected a name", ignored);
             return;
         }
+        websocketpp::lib::error_code error;
+        const auto connection = m_server.get_con_from_hdl(handle, error);
+        if (!error) {
+            connection->set_max_message_size(max_incoming_message_bytes);
+        }
+        const auto accepted = m_accepted.find(handle);
+        if (accepted != m_accepted.end()) {
+            m_unnamed.erase(accepted->second);
+        }
         m_incoming_peers[handle] = bytes;
         m_incoming[bytes] = handle;
     }
 
     void remove_incoming(const connection_hdl& handle)
     {
+        forget_accepted(handle);
         const auto known = m_incoming_peers.find(handle);
         if (known == m_incoming_peers.end()) {
             return;
@@ -309,6 +393,7 @@
 
     std::string m_own_name;
     peer_handlers m_handlers;
+    std::size_t m_max_connections;
     boost::asio::io_context m_context;
     client m_client;
     server m_server;
@@ -317,6 +402,11 @@
     std::map<std::string, connection_hdl> m_outgoing;
     std::map<connection_hdl, std::string, handle_order> m_incoming_peers;
     std::map<std::string, connection_hdl> m_incoming;
+    /// Accepted connections and their order, and those of them that have not named their peer.
+    std::map<connection_hdl, std::uint64_t, handle_order> m_accepted;
+    std::map<std::uint64_t, connection_hdl> m_unnamed;
+    std::uint64_t m_last_accepted = 0;
+    std::chrono::steady_clock::time_point m_next_refusal_report;
     mutable std::mutex m_backlog_mutex;
     std::map<std::string, send_queue> m_queues;
     std::unique_ptr<work_guard> m_work_guard;
@@ -325,9 +415,10 @@
 
 } // namespace
 
-std::unique_ptr<peer_transport> make_websocket_transport(const std::string& own_name, peer_handlers handlers)
+std::unique_ptr<peer_transport> make_websocket_transport(const std::string& own_name, peer_handlers handlers,
+                                                         std::size_t max_connections)
 {
-    return std::make_unique<websocket_transport>(own_name, std::move(handlers));
+    return std::make_unique<websocket_transport>(own_name, std::move(handlers), max_connections);
 }
 
 } // namespace hickorymount::link
--- a/src/framework/link/peer_transport.h
+++ b/src/framework/link/peer_transport.h
@@ -56,7 +56,12 @@
     virtual void stop() = 0;
 };
 
-/// Creates a transport over WebSocket with binary messages.
-std::unique_ptr<peer_transport> make_websocket_transport(const std::string& own_name, peer_handlers handlers);
+inline constexpr std::size_t default_max_connections = 1024;
+
+/// Creates a transport over WebSocket with binary messages. Of the connections that peers open, it keeps at
+/// most `max_connections`: a new one replaces the oldest that has not named its peer, or else is closed.
+std::unique_ptr<peer_transport>
+make_websocket_transport(const std::string& own_name, peer_handlers handlers,
+                         std::size_t max_connections = default_max_connections);
 
 } // namespace hickorymount::link
