Mend what a review of customers, queue and selection found

- A statement that times out may end its session, which was used afterwards.
- A statement that returned to the queue after its key was withdrawn, or was moved to another customer, is refused.
- A relay connection that named a caller names the next one also when the configuration has no customers any more.
- A statement that waits for another entry host does not hold up those of other customers.
- A new relay connection serves the statements of all groups that wait.
- A read waits at most 60 ms for a connection that is being opened, if another server has an idle one.
- Ejected replicas no longer keep reads from the primary when no other replica is left.
- After all servers have refused a statement, it is tried again after a pause rather than kept to its deadline.
- Errors of documents no longer quote the text that could not be parsed.

--- a/src/framework/codec/internal/json_codec.cpp
+++ b/src/framework/codec/internal/json_codec.cpp
@@ -6,6 +6,12 @@
 
 namespace {
 
+/// The message of a syntax error without the text that was read last, which may be a key of a customer.
+std::string without_content(const std::string& message)
+{
+    return message.substr(0, message.find("; last read"));
+}
+
 /// Parser callback that throws when the document nests deeper than the limit.
 class depth_guard
 {
@@ -79,7 +85,7 @@
     try {
         return json::parse(text, depth_guard(limits.depth));
     } catch (const std::exception& error) {
-        return fail("parse_json", peer, error.what());
+        return fail("parse_json", peer, without_content(error.what()));
     }
 }
 
--- a/src/sessions/internal/connection_pool.cpp
+++ b/src/sessions/internal/connection_pool.cpp
@@ -91,8 +91,8 @@
     if (!connection.is_relay) {
         return connection.customer == session.customer;
     }
-    // With customers, each statement names its caller, so the connection serves all of them.
-    return m_context.identifies_customers() || connection.database == session.database;
+    // A connection whose statements name their callers serves all of them.
+    return m_context.identifies_customers() || connection.caller || connection.database == session.database;
 }
 
 void connection_pool::open_if_allowed(const backend_server_name& server, const customer_name& customer)
@@ -412,7 +412,9 @@
                                                               const caller_session& session) const
 {
     relayed_caller caller{session.database, session.customer};
-    if (!connection.is_relay || !m_context.identifies_customers() || connection.caller == caller) {
+    // Once a caller was named, the other host keeps it until another one is named, also without customers.
+    const bool names_callers = m_context.identifies_customers() || connection.caller;
+    if (!connection.is_relay || !names_callers || connection.caller == caller) {
         return std::nullopt;
     }
     connection.caller = caller;
--- a/src/sessions/internal/reduce.cpp
+++ b/src/sessions/internal/reduce.cpp
@@ -59,7 +59,7 @@
             return;
         }
         m_connections.complete_opening(opened.connection);
-        m_dispatcher.dispatch(group_name{connection->group});
+        m_dispatcher.dispatch_after(group_name{connection->group}, connection->is_relay);
     }
 
     void apply(const connection_refused& refused)
--- a/src/sessions/internal/server_selector.cpp
+++ b/src/sessions/internal/server_selector.cpp
@@ -14,6 +14,8 @@
 
 /// Subtracted from a read's maximum staleness, because clocks are rounded to whole milliseconds.
 constexpr milliseconds clock_rounding_margin{5};
+/// A statement waits no longer than this for a connection that is being opened, if another server has one.
+constexpr milliseconds expected_opening_time{60};
 /// Interval between two comparisons of the servers of a group.
 constexpr milliseconds comparison_interval{100};
 
@@ -211,7 +213,8 @@
         }
         // The pool to a better server grows even if another server can run this read now.
         m_connections.open_if_allowed(server.name, session.customer);
-        if (m_connections.is_opening_for(server.name, session.customer)) {
+        const bool may_await_opening = m_context.now - pending.request.received_at < expected_opening_time;
+        if (may_await_opening && m_connections.is_opening_for(server.name, session.customer)) {
             return std::nullopt;
         }
     }
@@ -225,7 +228,6 @@
     const std::optional<double> shortest = shortest_round_trip_ms(pending.route.group);
     bool has_healthy = false;
     std::vector<read_candidate> servers;
-    bool has_replica = false;
     for (const backend_server_name& name : m_context.servers_of(pending.route.group)) {
         const server_view& server = *m_context.server(name);
         const bool is_primary = known != nullptr && known->primary == name;
@@ -246,20 +248,49 @@
         candidate.needs_opening = m_context.identifies_customers() && !m_connections.find_idle(name, session);
         candidate.is_avoided = m_context.now < load.avoid_until;
         candidate.is_ejected = is_ejected(load.health, m_context.now) || is_starting;
-        const bool is_connected = !load.unreachable_since && load.open_connections > 0;
-        has_replica = has_replica || (!is_primary && is_connected);
-        has_healthy = has_healthy || (is_connected && !candidate.is_ejected);
+        has_healthy = has_healthy || (is_connected(name) && !candidate.is_ejected);
         servers.push_back(std::move(candidate));
     }
     estimate_unmeasured(servers);
+    if (has_healthy) {
+        std::erase_if(servers, [](const read_candidate& each) { return each.is_ejected; });
+    }
     const bool has_waited = m_context.now - pending.request.received_at >= overload_threshold;
-    std::erase_if(servers, [&](const read_candidate& each) {
-        return (each.is_ejected && has_healthy) ||
-               (each.is_primary && has_replica && !has_waited && !may_read_at_primary(each));
+    const bool has_replica = std::any_of(servers.begin(), servers.end(), [&](const read_candidate& each) {
+        return !each.is_primary && is_connected(each.name);
     });
+    if (has_replica && !has_waited) {
+        std::erase_if(servers, [](const read_candidate& each) {
+            return each.is_primary && !may_read_at_primary(each);
+        });
+    }
     return servers;
 }
 
+bool server_selector::is_connected(const backend_server_name& server) const
+{
+    const auto load = m_context.state.server_loads.find(server);
+    return load != m_context.state.server_loads.end() && !load->second.unreachable_since &&
+           load->second.open_connections > 0;
+}
+
+bool server_selector::has_tried_all(const caller_session& session) const
+{
+    const std::set<backend_server_name>& tried = session.pending->tried_servers;
+    const group_name& group = session.pending->route.group;
+    if (!uses_relay(session)) {
+        const std::vector<backend_server_name>& servers = m_context.servers_of(group);
+        return !session.pending->needs_primary && !servers.empty() &&
+               std::all_of(servers.begin(), servers.end(),
+                           [&](const backend_server_name& name) { return tried.contains(name); });
+    }
+    const auto& indexes = m_context.group_access(group)->relay_indexes;
+    return std::all_of(indexes.begin(), indexes.end(), [&](std::uint32_t index) {
+        return tried.contains(
+            backend_server_name{m_context.state.view->relay_plan->relays.at(index).name.value});
+    });
+}
+
 void server_selector::compare_servers(const group_name& group)
 {
     group_selection& selection = m_context.state.selections[group];
--- a/src/sessions/internal/server_selector.h
+++ b/src/sessions/internal/server_selector.h
@@ -41,7 +41,11 @@
     /// has to send it there.
     [[nodiscard]] bool is_misplaced(const caller_session& session) const;
 
+    /// True when every server or entry host that could run the statement has refused it or not answered.
+    [[nodiscard]] bool has_tried_all(const caller_session& session) const;
+
 private:
+    [[nodiscard]] bool is_connected(const backend_server_name& server) const;
     [[nodiscard]] bool has_direct_connections(const pending_statement& pending) const;
     /// The region where the statement is to run; nothing if that does not matter.
     [[nodiscard]] std::optional<region_name> target_region(const pending_statement& pending) const;
--- a/src/sessions/internal/session_authorization.cpp
+++ b/src/sessions/internal/session_authorization.cpp
@@ -15,8 +15,7 @@
     const std::optional<customer_name> customer =
         session.is_relayed ? customer_of_relayed_statement(m_context.state, session.customer)
                            : customer_of_caller(m_context.state, session);
-    const bool changes_in_transaction =
-        session.transaction && !session.transaction->is_failed && customer != session.customer;
+    const bool changes_in_transaction = session.transaction && customer != session.customer;
     if (!customer || changes_in_transaction) {
         return false;
     }
@@ -43,13 +42,25 @@
     }
 }
 
+/// False if the key of the session was withdrawn, or now belongs to another customer than the work that the
+/// session has begun.
+bool statement_dispatcher::is_still_authorized(const caller_session& session) const
+{
+    if (session.is_relayed) {
+        return true;
+    }
+    const std::optional<customer_name> owner = customer_of_caller(m_context.state, session);
+    const bool has_work = session.pending || session.transaction;
+    return owner && (!has_work || *owner == session.customer);
+}
+
 /// Ends what the sessions of withdrawn keys still have: idle sessions are closed, queued statements refused,
 /// and open transactions rolled back. A statement in service gets its response.
 void statement_dispatcher::end_unauthorized_sessions()
 {
     std::vector<session_number> ended;
     for (const auto& [number, session] : m_context.state.sessions) {
-        if (!session.is_relayed && !customer_of_caller(m_context.state, session)) {
+        if (!is_still_authorized(session)) {
             ended.push_back(number);
         }
     }
--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -220,11 +220,16 @@
     budget = after_first_attempt(budget, m_context.now);
     add_to_queue(number, session);
     dispatch(group);
-    refuse_if_hopeless(number, session);
+    // Each refusal may end the session.
+    if (caller_session* queued = m_context.session(number)) {
+        refuse_if_hopeless(number, *queued);
+    }
     if (m_context.queued_count(group) == 1) {
         end_idle_transactions(group);
     }
-    refuse_if_isolated(number, session);
+    if (caller_session* queued = m_context.session(number)) {
+        refuse_if_isolated(number, *queued);
+    }
 }
 
 bool statement_dispatcher::try_dispatch(session_number number, caller_session& session)
--- a/src/sessions/internal/statement_dispatcher.h
+++ b/src/sessions/internal/statement_dispatcher.h
@@ -40,6 +40,8 @@
     /// Sends as many queued statements of the group as connections are available for.
     void dispatch(const group_name& group);
     void dispatch_all();
+    /// Sends queued statements after a connection for the group has become free or was lost.
+    void dispatch_after(const group_name& group, bool was_relay);
 
     /// Refuses statements that can't be answered in time, and handles servers that do not respond.
     void check_timeouts();
@@ -56,13 +58,13 @@
     bool handle_locally(session_number number, caller_session& session, const received_statement& request);
     void handle_internal_request(session_number number, caller_session& session, const statement& body);
     bool authorize(caller_session& session, const received_statement& request);
+    [[nodiscard]] bool is_still_authorized(const caller_session& session) const;
     void refuse_unauthorized(session_number number, caller_session& session);
     void begin_transaction(session_number number, caller_session& session, const received_statement& request);
     void roll_back_transaction(session_number number, caller_session& session);
     void enqueue(session_number number, caller_session& session, const received_statement& request);
 
-    void dispatch_after(const group_name& group, bool was_relay);
-    look_result look_at(const queue_place& place, std::vector<session_number>& too_late);
+    look_result look_at(const queue_place& place, std::vector<session_number>& refused);
     [[nodiscard]] bool is_connection_opening(const caller_session& session) const;
     void unblock_customers_with_connections(const group_name& group, statement_queue& queue);
     [[nodiscard]] bool is_too_late_to_send(const caller_session& session) const;
--- a/src/sessions/internal/statement_queueing.cpp
+++ b/src/sessions/internal/statement_queueing.cpp
@@ -16,30 +16,36 @@
         return;
     }
     statement_queue& queue = found->second;
-    std::vector<session_number> too_late;
+    std::vector<session_number> refused;
     queue.start_pass(m_context.now);
     unblock_customers_with_connections(group, queue);
     run_queue_pass(queue, m_context.now, m_context.identifies_customers(),
-                   [&](const queue_place& place) { return look_at(place, too_late); });
+                   [&](const queue_place& place) { return look_at(place, refused); });
     if (queue.is_empty()) {
         m_context.state.queues.erase(found);
         observe_drain(group);
     }
-    for (const session_number number : too_late) {
+    for (const session_number number : refused) {
         caller_session* session = m_context.session(number);
-        if (session != nullptr && session->pending && session->pending->stage == statement_stage::queued) {
+        if (session == nullptr || !session->pending || session->pending->stage != statement_stage::queued) {
+            continue;
+        }
+        if (is_still_authorized(*session)) {
             refuse_queued(number, *session);
+        } else {
+            refuse_unauthorized(number, *session);
         }
     }
 }
 
-look_result statement_dispatcher::look_at(const queue_place& place, std::vector<session_number>& too_late)
+look_result statement_dispatcher::look_at(const queue_place& place, std::vector<session_number>& refused)
 {
     const session_number number = place.arrival.session;
     caller_session& session = m_context.state.sessions.at(number);
-    if (is_too_late_to_send(session)) {
+    // A statement that returned to the queue may belong to a key that was withdrawn while it was in service.
+    if (is_too_late_to_send(session) || !is_still_authorized(session)) {
         session.pending->place.reset();
-        too_late.push_back(number);
+        refused.push_back(number);
         return look_result::too_late;
     }
     if (try_dispatch(number, session)) {
@@ -55,6 +61,10 @@
     if (!m_context.identifies_customers()) {
         return false;
     }
+    if (m_selector.uses_relay(session)) {
+        // Statements of other customers go to other entry hosts.
+        return true;
+    }
     const std::vector<backend_server_name>& servers = m_context.servers_of(session.pending->route.group);
     return std::any_of(servers.begin(), servers.end(), [&](const backend_server_name& name) {
         const auto load = m_context.state.server_loads.find(name);
@@ -80,7 +90,6 @@
     }
 }
 
-/// Sends queued statements after a connection for the group has become free or was lost.
 void statement_dispatcher::dispatch_after(const group_name& group, bool was_relay)
 {
     // With customers, connections to other entry hosts serve all groups.
--- a/src/sessions/internal/statement_retries.cpp
+++ b/src/sessions/internal/statement_retries.cpp
@@ -5,6 +5,13 @@
 
 namespace hickorymount::sessions::detail {
 
+namespace {
+
+/// Pause before the next round when every server has refused a statement.
+constexpr milliseconds full_round_backoff{100};
+
+} // namespace
+
 /// Handles a connection that was lost before the statement was sent: the statement is queued for another
 /// connection, unless its transaction has already run statements on the lost one. The server rolls these
 /// back, so that the outcome is known, even that of a commit.
@@ -30,6 +37,10 @@
     pending.minimum_position.reset();
     pending.retry_at =
         pending.needs_primary && pending.attempts > 0 ? m_context.now + refusal_backoff : m_context.now;
+    if (m_selector.has_tried_all(session)) {
+        pending.tried_servers.clear();
+        pending.retry_at = m_context.now + full_round_backoff;
+    }
     m_context.log(logging::log_level::information, "retry_statement", "",
                   fmt::format("id={} database={} attempts={} waited_ms={} reason=\"{}\"", pending.request.id,
                               session.database, pending.attempts,
--- a/src/sessions/internal/statement_timeouts.cpp
+++ b/src/sessions/internal/statement_timeouts.cpp
@@ -33,7 +33,10 @@
             check_connection(check.number);
         } else if (caller_session* session = m_context.session(check.number); session && session->pending) {
             check_deadlines(check.number, *session);
-            const bool is_retried = session->pending && session->pending->stage == statement_stage::queued &&
+            // A response may end the session.
+            session = m_context.session(check.number);
+            const bool is_retried = session != nullptr && session->pending &&
+                                    session->pending->stage == statement_stage::queued &&
                                     session->pending->retry_at <= m_context.now;
             if (is_retried) {
                 retried.insert(session->pending->route.group);
--- a/src/sessions/tests/customer_tests.cpp
+++ b/src/sessions/tests/customer_tests.cpp
@@ -165,6 +165,43 @@
     EXPECT_EQ(next_response().code, response_code::not_authorized);
 }
 
+/// Guards against the use of a session that its last response has ended.
+TEST_F(customer_fixture, pipelined_statement_of_a_withdrawn_key_is_refused_after_the_one_in_service_timed_out)
+{
+    const session_number session = open_as("alpine");
+    submit_write(session);
+    next_sent_statement();
+    submit_write(session);
+    withdraw_key_of("alpine");
+    advance_time(statement_timeout);
+    const auto responses = take_effects<send_response>();
+    ASSERT_EQ(responses.size(), 2U);
+    EXPECT_EQ(responses[0].response.code, response_code::outcome_unknown);
+    EXPECT_EQ(responses[1].response.code, response_code::not_authorized);
+    EXPECT_EQ(take_effects<close_session>().size(), 1U);
+}
+
+TEST_F(customer_fixture, statement_refused_by_its_server_is_not_sent_again_after_its_key_was_withdrawn)
+{
+    submit_write(open_as("alpine"));
+    const send_statement run = next_sent_statement();
+    withdraw_key_of("alpine");
+    respond_error(run.connection, response_code::busy);
+    advance_time(refusal_backoff);
+    EXPECT_TRUE(take_effects<send_statement>().empty());
+    EXPECT_EQ(next_response().code, response_code::not_authorized);
+}
+
+TEST_F(customer_fixture, queued_statement_is_refused_when_its_key_moves_to_another_customer)
+{
+    submit_write(open_as("alpine"));
+    change_configuration([](configuration::configuration& content) {
+        content.customers[customer_name{"alpine"}].keys.clear();
+        content.customers[customer_name{"boreal"}].keys.push_back(key_of("alpine"));
+    });
+    EXPECT_EQ(next_response().code, response_code::not_authorized);
+}
+
 /// Other entry hosts have the connections to the servers.
 class relayed_customer_fixture : public customer_fixture
 {
@@ -231,4 +268,21 @@
     EXPECT_EQ(take_effects<open_connection>().size(), 1U);
 }
 
+/// Otherwise the relay would run the statement for the customer and in the database named last.
+TEST_F(relayed_customer_fixture, relay_connection_names_the_caller_also_after_customers_were_removed)
+{
+    use_relay();
+    submit_write(open_as("alpine", "inspections"));
+    const send_statement first = next_sent_statement();
+    respond_done(first.connection);
+    change_configuration([](configuration::configuration& content) {
+        content.identifies_customers = false;
+        content.customers.clear();
+    });
+    submit_write(open("ledger"));
+    const send_statement second = next_sent_statement();
+    EXPECT_EQ(second.connection, first.connection);
+    EXPECT_EQ(second.caller, (relayed_caller{"ledger", {}}));
+}
+
 } // namespace hickorymount::sessions
