Look a session up again after its statement may have been answered

Cause: since queued statements can be refused during a dispatch, the dispatch in enqueue may answer the statement and take up the session's next one.

--- a/src/sessions/internal/customer_rotation.cpp
+++ b/src/sessions/internal/customer_rotation.cpp
@@ -192,9 +192,8 @@
     std::set<turn>& turns = blocked->second.turns;
     const auto next = blocked->second.probed ? turns.upper_bound(*blocked->second.probed) : turns.begin();
     if (next != turns.end()) {
-        const turn chosen = *next;
-        blocked->second.probed = chosen;
-        set_blocked(chosen.second, blocked->first, false);
+        blocked->second.probed = *next;
+        set_blocked(blocked->second.probed->second, blocked->first, false);
     }
 }
 
--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -220,11 +220,16 @@
     budget = after_first_attempt(budget, m_context.now);
     add_to_queue(number, session);
     dispatch(group);
-    refuse_if_hopeless(number, session);
     if (m_context.queued_count(group) == 1) {
         end_idle_transactions(group);
     }
-    refuse_if_isolated(number, session);
+    // The dispatch may have answered the statement and taken up the session's next one.
+    if (caller_session* current = m_context.session(number)) {
+        refuse_if_hopeless(number, *current);
+    }
+    if (caller_session* current = m_context.session(number)) {
+        refuse_if_isolated(number, *current);
+    }
 }
 
 bool statement_dispatcher::try_dispatch(session_number number, caller_session& session)
