--- a/src/gateway/tests/relay_load_tests.cpp
+++ b/src/gateway/tests/relay_load_tests.cpp
@@ -59,6 +59,8 @@
         int asked = 0;
         int served_in_target = 0;
         int refused = 0;
+        /// Answered `outcome_unknown` or `timed_out` although no server received them.
+        int unknown_unsent = 0;
     };
 
     void grant_connections(bool with_relays)
@@ -103,8 +105,9 @@
     }
 
     /// Lets callers open sessions for one statement each, at random entry hosts.
-    void run_load()
+    void run_load(int statements_in_a_second = statements_per_second)
     {
+        m_statements_per_second = statements_in_a_second;
         const time_point measured_from = m_now + warm_up;
         const time_point end = measured_from + measured_time;
         std::uniform_int_distribution<int> percent(0, 99);
@@ -128,6 +131,7 @@
             total.asked += counts.asked;
             total.served_in_target += counts.served_in_target;
             total.refused += counts.refused;
+            total.unknown_unsent += counts.unknown_unsent;
         }
         return total;
     }
@@ -236,7 +240,7 @@
 
     int arrivals_in_this_step()
     {
-        m_due_arrivals += statements_per_second;
+        m_due_arrivals += m_statements_per_second;
         return static_cast<int>(std::exchange(m_due_arrivals, m_due_arrivals % 1000) / 1000);
     }
 
@@ -282,6 +286,10 @@
             [=, this](const sessions::statement_response& response) {
                 if (is_measured) {
                     outcome_counts& counts = m_counts[kind->database];
+                    const bool is_unknown = response.code == response_code::outcome_unknown ||
+                                            response.code == response_code::timed_out;
+                    const bool is_unsent = !m_received_by_servers.contains(fmt::format("id{}", session));
+                    counts.unknown_unsent += is_unknown && is_unsent ? 1 : 0;
                     const bool is_in_target =
                         response.code == response_code::done && m_now - asked_at <= target_latency;
                     counts.served_in_target += is_in_target ? 1 : 0;
@@ -409,6 +417,7 @@
     void run_at_server(std::size_t host, const sessions::send_statement& effect, const std::string& name)
     {
         simulated_server& server = m_servers.at(name);
+        m_received_by_servers.insert(effect.id);
         const auto respond = [this, host, effect](response_code code) {
             schedule(network_delay, [this, host, effect, code] {
                 apply(host, sessions::response_received{effect.connection,
@@ -456,6 +465,9 @@
     std::multimap<time_point, std::function<void()>> m_actions;
     sessions::session_number m_next_session = 1;
     std::int64_t m_due_arrivals = 0;
+    int m_statements_per_second = 0;
+    /// The ids of the callers' statements that reached a server.
+    std::set<std::string> m_received_by_servers;
     std::mt19937 m_random{20261204};
 };
 
@@ -480,5 +492,15 @@
     EXPECT_GT(m_wait_causes[sessions::wait_cause::no_connection_granted], 0);
 }
 
+/// A caller can't retry safely after such an answer.
+TEST_F(more_entry_hosts_than_connections_fixture,
+       no_statement_that_reached_no_server_has_an_unknown_outcome_in_an_overload)
+{
+    grant_connections(true);
+    run_load(6 * statements_per_second);
+    EXPECT_GT(totals().refused, 0);
+    EXPECT_EQ(totals().unknown_unsent, 0) << "of " << totals().asked;
+}
+
 } // namespace
 } // namespace hickorymount::gateway
