--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -220,15 +220,15 @@
     budget = after_first_attempt(budget, m_context.now);
     add_to_queue(number, session);
     dispatch(group);
-    // Each refusal may end the session.
-    if (caller_session* queued = m_context.session(number)) {
-        refuse_if_hopeless(number, *queued);
-    }
     if (m_context.queued_count(group) == 1) {
         end_idle_transactions(group);
     }
-    if (caller_session* queued = m_context.session(number)) {
-        refuse_if_isolated(number, *queued);
+    // The dispatch may have answered the statement and taken up the session's next one.
+    if (caller_session* current = m_context.session(number)) {
+        refuse_if_hopeless(number, *current);
+    }
+    if (caller_session* current = m_context.session(number)) {
+        refuse_if_isolated(number, *current);
     }
 }
 
