Keep callers within the memory and descriptors of an entry host

Cause: an entry host held unfinished lines, pipelined statements, values and unread responses of all sessions without a bound, took connections until its descriptors were used up, and kept connections that never opened a session.

Change: session_gate decides for each port (callers, relays) which connections stay and read: a byte budget and a number of connections, both from memory_mb and max_descriptors in the settings, time limits for the opening line and for the progress of an unfinished line, and a pause while 16 statements or 256 KiB of a session are in service, instead of closing it at 64. Relays have a budget of their own. Metrics, log lines at most one a second. Freed blocks of long messages are returned to the system.

--- a/src/app/controld/main.cpp
+++ b/src/app/controld/main.cpp
@@ -1,3 +1,4 @@
+#include "app/memory_options.h"
 #include "app/settings_watch.h"
 #include "command_line/option_parser.h"
 #include "gateway/control_service.h"
@@ -43,6 +44,7 @@
 
 int main(int argc, char** argv)
 {
+    app::return_large_blocks();
     return handle_failure([&] { return run(command_line::to_argument_list(argc, argv)); },
                           [](const failure& error) {
                               fmt::print(stderr, "hickorymount-controld: {}\n", to_string(error));
--- a/src/gateway/internal/control_service.cpp
+++ b/src/gateway/internal/control_service.cpp
@@ -5,6 +5,7 @@
 #include "consensus/reduce.h"
 #include "gateway/internal/entry_status.h"
 #include "gateway/internal/link_metrics.h"
+#include "gateway/internal/resource_limits.h"
 #include "gateway/internal/storage_thread.h"
 #include "gateway/primary_switch_request.h"
 #include "http/server.h"
@@ -37,6 +38,8 @@
 
 constexpr unsigned operator_threads = 8;
 constexpr unsigned keep_alive_timeout_ms = 1000;
+constexpr unsigned request_timeout_ms = 1000;
+constexpr unsigned body_timeout_ms = 2000;
 constexpr milliseconds operator_timeout{10'000};
 /// Clients of `control_http_extension` try the next host after a second.
 constexpr milliseconds pages_timeout{1500};
@@ -82,7 +85,9 @@
         handlers.on_error = [this](const std::string& peer, const std::string& reason) {
             m_log.write({logging::log_level::warning, "link", peer, reason});
         };
-        m_transport = link::make_websocket_transport(m_settings.name.value, std::move(handlers));
+        m_transport = link::make_websocket_transport(
+            m_settings.name.value, std::move(handlers),
+            detail::max_link_connections(detail::usable_descriptors(m_settings.resources)));
     }
     ~control_host_process() override { control_host_process::stop(); }
     control_host_process(const control_host_process&) = delete;
@@ -114,6 +119,8 @@
         options.threads = operator_threads;
         options.max_kept_alive_connections = 0;
         options.keep_alive_timeout_ms = keep_alive_timeout_ms;
+        options.request_timeout_ms = request_timeout_ms;
+        options.body_timeout_ms = body_timeout_ms;
         options.additional_address = m_settings.metrics_address ? to_string(*m_settings.metrics_address) : "";
         BOOST_LEAF_ASSIGN(
             m_server,
--- a/src/gateway/internal/entry_service.cpp
+++ b/src/gateway/internal/entry_service.cpp
@@ -6,6 +6,7 @@
 #include "gateway/internal/caller_codec.h"
 #include "gateway/internal/entry_status.h"
 #include "gateway/internal/link_metrics.h"
+#include "gateway/internal/resource_limits.h"
 #include "gateway/internal/session_server.h"
 #include "gateway/internal/traffic_view.h"
 #include "http/client.h"
@@ -45,8 +46,12 @@
 constexpr unsigned spare_caller_threads = 16;
 /// The same on a host whose callers use sessions: HTTP then carries only readiness probes, status and
 /// metrics.
-constexpr unsigned spare_probe_threads = 2;
+constexpr unsigned spare_probe_threads = 6;
 constexpr unsigned keep_alive_timeout_ms = 15'000;
+/// Time for a request's header, and for each write of a response. On a host whose callers use sessions, slow
+/// clients would otherwise hold the few threads.
+constexpr unsigned request_timeout_ms = 15'000;
+constexpr unsigned probe_request_timeout_ms = 3000;
 constexpr milliseconds probe_timeout{150};
 constexpr int probe_attempts = 2;
 constexpr milliseconds takeover_timeout{300};
@@ -90,6 +95,7 @@
         if (codec != nullptr && m_settings.session_address) {
             m_sessions = std::make_unique<detail::session_server>(
                 std::move(codec), m_settings.zone,
+                detail::derive_session_limits(m_settings, detail::usable_descriptors(m_settings.resources)),
                 detail::session_server::handlers{
                     [this](routing::entry_event_payload kind) { post(std::move(kind)); },
                     [this] { handle_sessions_stopped(); }},
@@ -109,6 +115,7 @@
         options.threads = m_settings.max_caller_connections +
                           (m_sessions != nullptr ? spare_probe_threads : spare_caller_threads);
         options.keep_alive_timeout_ms = keep_alive_timeout_ms;
+        options.request_timeout_ms = m_sessions != nullptr ? probe_request_timeout_ms : request_timeout_ms;
         options.additional_address = m_settings.metrics_address ? to_string(*m_settings.metrics_address) : "";
         BOOST_LEAF_ASSIGN(
             m_server,
@@ -413,6 +420,9 @@
             const auto state = copy_state();
             detail::set_gauges(m_metrics, state, m_caller_requests.size());
             detail::set_link_gauges(m_metrics, m_transport->backlog());
+            if (m_sessions != nullptr) {
+                m_sessions->set_gauges();
+            }
             http::response response = detail::make_response(200, m_metrics.exposition());
             response.content_type = "text/plain; version=0.0.4";
             return response;
--- a/src/gateway/internal/session_server.cpp
+++ b/src/gateway/internal/session_server.cpp
@@ -4,6 +4,7 @@
 #include "gateway/internal/probe_step.h"
 
 #include <algorithm>
+#include <new>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -21,6 +22,10 @@
 constexpr milliseconds takeover_timeout{800};
 /// Pause before a busy server is sent the probe again.
 constexpr milliseconds probe_retry_pause{30};
+/// Interval between checks of timeouts and of an exhausted budget, while there is something to check.
+constexpr milliseconds limit_check_interval{250};
+/// Interval between log lines about closed connections of a port.
+constexpr milliseconds close_log_interval{1000};
 /// Upper limit of a timer's wait.
 constexpr milliseconds max_wait{60'000};
 
@@ -62,10 +67,12 @@
 } // namespace
 
 session_server::session_server(std::unique_ptr<sessions::session_codec> codec, availability_zone zone,
-                               handlers event_handlers, logging::log_writer& log,
-                               metrics::metric_registry& metrics)
+                               const session_limits& limits, handlers event_handlers,
+                               logging::log_writer& log, metrics::metric_registry& metrics)
     : m_codec(std::move(codec)), m_handlers(std::move(event_handlers)), m_log(log), m_metrics(metrics),
-      m_acceptor(m_context), m_relay_acceptor(m_context), m_timer(m_context)
+      m_caller_port(m_context, "callers", limits.callers, acceptor_handlers(false)),
+      m_relay_port(m_context, "relays", limits.relays, acceptor_handlers(true)), m_timer(m_context),
+      m_limit_timer(m_context)
 {
     m_state.zone = std::move(zone);
 }
@@ -78,12 +85,12 @@
 result<void> session_server::start(const protocol::endpoint& address,
                                    const std::optional<protocol::endpoint>& relay)
 {
-    BOOST_LEAF_CHECK(listen(m_acceptor, address));
-    m_port = m_acceptor.local_endpoint().port();
-    accept(m_acceptor, false);
+    BOOST_LEAF_CHECK(listen(m_caller_port, address));
+    m_port = m_caller_port.acceptor.local_address().port();
+    m_caller_port.acceptor.start();
     if (relay) {
-        BOOST_LEAF_CHECK(listen(m_relay_acceptor, *relay));
-        accept(m_relay_acceptor, true);
+        BOOST_LEAF_CHECK(listen(m_relay_port, *relay));
+        m_relay_port.acceptor.start();
     }
     m_thread = std::thread([this] {
         handle_event(sessions::timer_expired{});
@@ -92,23 +99,13 @@
     return {};
 }
 
-result<void> session_server::listen(tcp::acceptor& acceptor, const protocol::endpoint& address)
+result<void> session_server::listen(session_port& port, const protocol::endpoint& address)
 {
     const auto listen_address = socket_address(address);
     if (!listen_address) {
         return fail("listen", to_string(address), "not an IP address");
     }
-    boost::system::error_code error;
-    acceptor.open(listen_address->protocol(), error);
-    if (!error) {
-        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    }
-    if (!error) {
-        acceptor.bind(*listen_address, error);
-    }
-    if (!error) {
-        acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
+    const boost::system::error_code error = port.acceptor.listen(*listen_address);
     if (error) {
         return fail("listen", to_string(address), error.message());
     }
@@ -236,54 +233,223 @@
     });
 }
 
-void session_server::accept(tcp::acceptor& acceptor, bool is_relayed)
+net::connection_acceptor::handlers session_server::acceptor_handlers(bool is_relayed)
 {
-    acceptor.async_accept(
-        [this, &acceptor, is_relayed](const boost::system::error_code& error, tcp::socket socket) {
-            if (error == asio::error::operation_aborted) {
-                return;
-            }
-            if (error) {
-                m_log.write({logging::log_level::warning, "accept", "", error.message()});
-            } else {
-                add_caller(std::move(socket), is_relayed);
-            }
-            accept(acceptor, is_relayed);
-        });
+    return {[this, is_relayed](tcp::socket socket) { add_caller(std::move(socket), is_relayed); },
+            [this](const std::string& reason) {
+                m_log.write({logging::log_level::warning, "accept", "", reason});
+            }};
 }
 
 void session_server::add_caller(tcp::socket socket, bool is_relayed)
 {
+    session_port& port = port_of(is_relayed);
     const sessions::session_number number = m_next_session++;
+    if (const auto refused = port.gate.admit(number, millisecond_clock::now())) {
+        record_close(port, refused->reason);
+        if (refused->session == number) {
+            // The socket closes the connection.
+            return;
+        }
+        m_callers.at(refused->session).connection->close();
+        end_caller(refused->session);
+    }
     auto connection =
         std::make_shared<net::line_connection>(std::move(socket), net::line_connection::limits{});
-    connection->set_handlers({[this, number](std::string_view line) { handle_caller_line(number, line); },
-                              [this, number](const std::string& /*reason*/) {
-                                  m_callers.erase(number);
-                                  handle_event(sessions::session_closed{number});
-                              }});
+    connection->set_handlers(
+        {[this, number](std::string_view line) { handle_caller_line(number, line); },
+         [this, number](const std::string& /*reason*/) { end_caller(number); },
+         [number, &port] { return port.gate.accepts_lines(number); },
+         [number, &port] { return port.gate.may_read(number, millisecond_clock::now()); },
+         [this, number, is_relayed] { record_buffers(number, is_relayed); }});
     m_callers.emplace(number, caller{connection, false, is_relayed});
     connection->start();
+    apply_limits(port);
+}
+
+void session_server::record_buffers(sessions::session_number number, bool is_relayed)
+{
+    const bool is_leaving = !m_callers.contains(number);
+    const auto& callers = is_leaving ? m_leaving_callers : m_callers;
+    const auto found = callers.find(number);
+    if (found == callers.end()) {
+        return;
+    }
+    const net::line_connection& connection = *found->second.connection;
+    session_port& port = port_of(is_relayed);
+    port.gate.record_buffers(number, is_leaving ? 0 : connection.received_bytes(), connection.unsent_bytes(),
+                             connection.total_received_bytes(), millisecond_clock::now());
+    apply_limits(port);
+}
+
+void session_server::record_values(sessions::session_number number, const caller& owner)
+{
+    const auto found = m_state.sessions.find(number);
+    if (!owner.has_values || found == m_state.sessions.end()) {
+        return;
+    }
+    std::size_t bytes = 0;
+    for (const auto& [name, value] : found->second.variables) {
+        bytes += name.size() + value.size();
+    }
+    for (const auto& [name, prepared] : found->second.prepared_statements) {
+        bytes += name.size() + prepared.template_text.size();
+    }
+    port_of(owner.is_relayed).gate.record_values(number, bytes);
+}
+
+void session_server::end_caller(sessions::session_number number)
+{
+    const auto found = m_callers.find(number);
+    if (found == m_callers.end()) {
+        return;
+    }
+    session_port& port = port_of(found->second.is_relayed);
+    m_callers.erase(found);
+    port.gate.remove(number);
+    apply_limits(port);
+    handle_event(sessions::session_closed{number});
+}
+
+void session_server::close_after_sending(sessions::session_number number)
+{
+    const auto found = m_callers.find(number);
+    if (found == m_callers.end()) {
+        return;
+    }
+    const caller leaving = found->second;
+    session_port& port = port_of(leaving.is_relayed);
+    m_callers.erase(found);
+    leaving.connection->close_after_sending();
+    if (leaving.connection->is_closed()) {
+        port.gate.remove(number);
+    } else {
+        port.gate.record_leaving(number);
+        m_leaving_callers.emplace(number, leaving);
+    }
+    apply_limits(port);
+}
+
+void session_server::remove_closed_connections()
+{
+    std::erase_if(m_leaving_callers, [this](const auto& each) {
+        const caller& leaving = each.second;
+        if (leaving.connection->is_closed()) {
+            port_of(leaving.is_relayed).gate.remove(each.first);
+        }
+        return leaving.connection->is_closed();
+    });
+}
+
+void session_server::record_close(session_port& port, close_reason reason)
+{
+    m_metrics.count("hickorymount_connections_closed_total",
+                    fmt::format("port=\"{}\",reason=\"{}\"", port.name, to_string(reason)));
+    ++port.unlogged_closes;
+    const time_point now = millisecond_clock::now();
+    if (now < port.next_log_at) {
+        return;
+    }
+    port.next_log_at = now + close_log_interval;
+    m_log.write({logging::log_level::warning, "close_connection", "",
+                 fmt::format("port={} reason=\"{}\" count={} open={} buffered_bytes={}", port.name,
+                             to_string(reason), std::exchange(port.unlogged_closes, 0),
+                             port.gate.connection_count(), port.gate.used_bytes())});
+}
+
+void session_server::apply_limits(session_port& port)
+{
+    port.connection_count = port.gate.connection_count();
+    port.used_bytes = port.gate.used_bytes();
+    for (const sessions::session_number number : port.gate.take_resumable()) {
+        m_callers.at(number).connection->resume();
+    }
+    if (port.gate.is_check_due() && !std::exchange(m_is_limit_check_posted, true)) {
+        // Deferred: the effects of an event may still be in execution.
+        asio::post(m_context, [this] {
+            m_is_limit_check_posted = false;
+            check_limits();
+        });
+    }
+    const bool needs_check = port.gate.needs_check() || !m_leaving_callers.empty();
+    if (needs_check && !std::exchange(m_is_limit_check_planned, true)) {
+        m_limit_timer.expires_after(limit_check_interval);
+        m_limit_timer.async_wait([this](const boost::system::error_code& error) {
+            m_is_limit_check_planned = false;
+            if (!error) {
+                check_limits();
+            }
+        });
+    }
+}
+
+void session_server::check_limits()
+{
+    remove_closed_connections();
+    check_limits(m_caller_port);
+    check_limits(m_relay_port);
+    remove_closed_connections();
+}
+
+void session_server::check_limits(session_port& port)
+{
+    for (const refused_connection& each : port.gate.connections_to_close(millisecond_clock::now())) {
+        const auto found = m_callers.find(each.session);
+        if (found != m_callers.end()) {
+            record_close(port, each.reason);
+            found->second.connection->close();
+            end_caller(each.session);
+        } else if (const auto leaving = m_leaving_callers.find(each.session);
+                   leaving != m_leaving_callers.end()) {
+            record_close(port, each.reason);
+            leaving->second.connection->close();
+        }
+    }
+    apply_limits(port);
+}
+
+void session_server::set_gauges() const
+{
+    for (const session_port* port : {&m_caller_port, &m_relay_port}) {
+        const std::string labels = fmt::format("port=\"{}\"", port->name);
+        m_metrics.set("hickorymount_connections_open", labels, static_cast<double>(port->connection_count));
+        m_metrics.set("hickorymount_buffered_bytes", labels, static_cast<double>(port->used_bytes));
+    }
 }
 
 void session_server::handle_caller_line(sessions::session_number number, std::string_view line)
 {
     caller& caller_state = m_callers.at(number);
-    const sessions::caller_line decoded =
-        caller_state.is_relayed ? m_codec->decode_proxy_line(line) : m_codec->decode_caller_line(line);
+    session_gate& gate = port_of(caller_state.is_relayed).gate;
+    sessions::caller_line decoded;
+    try {
+        decoded =
+            caller_state.is_relayed ? m_codec->decode_proxy_line(line) : m_codec->decode_caller_line(line);
+    } catch (const std::bad_alloc&) {
+        record_close(port_of(caller_state.is_relayed), close_reason::budget_exhausted);
+        caller_state.connection->close();
+        end_caller(number);
+        return;
+    }
     if (const auto* opening = std::get_if<sessions::open_request>(&decoded);
         opening != nullptr && !caller_state.is_open) {
+        gate.record_opening(number);
         handle_event(sessions::session_requested{number, opening->database, caller_state.is_relayed,
                                                  configuration::digest_of_key(opening->credential)});
         return;
     }
     if (const auto* request = std::get_if<sessions::statement_request>(&decoded);
         request != nullptr && caller_state.is_open) {
+        gate.record_statement(number, line.size());
+        const sessions::statement_kind kind = request->body.kind;
+        caller_state.has_values = caller_state.has_values || kind == sessions::statement_kind::set_variable ||
+                                  kind == sessions::statement_kind::prepare;
         handle_event(sessions::statement_received{number, request->id, request->body,
                                                   request->minimum_position, request->caller});
         return;
     }
     if (caller_state.is_open && std::holds_alternative<sessions::malformed_request>(decoded)) {
+        gate.record_statement(number, 0);
         handle_event(sessions::malformed_statement_received{number});
         return;
     }
@@ -292,17 +458,16 @@
         caller_state.connection->send(
             m_codec->encode_refusal({sessions::response_code::malformed, "a session is opened first"}));
     }
-    caller_state.connection->close_after_sending();
-    m_callers.erase(number);
+    close_after_sending(number);
     handle_event(sessions::session_closed{number});
 }
 
 void session_server::handle_server_line(sessions::connection_number number, std::string_view line)
 {
     server_connection& connection_state = m_server_connections.at(number);
-    const sessions::server_line decoded = m_codec->decode_server_line(line);
-    if (const auto* row = std::get_if<sessions::row_line>(&decoded)) {
-        connection_state.partial_answer.rows.push_back(row->text);
+    sessions::server_line decoded = m_codec->decode_server_line(line);
+    if (auto* row = std::get_if<sessions::row_line>(&decoded)) {
+        connection_state.partial_answer.rows.push_back(std::move(row->text));
         return;
     }
     if (const auto* done = std::get_if<sessions::done_line>(&decoded)) {
@@ -386,25 +551,28 @@
 {
     const auto found = m_callers.find(effect.session);
     found->second.connection->send(m_codec->encode_refusal({effect.code, effect.detail}));
-    found->second.connection->close_after_sending();
-    m_callers.erase(found);
+    close_after_sending(effect.session);
 }
 
 void session_server::execute(sessions::send_response&& effect)
 {
     const auto found = m_callers.find(effect.session);
-    if (found != m_callers.end()) {
-        found->second.connection->send(m_codec->encode_answer(effect.response));
+    if (found == m_callers.end()) {
+        return;
+    }
+    session_gate& gate = port_of(found->second.is_relayed).gate;
+    const bool accepted_lines = gate.accepts_lines(effect.session);
+    gate.record_response(effect.session);
+    record_values(effect.session, found->second);
+    found->second.connection->send(m_codec->encode_answer(effect.response));
+    if (!accepted_lines && gate.accepts_lines(effect.session)) {
+        found->second.connection->resume();
     }
 }
 
 void session_server::execute(sessions::close_session&& effect)
 {
-    const auto found = m_callers.find(effect.session);
-    if (found != m_callers.end()) {
-        found->second.connection->close_after_sending();
-        m_callers.erase(found);
-    }
+    close_after_sending(effect.session);
 }
 
 void session_server::execute(sessions::open_connection&& effect)
--- a/src/settings/internal/settings_parser.cpp
+++ b/src/settings/internal/settings_parser.cpp
@@ -15,6 +15,11 @@
 constexpr std::int64_t caller_connections_limit = 10'000;
 constexpr std::int64_t max_port = 65'535;
 constexpr std::int64_t max_milliseconds = 3'600'000;
+constexpr std::int64_t max_memory_mb = 1 << 24;
+constexpr std::int64_t max_descriptors = 1 << 30;
+constexpr std::int64_t max_buffer_kb = 1 << 30;
+/// Buffers hold at least two of the longest messages.
+constexpr std::int64_t min_buffer_kb = 2048;
 
 /// Fails with the position in the settings file and the expected value.
 leaf::error_id fail_at(const toml::source_region& region, const std::string& file,
@@ -80,20 +85,46 @@
     }
 
     [[nodiscard]] result<std::uint32_t> read_count(std::string_view key, std::uint32_t default_value,
-                                                   std::int64_t maximum) const
+                                                   std::int64_t maximum, std::int64_t minimum = 1) const
     {
         const toml::node* node = m_table.get(key);
         if (node == nullptr) {
             return default_value;
         }
         const auto value = node->value_exact<std::int64_t>();
-        if (!value || *value < 1 || *value > maximum) {
+        if (!value || *value < minimum || *value > maximum) {
             return fail_at(node->source(), m_file,
-                           fmt::format("'{}' to be a whole number from 1 to {}", key, maximum));
+                           fmt::format("'{}' to be a whole number from {} to {}", key, minimum, maximum));
         }
         return static_cast<std::uint32_t>(*value);
     }
 
+    [[nodiscard]] result<std::optional<std::uint32_t>>
+    read_optional_count(std::string_view key, std::int64_t maximum, std::int64_t minimum) const
+    {
+        if (m_table.get(key) == nullptr) {
+            return std::optional<std::uint32_t>{};
+        }
+        BOOST_LEAF_AUTO(value, read_count(key, 0, maximum, minimum));
+        return std::optional(value);
+    }
+
+    [[nodiscard]] result<milliseconds> read_duration(std::string_view key, milliseconds default_value) const
+    {
+        BOOST_LEAF_AUTO(value,
+                        read_count(key, static_cast<std::uint32_t>(default_value.count()), max_milliseconds));
+        return milliseconds{value};
+    }
+
+    [[nodiscard]] result<host_resources> read_resources() const
+    {
+        host_resources resources;
+        BOOST_LEAF_ASSIGN(resources.memory_mb, read_count("memory_mb", resources.memory_mb, max_memory_mb));
+        BOOST_LEAF_ASSIGN(resources.max_descriptors,
+                          read_count("max_descriptors", resources.max_descriptors, max_descriptors));
+        return resources;
+    }
+
     [[nodiscard]] result<std::optional<endpoint>> read_optional_address(std::string_view key) const
     {
         if (m_table.get(key) == nullptr) {
@@ -204,9 +235,9 @@
 {
     BOOST_LEAF_AUTO(table, parse(toml_text, file));
     const settings_reader reader(table, file);
-    BOOST_LEAF_CHECK(
-        reader.reject_unknown_keys({"name", "link", "operators", "data_folder", "control_hosts", "seeds",
-                                    "founds", "promotions", "report_interval_ms", "metrics", "log_level"}));
+    BOOST_LEAF_CHECK(reader.reject_unknown_keys({"name", "link", "operators", "data_folder", "control_hosts",
+                                                 "seeds", "founds", "promotions", "report_interval_ms",
+                                                 "metrics", "memory_mb", "max_descriptors", "log_level"}));
     control_settings host_settings;
     BOOST_LEAF_ASSIGN(host_settings.internal_address, reader.read_address("link"));
     BOOST_LEAF_ASSIGN(host_settings.operator_address, reader.read_address("operators"));
@@ -227,6 +258,7 @@
                                       static_cast<std::uint32_t>(host_settings.report_interval.count()),
                                       max_milliseconds));
     host_settings.report_interval = milliseconds{report_interval};
+    BOOST_LEAF_ASSIGN(host_settings.resources, reader.read_resources());
     BOOST_LEAF_ASSIGN(host_settings.log_level, reader.read_log_level());
     return host_settings;
 }
@@ -235,9 +267,27 @@
 {
     BOOST_LEAF_AUTO(table, parse(toml_text, file));
     const settings_reader reader(table, file);
-    BOOST_LEAF_CHECK(reader.reject_unknown_keys({"name", "availability_zone", "callers", "sessions", "relay",
-                                                 "control_hosts", "seeds", "link_port", "stop_time_ms",
-                                                 "metrics", "caller_connections", "log_level"}));
+    BOOST_LEAF_CHECK(reader.reject_unknown_keys({"name",
+                                                 "availability_zone",
+                                                 "callers",
+                                                 "sessions",
+                                                 "relay",
+                                                 "control_hosts",
+                                                 "seeds",
+                                                 "link_port",
+                                                 "stop_time_ms",
+                                                 "metrics",
+                                                 "caller_connections",
+                                                 "memory_mb",
+                                                 "max_descriptors",
+                                                 "max_sessions",
+                                                 "max_relay_sessions",
+                                                 "session_buffer_kb",
+                                                 "relay_buffer_kb",
+                                                 "opening_timeout_ms",
+                                                 "message_timeout_ms",
+                                                 "buffer_wait_timeout_ms",
+                                                 "log_level"}));
     entry_settings host_settings;
     BOOST_LEAF_ASSIGN(host_settings.name.value, reader.read_name("name"));
     BOOST_LEAF_ASSIGN(host_settings.zone.value, reader.read_name("availability_zone"));
@@ -260,6 +310,23 @@
     BOOST_LEAF_ASSIGN(host_settings.max_caller_connections,
                       reader.read_count("caller_connections", host_settings.max_caller_connections,
                                         caller_connections_limit));
+    BOOST_LEAF_ASSIGN(host_settings.resources, reader.read_resources());
+    client_limits& callers = host_settings.callers;
+    BOOST_LEAF_ASSIGN(callers.opening_timeout,
+                      reader.read_duration("opening_timeout_ms", callers.opening_timeout));
+    BOOST_LEAF_ASSIGN(callers.message_timeout,
+                      reader.read_duration("message_timeout_ms", callers.message_timeout));
+    BOOST_LEAF_ASSIGN(callers.buffer_wait_timeout,
+                      reader.read_duration("buffer_wait_timeout_ms", callers.buffer_wait_timeout));
+    host_settings.relays = callers;
+    BOOST_LEAF_ASSIGN(callers.max_connections,
+                      reader.read_optional_count("max_sessions", max_descriptors, 1));
+    BOOST_LEAF_ASSIGN(callers.buffer_kb,
+                      reader.read_optional_count("session_buffer_kb", max_buffer_kb, min_buffer_kb));
+    BOOST_LEAF_ASSIGN(host_settings.relays.max_connections,
+                      reader.read_optional_count("max_relay_sessions", max_descriptors, 1));
+    BOOST_LEAF_ASSIGN(host_settings.relays.buffer_kb,
+                      reader.read_optional_count("relay_buffer_kb", max_buffer_kb, min_buffer_kb));
     BOOST_LEAF_ASSIGN(host_settings.log_level, reader.read_log_level());
     return host_settings;
 }
--- a/src/settings/types.h
+++ b/src/settings/types.h
@@ -25,6 +25,28 @@
     friend bool operator==(const control_host&, const control_host&) = default;
 };
 
+/// Memory and descriptors that a process may use.
+struct host_resources
+{
+    std::uint32_t memory_mb = 160;
+    std::uint32_t max_descriptors = 4300;
+
+    friend bool operator==(const host_resources&, const host_resources&) = default;
+};
+
+/// Limits for clients of a port. Those that are not set follow from `host_resources`.
+struct client_limits
+{
+    std::optional<std::uint32_t> max_connections;
+    /// Bytes that all connections together may occupy, in KiB.
+    std::optional<std::uint32_t> buffer_kb;
+    milliseconds opening_timeout{20'000};
+    milliseconds message_timeout{60'000};
+    milliseconds buffer_wait_timeout{3000};
+
+    friend bool operator==(const client_limits&, const client_limits&) = default;
+};
+
 /// Settings of a control host.
 struct control_settings
 {
@@ -46,6 +68,7 @@
     milliseconds report_interval = protocol::default_report_interval;
     /// Additional address that serves metrics, besides `operator_address`.
     std::optional<endpoint> metrics_address;
+    host_resources resources{};
     logging::log_level log_level = logging::log_level::information;
 
     friend bool operator==(const control_settings&, const control_settings&) = default;
@@ -71,6 +94,10 @@
     std::optional<endpoint> metrics_address;
     /// Maximum number of caller connections kept open at once.
     std::uint32_t max_caller_connections = 64;
+    host_resources resources{};
+    /// Limits for callers' sessions, and for statements forwarded by other entry hosts.
+    client_limits callers{};
+    client_limits relays{};
     logging::log_level log_level = logging::log_level::information;
 
     friend bool operator==(const entry_settings&, const entry_settings&) = default;
--- a/src/soak/tests/process_cluster.cpp
+++ b/src/soak/tests/process_cluster.cpp
@@ -43,8 +43,14 @@
 constexpr std::string_view rows_text = "READ rows ";
 
 /// Settings that lower the limits of the processes.
-constexpr const char* entry_limits = "";
-constexpr const char* control_limits = "";
+constexpr const char* entry_limits = R"(memory_mb = 64
+max_descriptors = 200
+opening_timeout_ms = 2000
+message_timeout_ms = 4000
+)";
+constexpr const char* control_limits = R"(memory_mb = 64
+max_descriptors = 200
+)";
 
 std::vector<std::uint16_t> free_ports(std::size_t count)
 {
