Send a damped share of the reads to other regions when the own one is full

Cause: each read went to the server with the lowest cost at that moment. That left a region with free slots, and moved all reads at once when its server was full.

Change: `zone_overflow` is a value for each group: the share of this host's reads that leaves the region, which follows from the round trips. Nothing leaves while a slot nearby is free, and everything leaves when no server nearby can be used. A server that can't be reached is no candidate for reads and is tried again beside them. A server without a connection that the session may get has no capacity.

--- a/src/gateway/internal/session_server.cpp
+++ b/src/gateway/internal/session_server.cpp
@@ -505,6 +505,13 @@
     }
 }
 
+void session_server::execute(sessions::record_overflow_metrics&& effect)
+{
+    m_metrics.set(effect.is_relayed ? "hickorymount_relayed_share_leaving_zone"
+                                    : "hickorymount_read_share_leaving_region",
+                  fmt::format("group=\"{}\"", effect.group.value), effect.share);
+}
+
 void session_server::execute(sessions::report_stopped&& /*effect*/)
 {
     m_handlers.on_stopped();
--- a/src/gateway/internal/session_server.h
+++ b/src/gateway/internal/session_server.h
@@ -89,6 +89,7 @@
     void execute(sessions::report_to_control&& effect);
     void execute(sessions::record_statement_metrics&& effect);
     void execute(sessions::record_ejection_metrics&& effect);
+    void execute(sessions::record_overflow_metrics&& effect);
     void execute(sessions::report_stopped&& effect);
     void execute(logging::log_record&& effect);
 
--- a/src/sessions/internal/read_ranking.cpp
+++ b/src/sessions/internal/read_ranking.cpp
@@ -21,8 +21,10 @@
 constexpr double far_difference_ms = 12;
 /// Share of a service time that a read displaces at the primary, where writes need the slots.
 constexpr double primary_penalty = 0.5;
-/// Queueing above this share of a service time shows that the primary has no free slot.
-constexpr double free_slot_queueing = 0.5;
+/// Queueing above this share of a service time shows that the server has no free slot.
+constexpr double free_slot_queueing = 1;
+/// With queueing of this many service times, a server takes nothing from other regions.
+constexpr double full_queueing = 2;
 
 double slots_of(const read_candidate& server)
 {
@@ -31,20 +33,26 @@
 
 } // namespace
 
-double expected_cost_ms(const read_candidate& server)
+double measured_cost_ms(const read_candidate& server)
 {
     const double service = server.service_ms.value_or(default_service_ms);
-    const double round_trip = server.round_trip_ms.value_or(default_round_trip_ms);
-    const double ahead = (service + server.queueing_ms) * server.in_flight / slots_of(server);
-    double cost = round_trip + service + server.queueing_ms + ahead;
+    double cost = server.round_trip_ms.value_or(default_round_trip_ms) + service + server.queueing_ms;
     cost += server.is_primary ? primary_penalty * service : 0;
-    cost += server.needs_opening ? opening_ms + round_trip : 0;
     if (!server.is_in_own_zone) {
         cost += server.is_far ? far_penalty_ms : other_zone_penalty_ms;
     }
     return cost;
 }
 
+double expected_cost_ms(const read_candidate& server)
+{
+    const double service = server.service_ms.value_or(default_service_ms);
+    const double ahead = (service + server.queueing_ms) * server.in_flight / slots_of(server);
+    const double opening =
+        server.needs_opening ? opening_ms + server.round_trip_ms.value_or(default_round_trip_ms) : 0;
+    return measured_cost_ms(server) + ahead + opening;
+}
+
 void estimate_unmeasured(std::vector<read_candidate>& servers)
 {
     std::optional<double> round_trip;
@@ -77,14 +85,37 @@
            *round_trip_ms - *shortest_of_group_ms >= far_difference_ms;
 }
 
+bool has_free_slot(const read_candidate& server)
+{
+    const double service = server.service_ms.value_or(default_service_ms);
+    return server.queueing_ms <= free_slot_queueing * service && server.in_flight + 1 <= slots_of(server);
+}
+
+double spare_share(const read_candidate& server, double group_service_ms)
+{
+    const double excess =
+        server.service_ms.value_or(default_service_ms) + server.queueing_ms - group_service_ms;
+    return std::clamp(1 - excess / (full_queueing * group_service_ms), 0.0, 1.0);
+}
+
+double lowest_service_ms(const std::vector<read_candidate>& servers)
+{
+    double lowest = default_service_ms;
+    bool is_known = false;
+    for (const read_candidate& server : servers) {
+        if (server.service_ms) {
+            lowest = is_known ? std::min(lowest, *server.service_ms) : *server.service_ms;
+            is_known = true;
+        }
+    }
+    return lowest;
+}
+
 bool may_read_at_primary(const read_candidate& primary)
 {
-    const double slots = slots_of(primary);
     // A third of the slots, one at least, stays free for writes.
-    const double reserved = std::max(1.0, slots / 3);
-    const bool has_free_slot =
-        primary.queueing_ms <= free_slot_queueing * primary.service_ms.value_or(default_service_ms);
-    return has_free_slot && primary.in_flight + 1 + reserved <= slots;
+    const double reserved = std::max(1.0, slots_of(primary) / 3);
+    return has_free_slot(primary) && primary.in_flight + 1 + reserved <= slots_of(primary);
 }
 
 } // namespace hickorymount::sessions::detail
--- a/src/sessions/internal/read_ranking.h
+++ b/src/sessions/internal/read_ranking.h
@@ -27,6 +27,8 @@
     std::optional<double> service_ms{};
     /// Time that statements wait for a slot there now.
     double queueing_ms = 0;
+    /// The server takes another statement of this host now.
+    bool has_capacity = true;
     /// A connection has to be opened for the read first.
     bool needs_opening = false;
     /// The server recently refused a statement.
@@ -37,7 +39,9 @@
     friend bool operator==(const read_candidate&, const read_candidate&) = default;
 };
 
-/// Expected time to the response, with penalties for what it costs beyond time.
+/// Time to the response by the measurements so far, with penalties for what a read costs beyond time.
+double measured_cost_ms(const read_candidate& server);
+/// The same with what this host has in flight there since, and with opening a connection if one is needed.
 double expected_cost_ms(const read_candidate& server);
 
 /// Gives servers that were not measured yet the best values of the others, so that they are tried.
@@ -50,6 +54,15 @@
 /// another region. Entry hosts are not told regions, only zones. Without a measurement the server is near.
 bool is_far(std::optional<double> round_trip_ms, std::optional<double> shortest_of_group_ms);
 
+/// True if a statement sent to the server now probably finds a free slot.
+bool has_free_slot(const read_candidate& server);
+
+/// How much more the server could take, from 0 to 1. A server that was only measured while it was full is
+/// known by the service time of the group's others.
+double spare_share(const read_candidate& server, double group_service_ms);
+/// The lowest measured service time of the servers.
+double lowest_service_ms(const std::vector<read_candidate>& servers);
+
 /// True if a read that a replica could run may use the primary: it has a free slot, and slots are left for
 /// the statements that only the primary can run.
 bool may_read_at_primary(const read_candidate& primary);
--- a/src/sessions/internal/response_times.cpp
+++ b/src/sessions/internal/response_times.cpp
@@ -20,7 +20,7 @@
 /// Weight of the newest response in the moving averages.
 constexpr double response_weight = 0.15;
 /// After this time without a response, the moving averages count half.
-constexpr double half_life_ms = 1000;
+constexpr double half_life_ms = 3000;
 /// A comparison of servers uses reads of this time.
 constexpr milliseconds recent_reads_time{2000};
 /// Clocks are rounded to whole milliseconds, and the round trip is only bounded from above.
--- a/src/sessions/internal/server_selector.cpp
+++ b/src/sessions/internal/server_selector.cpp
@@ -134,12 +134,17 @@
     }
     minimum_position = std::max(minimum_position, required_position(session));
     compare_servers(group);
-    std::vector<read_candidate> servers = find_read_servers(session);
-    std::erase_if(servers, [&](const read_candidate& each) { return !has_capacity(each.name); });
-    for (const read_candidate& server : rank_read_servers(std::move(servers))) {
+    for (const backend_server_name& name : m_context.servers_of(group)) {
+        // No read waits for this server, so nothing else tries to reach it again.
+        if (is_unreachable(name) && !m_context.server(name)->is_leaving) {
+            m_connections.open_if_allowed(name, session.customer);
+        }
+    }
+    for (const read_candidate& server : order_by_region(session, find_read_servers(session))) {
         const std::optional<connection_number> connection = m_connections.find_idle(server.name, session);
         if (connection) {
             pending.minimum_position = server.is_primary ? std::nullopt : minimum_position;
+            record_sent(m_context.state.selections[group].read_overflow, server.is_far, pending);
             return connection;
         }
         // The pool to a better server grows even if another server can run this read now.
@@ -148,6 +153,54 @@
     return std::nullopt;
 }
 
+std::vector<read_candidate> server_selector::order_by_region(const caller_session& session,
+                                                             std::vector<read_candidate> servers)
+{
+    const group_name& group = session.pending->route.group;
+    zone_overflow& overflow = m_context.state.selections[group].read_overflow;
+    const double waited = std::max(overflow.waited_ms, waited_ms(*session.pending));
+    const zone_load nearby = load_of(servers, false);
+    const zone_load elsewhere = load_of(servers, true);
+    std::erase_if(servers, [](const read_candidate& each) { return !each.has_capacity; });
+    servers = rank_read_servers(std::move(servers));
+    if (!elsewhere.is_usable) {
+        return servers;
+    }
+    overflow = adjust(overflow, nearby, elsewhere, waited, m_context.now);
+    report_overflow(group, overflow, false);
+    if (!leaves(overflow, nearby, elsewhere, waited_ms(*session.pending))) {
+        std::erase_if(servers, [](const read_candidate& each) { return each.is_far; });
+    } else {
+        std::stable_partition(servers.begin(), servers.end(),
+                              [](const read_candidate& each) { return each.is_far; });
+    }
+    return servers;
+}
+
+double server_selector::waited_ms(const pending_statement& pending) const
+{
+    return static_cast<double>((m_context.now - pending.request.received_at).count());
+}
+
+void server_selector::record_sent(zone_overflow& overflow, bool has_left,
+                                  const pending_statement& pending) const
+{
+    overflow = after_sending(overflow, has_left, waited_ms(pending));
+}
+
+void server_selector::report_overflow(const group_name& group, zone_overflow& overflow, bool is_relayed)
+{
+    if (!is_report_due(overflow, m_context.now)) {
+        return;
+    }
+    overflow.reported_share = overflow.share;
+    overflow.reported_at = m_context.now;
+    m_context.log(logging::log_level::information, "change_overflow", "",
+                  fmt::format("group={} relayed={} share={:.2f} waited_ms={:.0f}", group.value, is_relayed,
+                              overflow.share, overflow.waited_ms));
+    m_context.emit(record_overflow_metrics{group, is_relayed, overflow.share});
+}
+
 std::vector<read_candidate> server_selector::find_read_servers(const caller_session& session) const
 {
     const pending_statement& pending = *session.pending;
@@ -175,7 +228,8 @@
         candidate.queueing_ms = queueing_ms(load.times, m_context.now);
         candidate.needs_opening = m_context.identifies_customers() && !m_connections.find_idle(name, session);
         candidate.is_avoided = m_context.now < load.avoid_until;
-        candidate.is_ejected = is_ejected(load.health, m_context.now) || is_starting;
+        candidate.has_capacity = has_capacity(name) && can_connect(name, session);
+        candidate.is_ejected = is_ejected(load.health, m_context.now) || is_starting || is_unreachable(name);
         const bool is_connected = !load.unreachable_since && load.open_connections > 0;
         has_replica = has_replica || (!is_primary && is_connected);
         has_healthy = has_healthy || (is_connected && !candidate.is_ejected);
@@ -252,6 +306,24 @@
     return load == m_context.state.server_loads.end() || may_send(load->second.limit, load->second.in_flight);
 }
 
+bool server_selector::can_connect(const backend_server_name& server, const caller_session& session) const
+{
+    const auto load = m_context.state.server_loads.find(server);
+    if (load == m_context.state.server_loads.end() || m_connections.find_idle(server, session)) {
+        return true;
+    }
+    const bool has_share = load->second.open_connections < m_context.server(server)->connection_share ||
+                           !load->second.idle_connections.empty() || load->second.opening_connections > 0;
+    return has_share && m_context.now >= load->second.connect_after;
+}
+
+bool server_selector::is_unreachable(const backend_server_name& server) const
+{
+    const auto load = m_context.state.server_loads.find(server);
+    return load != m_context.state.server_loads.end() && load->second.unreachable_since &&
+           load->second.open_connections <= load->second.opening_connections;
+}
+
 bool server_selector::is_closed_to_new_work(const backend_server_name& server) const
 {
     const auto load = m_context.state.server_loads.find(server);
@@ -271,12 +343,10 @@
         return false;
     }
     const bool has_lost_lease = m_context.now - m_context.state.view->lease_until >= isolation_delay;
-    const auto load = m_context.state.server_loads.find(group->primary);
-    const bool is_unreachable = group->is_open && load != m_context.state.server_loads.end() &&
-                                load->second.unreachable_since &&
-                                load->second.open_connections <= load->second.opening_connections &&
-                                m_context.now - *load->second.unreachable_since >= isolation_delay;
-    return has_lost_lease || is_unreachable;
+    const bool is_cut_off =
+        group->is_open && is_unreachable(group->primary) &&
+        m_context.now - *m_context.state.server_loads.at(group->primary).unreachable_since >= isolation_delay;
+    return has_lost_lease || is_cut_off;
 }
 
 void server_selector::record_response(const server_connection& connection, response_code code)
--- a/src/sessions/internal/server_selector.h
+++ b/src/sessions/internal/server_selector.h
@@ -4,6 +4,7 @@
 #include "sessions/internal/event_context.h"
 #include "sessions/internal/read_ranking.h"
 #include "sessions/internal/relay_ranking.h"
+#include "sessions/internal/zone_overflow.h"
 
 #include <optional>
 #include <vector>
@@ -45,6 +46,14 @@
     /// The servers that may run the session's read. The primary is among them only if a read may use its
     /// slots.
     [[nodiscard]] std::vector<read_candidate> find_read_servers(const caller_session& session) const;
+    /// Removes the servers that take no statement now, and those of other regions unless the read leaves its
+    /// own; sorts the others, best first.
+    std::vector<read_candidate> order_by_region(const caller_session& session,
+                                                std::vector<read_candidate> servers);
+    [[nodiscard]] double waited_ms(const pending_statement& pending) const;
+    void record_sent(zone_overflow& overflow, bool has_left, const pending_statement& pending) const;
+    /// Logs and records the share that leaves if it has changed notably.
+    void report_overflow(const group_name& group, zone_overflow& overflow, bool is_relayed);
     /// The shortest round trip to a server of the group, once one is measured.
     [[nodiscard]] std::optional<double> shortest_round_trip_ms(const group_name& group) const;
     /// Ejects and readmits servers of the group for reads, at intervals.
@@ -54,6 +63,10 @@
     /// Records the response time of the caller's statement that the connection has run; returns its kind.
     std::optional<work_kind> record_execution(const server_connection& connection, server_load& load);
     [[nodiscard]] bool has_capacity(const backend_server_name& server) const;
+    /// True if the session has, or may get, a connection to the server.
+    [[nodiscard]] bool can_connect(const backend_server_name& server, const caller_session& session) const;
+    /// True if connection attempts have failed and no connection is left.
+    [[nodiscard]] bool is_unreachable(const backend_server_name& server) const;
     [[nodiscard]] bool is_closed_to_new_work(const backend_server_name& server) const;
 
     event_context& m_context;
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -12,6 +12,7 @@
 #include "sessions/statement.h"
 #include "sessions/statement_queue.h"
 #include "sessions/traffic_view.h"
+#include "sessions/zone_overflow.h"
 
 #include <cstdint>
 #include <deque>
@@ -328,6 +329,10 @@
 {
     /// When the group's servers are compared next.
     time_point next_comparison_at{};
+    /// Reads that leave the own region, of those that run on this host's own connections.
+    zone_overflow read_overflow;
+    /// Statements that go to relays of other zones.
+    zone_overflow relay_overflow;
 
     friend bool operator==(const group_selection&, const group_selection&) = default;
 };
@@ -592,16 +597,26 @@
     friend bool operator==(const record_ejection_metrics&, const record_ejection_metrics&) = default;
 };
 
+/// Records the share of a group's statements that leaves the own region, or the own zone for its relays.
+struct record_overflow_metrics
+{
+    group_name group;
+    bool is_relayed = false;
+    double share = 0;
+
+    friend bool operator==(const record_overflow_metrics&, const record_overflow_metrics&) = default;
+};
+
 /// Reports that every session has ended.
 struct report_stopped
 {
     friend bool operator==(const report_stopped&, const report_stopped&) = default;
 };
 
-using effect =
-    std::variant<accept_session, refuse_session, send_response, close_session, open_connection,
-                 send_statement, close_connection, report_suspected_primary, report_to_control,
-                 record_statement_metrics, record_ejection_metrics, report_stopped, logging::log_record>;
+using effect = std::variant<accept_session, refuse_session, send_response, close_session, open_connection,
+                            send_statement, close_connection, report_suspected_primary, report_to_control,
+                            record_statement_metrics, record_ejection_metrics, record_overflow_metrics,
+                            report_stopped, logging::log_record>;
 
 struct transition
 {
