Use the less loaded relay of a zone, and meet small customers at one relay

Cause: relays were ranked by connections in use alone, which does not show a host whose core or link is saturated; and a small customer's statements were spread over both holders of a zone, each of which opened connections for it. Statements left the zone only when no connection to its relays was left.

Change: the load of a relay is its response time times the statements in flight there. With customers, the relay with the highest rendezvous hash of group, customer and relay precedes the others of its zone until its load is twice as high and four statements more. The share of a group's relayed statements that goes to relays of other zones follows `zone_overflow`, with relays of the own zone as nearby. A statement that needs the primary is relayed as before: by way of the own zone or of the primary's, it crosses the border of the region once.

--- a/src/sessions/internal/relay_ranking.h
+++ b/src/sessions/internal/relay_ranking.h
@@ -20,12 +20,24 @@
     bool is_avoided = false;
     /// The entry host has refused this statement or not answered it.
     bool was_tried = false;
+    /// Unanswered statements of this host there.
+    std::uint32_t in_flight = 0;
+    /// Response time of statements there; zero before the first one.
+    double response_ms = 0;
+    /// Rank by rendezvous hashing among the relays of the session's group for its customer; zero without one.
+    std::uint64_t affinity = 0;
 
     friend bool operator==(const relay_candidate&, const relay_candidate&) = default;
 };
 
+/// Rank of the relay for the customer's statements to the group, the same at all entry hosts. Where the
+/// statements of a small customer meet, its pooled connections to servers are reused.
+std::uint64_t relay_affinity(const group_name& group, const customer_name& customer,
+                             const backend_server_name& relay);
+
 /// Removes the candidates that should not be used now, and sorts the others by zone and load, best first. If
 /// an entry host fails or hangs, another of its zone takes over its work until control publishes a new plan.
+/// The relay with the highest affinity in a zone precedes the others of the zone unless it is clearly busier.
 std::vector<relay_candidate> rank_relays(std::vector<relay_candidate> candidates);
 
 } // namespace hickorymount::sessions::detail
--- a/src/sessions/internal/server_selector.cpp
+++ b/src/sessions/internal/server_selector.cpp
@@ -32,6 +32,12 @@
     }
 }
 
+work_kind work_kind_of(const caller_session& session)
+{
+    const bool commits = !session.transaction || session.pending->request.body.kind == statement_kind::commit;
+    return session.pending->is_read_only ? work_kind::read : commits ? work_kind::commit : work_kind::write;
+}
+
 } // namespace
 
 server_selector::server_selector(event_context& context, connection_pool& connections)
@@ -60,29 +66,79 @@
 
 std::vector<relay_candidate> server_selector::find_relays(const caller_session& session) const
 {
+    const group_name& group = session.pending->route.group;
     std::vector<relay_candidate> candidates;
-    for (const std::uint32_t plan_index :
-         m_context.group_access(session.pending->route.group)->relay_indexes) {
+    for (const std::uint32_t plan_index : m_context.group_access(group)->relay_indexes) {
         const protocol::relay_host& host = m_context.state.view->relay_plan->relays.at(plan_index);
         const backend_server_name name{host.name.value};
+        relay_candidate candidate{plan_index, host.zone == m_context.state.zone};
+        candidate.was_tried = session.pending->tried_servers.contains(name);
+        candidate.affinity = session.customer.empty() ? 0 : relay_affinity(group, session.customer, name);
         const auto load = m_context.state.server_loads.find(name);
-        const bool is_known = load != m_context.state.server_loads.end();
-        candidates.push_back({plan_index, host.zone == m_context.state.zone,
-                              is_known ? load->second.connections_in_use : 0,
-                              is_known && m_context.now < load->second.avoid_until,
-                              session.pending->tried_servers.contains(name)});
+        if (load != m_context.state.server_loads.end()) {
+            candidate.connections_in_use = load->second.connections_in_use;
+            candidate.is_avoided = m_context.now < load->second.avoid_until;
+            candidate.in_flight = load->second.in_flight;
+            candidate.response_ms = response_ms(load->second.times, m_context.now);
+        }
+        candidates.push_back(candidate);
     }
     return rank_relays(std::move(candidates));
 }
 
+std::vector<relay_candidate> server_selector::order_by_zone(const caller_session& session,
+                                                            std::vector<relay_candidate> relays)
+{
+    std::vector<read_candidate> loads;
+    for (const relay_candidate& relay : relays) {
+        loads.push_back(describe_relay(relay, work_kind_of(session)));
+    }
+    estimate_unmeasured(loads);
+    const zone_load nearby = load_of(loads, false);
+    const zone_load elsewhere = load_of(loads, true);
+    if (!nearby.is_usable || !elsewhere.is_usable) {
+        return relays;
+    }
+    const group_name& group = session.pending->route.group;
+    zone_overflow& overflow = m_context.state.selections[group].relay_overflow;
+    const double waited = waited_ms(*session.pending);
+    overflow = adjust(overflow, nearby, elsewhere, std::max(overflow.waited_ms, waited), m_context.now);
+    report_overflow(group, overflow, true);
+    if (leaves(overflow, nearby, elsewhere, waited)) {
+        std::stable_partition(relays.begin(), relays.end(),
+                              [](const relay_candidate& each) { return !each.is_in_own_zone; });
+    }
+    return relays;
+}
+
+read_candidate server_selector::describe_relay(const relay_candidate& relay, work_kind kind) const
+{
+    const protocol::relay_host& host = m_context.state.view->relay_plan->relays.at(relay.plan_index);
+    read_candidate described{backend_server_name{host.name.value}, false, relay.is_in_own_zone,
+                             !relay.is_in_own_zone};
+    described.slots = max_relay_connections;
+    described.in_flight = relay.in_flight;
+    const auto load = m_context.state.server_loads.find(described.name);
+    if (load != m_context.state.server_loads.end()) {
+        described.round_trip_ms = round_trip_ms(load->second.times);
+        described.service_ms = service_ms(load->second.times, kind);
+        described.queueing_ms = queueing_ms(load->second.times, m_context.now);
+        described.has_capacity =
+            !load->second.idle_connections.empty() || load->second.open_connections < max_relay_connections;
+    }
+    return described;
+}
+
 std::optional<connection_number> server_selector::find_relay_connection(caller_session& session)
 {
     pending_statement& pending = *session.pending;
-    for (const relay_candidate& candidate : find_relays(session)) {
+    for (const relay_candidate& candidate : order_by_zone(session, find_relays(session))) {
         const protocol::relay_host& host = m_context.state.view->relay_plan->relays.at(candidate.plan_index);
         const backend_server_name name{host.name.value};
         if (const std::optional<connection_number> connection = m_connections.find_idle(name, session)) {
             pending.minimum_position = required_position(session);
+            record_sent(m_context.state.selections[pending.route.group].relay_overflow,
+                        !candidate.is_in_own_zone, pending);
             return connection;
         }
         const std::size_t waiting = m_context.queued_count(pending.route.group);
@@ -380,11 +436,7 @@
     if (connection.stage != connection_stage::running || session == nullptr || !session->pending) {
         return std::nullopt;
     }
-    const pending_statement& pending = *session->pending;
-    const bool commits = !session->transaction || pending.request.body.kind == statement_kind::commit;
-    const work_kind kind = pending.is_read_only ? work_kind::read
-                           : commits            ? work_kind::commit
-                                                : work_kind::write;
+    const work_kind kind = work_kind_of(*session);
     load.times = after_statement(load.times, kind, m_context.now - connection.sent_at, m_context.now);
     return kind;
 }
--- a/src/sessions/internal/server_selector.h
+++ b/src/sessions/internal/server_selector.h
@@ -37,6 +37,11 @@
 
 private:
     [[nodiscard]] std::vector<relay_candidate> find_relays(const caller_session& session) const;
+    /// Puts relays of other zones first if the statement leaves the own zone.
+    std::vector<relay_candidate> order_by_zone(const caller_session& session,
+                                               std::vector<relay_candidate> relays);
+    /// The relay as a server with as many slots as connections; one of another zone counts as far.
+    [[nodiscard]] read_candidate describe_relay(const relay_candidate& relay, work_kind kind) const;
     std::optional<connection_number> find_relay_connection(caller_session& session);
     /// The position that a read of the session must have reached, regardless of its allowed staleness.
     static std::optional<group_position> required_position(const caller_session& session);
--- a/src/sessions/tests/relay_tests.cpp
+++ b/src/sessions/tests/relay_tests.cpp
@@ -299,4 +299,103 @@
     EXPECT_EQ(ordered[0].plan_index, 2U);
 }
 
+/// Relays with measured loads.
+class relay_load_fixture : public ::testing::Test
+{
+protected:
+    static detail::relay_candidate relay(std::size_t plan_index, bool is_in_own_zone, std::uint32_t in_flight,
+                                         double response_ms, std::uint64_t affinity = 0)
+    {
+        detail::relay_candidate made{plan_index, is_in_own_zone};
+        made.in_flight = in_flight;
+        made.response_ms = response_ms;
+        made.affinity = affinity;
+        return made;
+    }
+
+    static std::size_t best(std::vector<detail::relay_candidate> relays)
+    {
+        return detail::rank_relays(std::move(relays)).front().plan_index;
+    }
+};
+
+// Guards against statements that queue at a host which has saturated its core or link.
+TEST_F(relay_load_fixture, relay_with_fewer_statements_or_a_shorter_response_time_is_used)
+{
+    EXPECT_EQ(best({relay(0, true, 5, 30), relay(1, true, 2, 30)}), 1U);
+    EXPECT_EQ(best({relay(0, true, 2, 90), relay(1, true, 2, 30)}), 1U);
+    EXPECT_EQ(best({relay(0, true, 9, 90), relay(1, false, 0, 30)}), 0U);
+}
+
+TEST_F(relay_load_fixture, relay_without_measurements_is_tried_but_not_flooded)
+{
+    EXPECT_EQ(best({relay(0, true, 1, 30), relay(1, true, 0, 0)}), 1U);
+    EXPECT_EQ(best({relay(0, true, 1, 30), relay(1, true, 2, 0)}), 0U);
+}
+
+// Guards against the pooled connections of small customers being spread over all relays.
+TEST_F(relay_load_fixture, relay_of_the_customer_is_used_until_it_is_clearly_busier)
+{
+    EXPECT_EQ(best({relay(0, true, 3, 30, 7), relay(1, true, 0, 30, 5)}), 0U);
+    EXPECT_EQ(best({relay(0, true, 12, 30, 7), relay(1, true, 2, 30, 5)}), 1U);
+    EXPECT_EQ(best({relay(0, true, 1, 400, 7), relay(1, true, 1, 30, 5)}), 1U);
+    EXPECT_EQ(best({relay(0, true, 0, 30, 1), relay(1, false, 0, 30, 9)}), 0U);
+}
+
+TEST_F(relay_load_fixture, customers_are_spread_over_the_relays_and_each_keeps_its_relay)
+{
+    int at_first = 0;
+    for (int number = 0; number < 200; ++number) {
+        const customer_name customer{"customer-" + std::to_string(number)};
+        const auto rank_of = [&](const char* relay) {
+            return detail::relay_affinity(group_name{"orders"}, customer, backend_server_name{relay});
+        };
+        at_first += rank_of("near-1") > rank_of("near-2") ? 1 : 0;
+        EXPECT_EQ(rank_of("near-1"), rank_of("near-1"));
+    }
+    EXPECT_GT(at_first, 70);
+    EXPECT_LT(at_first, 130);
+}
+
+// Guards against statements that wait for the hosts of their zone while those of another zone are idle, and
+// against leaving the zone without need.
+TEST_F(relay_fixture, statements_leave_the_zone_only_when_its_relays_are_overloaded)
+{
+    const auto set_times = [&](const char* relay, int ms, int queueing) {
+        server_load& load = m_state.server_loads[backend_server_name{relay}];
+        load.is_relay = true;
+        load.times = {};
+        for (int at = 0; at < 30; ++at) {
+            load.times = after_exchange(load.times, milliseconds{1}, m_now);
+            load.times = after_statement(load.times, work_kind::read, milliseconds{ms}, m_now);
+        }
+        for (int at = 0; at < (queueing > 0 ? 30 : 0); ++at) {
+            load.times = after_statement(load.times, work_kind::read, milliseconds{ms + queueing}, m_now);
+        }
+    };
+    const auto relay_of_next_read = [&] {
+        const session_number session = open("catalogue");
+        submit(session, make_statement(statement_kind::read, "READ 1"));
+        const send_statement run = run_until_statement_sent();
+        respond_done(run.connection);
+        take_effects<send_response>();
+        return server_of(run.connection);
+    };
+    for (const char* relay : {"near-1", "near-2", "far"}) {
+        set_times(relay, 25, 0);
+    }
+    for (int at = 0; at < 20; ++at) {
+        m_now += milliseconds{50};
+        EXPECT_NE(relay_of_next_read(), "far");
+    }
+    int left = 0;
+    for (int at = 0; at < 40; ++at) {
+        m_now += milliseconds{50};
+        set_times("near-1", 25, 400);
+        set_times("near-2", 25, 400);
+        left += relay_of_next_read() == "far" ? 1 : 0;
+    }
+    EXPECT_GT(left, 10);
+}
+
 } // namespace hickorymount::sessions
