--- a/src/sessions/internal/server_health.cpp
+++ b/src/sessions/internal/server_health.cpp
@@ -61,8 +61,10 @@
                       double server_health::*share, double limit)
 {
     const double own = server.health.*share;
-    const auto lowest = lowest_of_others(
-        servers, server, [&](const observed_server& each) { return std::optional(each.health.*share); });
+    const auto lowest = lowest_of_others(servers, server, [&](const observed_server& each) {
+        const bool is_comparable = share != &server_health::lagging_share || !each.is_primary;
+        return is_comparable ? std::optional(each.health.*share) : std::nullopt;
+    });
     return server.health.outcomes >= min_outcomes && own >= limit && lowest && *lowest <= own * share_factor;
 }
 
--- a/src/sessions/internal/server_selector.cpp
+++ b/src/sessions/internal/server_selector.cpp
@@ -90,6 +90,7 @@
                                                             std::vector<relay_candidate> relays)
 {
     std::vector<read_candidate> loads;
+    loads.reserve(relays.size());
     for (const relay_candidate& relay : relays) {
         loads.push_back(describe_relay(relay, work_kind_of(session)));
     }
@@ -307,12 +308,18 @@
         return;
     }
     selection.next_comparison_at = m_context.now + comparison_interval;
+    const group_view* known = m_context.group(group);
+    const std::vector<backend_server_name>& servers = m_context.servers_of(group);
+    const bool is_group_known =
+        std::any_of(servers.begin(), servers.end(), [&](const backend_server_name& name) {
+            return m_context.state.server_loads[name].health.process_started_at != unix_milliseconds{0};
+        });
     std::vector<observed_server> observed;
-    for (const backend_server_name& name : m_context.servers_of(group)) {
+    observed.reserve(servers.size());
+    for (const backend_server_name& name : servers) {
         server_load& load = m_context.state.server_loads[name];
         const unix_milliseconds started_at = m_context.server(name)->started_at;
-        const bool was_restarted = load.health.process_started_at != started_at &&
-                                   load.health.process_started_at != unix_milliseconds{0};
+        const bool was_started = load.health.process_started_at != started_at && is_group_known;
         load.health.process_started_at = started_at;
         const bool has_served_ejection = load.health.ejected_until && !is_ejected(load.health, m_context.now);
         if (has_served_ejection) {
@@ -320,10 +327,11 @@
                           "group=" + group.value);
             m_context.emit(record_ejection_metrics{name});
         }
-        if (was_restarted || has_served_ejection) {
+        if (was_started || has_served_ejection) {
             load.health = readmit(load.health, m_context.now);
         }
-        observed.push_back({name, load.health, recent_read_ms(load.times, m_context.now)});
+        observed.push_back({name, load.health, known != nullptr && known->primary == name,
+                            recent_read_ms(load.times, m_context.now)});
     }
     for (const ejection& each : choose_ejections(observed, m_context.now)) {
         eject_server(group, each);
--- a/src/sessions/server_health.h
+++ b/src/sessions/server_health.h
@@ -36,7 +36,7 @@
     std::optional<time_point> ejected_until;
     /// Ejections in a row.
     std::uint32_t ejections = 0;
-    /// Start of the server's slow start: its readmission, or the restart of its process.
+    /// Start of the server's slow start: its readmission, or the start of its process.
     std::optional<time_point> readmitted_at;
     unix_milliseconds process_started_at{0};
 
@@ -64,6 +64,7 @@
 {
     backend_server_name name;
     server_health health;
+    bool is_primary = false;
     /// Recent response time of reads without the network's round trip; empty without recent reads.
     std::optional<double> read_ms{};
 
@@ -84,7 +85,7 @@
 /// Ejects the server; each ejection in a row takes twice as long, up to a few seconds.
 server_health eject(const server_health& health, time_point now);
 bool is_ejected(const server_health& health, time_point now);
-/// Begins the slow start of a server whose ejection has ended, or whose process has started again.
+/// Begins the slow start of a server whose ejection has ended, or whose process has started.
 server_health readmit(const server_health& health, time_point now);
 /// Reads that this host may have in flight at the server during its slow start; empty afterwards.
 std::optional<std::uint32_t> slow_start_limit(const server_health& health, time_point now);
--- a/src/sessions/tests/server_health_tests.cpp
+++ b/src/sessions/tests/server_health_tests.cpp
@@ -102,6 +102,16 @@
     EXPECT_EQ(chosen(), only("second", ejection_reason::lagging));
 }
 
+// Guards against ejecting one replica for a lag that the other has as well: only the primary has none.
+TEST_F(server_health_fixture, replicas_that_lag_alike_are_not_ejected)
+{
+    m_servers[0].is_primary = true;
+    for (int at = 0; at < 10; ++at) {
+        respond_all({1, 2}, server_outcome::lagging);
+    }
+    EXPECT_TRUE(chosen().empty());
+}
+
 TEST_F(server_health_fixture, server_that_is_silent_while_another_responds_is_ejected)
 {
     health(1).waiting_since = m_now;
@@ -252,6 +262,25 @@
     EXPECT_FALSE(take_effects<record_ejection_metrics>().empty());
 }
 
+// Guards against the share of the reads that a cold server would get at once.
+TEST_F(uneven_servers_fixture, server_whose_process_has_started_again_gets_few_reads_at_first)
+{
+    run_read({});
+    m_view.servers[backend_server_name{"second"}].started_at = unix_milliseconds{2};
+    publish();
+    m_now += milliseconds{100};
+    std::map<std::string, int> sent_to;
+    for (int at = 0; at < 4; ++at) {
+        submit(open("catalogue"), make_statement(statement_kind::read, "READ 1"));
+        open_connections();
+    }
+    for (const send_statement& sent : take_effects<send_statement>()) {
+        ++sent_to[server_of(sent.connection)];
+    }
+    EXPECT_LE(sent_to["second"], 1);
+    EXPECT_GT(sent_to["third"] + sent_to["first"], 0);
+}
+
 // Guards against statements for the primary that wait because reads avoid it.
 TEST_F(uneven_servers_fixture, ejected_primary_runs_statements_that_need_it)
 {
