--- a/src/gateway/internal/session_server.h
+++ b/src/gateway/internal/session_server.h
@@ -136,6 +136,7 @@
     void execute(sessions::record_limit_refusal&& effect);
     void execute(sessions::record_ejection_metrics&& effect);
     void execute(sessions::record_queue_metrics&& effect);
+    void execute(sessions::record_overflow_metrics&& effect);
     void execute(sessions::report_stopped&& effect);
     void execute(logging::log_record&& effect);
 
--- a/src/sessions/internal/server_selector.cpp
+++ b/src/sessions/internal/server_selector.cpp
@@ -35,16 +35,10 @@
     }
 }
 
-/// Rendezvous rank of an entry host for a customer's statements of one group: all hosts choose the same one,
-/// so that the customer's connections are opened at few hosts. Zero without a customer.
-std::uint64_t rank_for_customer(const caller_session& session, const host_name& host)
+work_kind work_kind_of(const caller_session& session)
 {
-    if (session.customer.empty()) {
-        return 0;
-    }
-    const std::string text =
-        fmt::format("{} {} {}", session.pending->route.group.value, session.customer.value, host.value);
-    return XXH3_64bits(text.data(), text.size());
+    const bool commits = !session.transaction || session.pending->request.body.kind == statement_kind::commit;
+    return session.pending->is_read_only ? work_kind::read : commits ? work_kind::commit : work_kind::write;
 }
 
 } // namespace
@@ -127,31 +121,85 @@
 std::vector<relay_candidate> server_selector::find_relays(const caller_session& session) const
 {
     const std::optional<region_name> target = target_region(*session.pending);
+    const group_name& group = session.pending->route.group;
     std::vector<relay_candidate> candidates;
-    for (const std::uint32_t plan_index :
-         m_context.group_access(session.pending->route.group)->relay_indexes) {
+    for (const std::uint32_t plan_index : m_context.group_access(group)->relay_indexes) {
         const protocol::relay_host& host = m_context.state.view->relay_plan->relays.at(plan_index);
         const backend_server_name name{host.name.value};
+        relay_candidate candidate{plan_index, host.zone == m_context.state.zone};
+        candidate.was_tried = session.pending->tried_servers.contains(name);
+        candidate.affinity = session.customer.empty() ? 0 : relay_affinity(group, session.customer, name);
         const auto load = m_context.state.server_loads.find(name);
-        const bool is_known = load != m_context.state.server_loads.end();
-        const bool is_in_target_region = !target || region_of(host.zone) == target;
-        candidates.push_back({plan_index, host.zone == m_context.state.zone,
-                              is_known ? load->second.connections_in_use : 0,
-                              is_known && m_context.now < load->second.avoid_until,
-                              session.pending->tried_servers.contains(name), is_in_target_region,
-                              rank_for_customer(session, host.name)});
+        if (load != m_context.state.server_loads.end()) {
+            candidate.connections_in_use = load->second.connections_in_use;
+            candidate.is_avoided = m_context.now < load->second.avoid_until;
+            candidate.in_flight = load->second.in_flight;
+            candidate.response_ms = response_ms(load->second.times, m_context.now);
+        }
+        candidate.is_in_target_region = !target || region_of(host.zone) == target;
+        candidates.push_back(candidate);
     }
     return rank_relays(std::move(candidates));
 }
 
+std::vector<relay_candidate> server_selector::order_by_zone(const caller_session& session,
+                                                            std::vector<relay_candidate> relays)
+{
+    const std::optional<region_name> target = target_region(*session.pending);
+    if (target && target != region_of(m_context.state.zone)) {
+        return relays;
+    }
+    std::vector<read_candidate> loads;
+    loads.reserve(relays.size());
+    for (const relay_candidate& relay : relays) {
+        loads.push_back(describe_relay(relay, work_kind_of(session)));
+    }
+    estimate_unmeasured(loads);
+    const zone_load nearby = load_of(loads, false);
+    const zone_load elsewhere = load_of(loads, true);
+    if (!nearby.is_usable || !elsewhere.is_usable) {
+        return relays;
+    }
+    const group_name& group = session.pending->route.group;
+    zone_overflow& overflow = m_context.state.selections[group].relay_overflow;
+    const double waited = waited_ms(*session.pending);
+    overflow = adjust(overflow, nearby, elsewhere, std::max(overflow.waited_ms, waited), m_context.now);
+    report_overflow(group, overflow, true);
+    if (leaves(overflow, nearby, elsewhere, waited)) {
+        std::stable_partition(relays.begin(), relays.end(),
+                              [](const relay_candidate& each) { return !each.is_in_own_zone; });
+    }
+    return relays;
+}
+
+read_candidate server_selector::describe_relay(const relay_candidate& relay, work_kind kind) const
+{
+    const protocol::relay_host& host = m_context.state.view->relay_plan->relays.at(relay.plan_index);
+    read_candidate described{backend_server_name{host.name.value}, false, relay.is_in_own_zone,
+                             !relay.is_in_own_zone};
+    described.slots = max_relay_connections;
+    described.in_flight = relay.in_flight;
+    const auto load = m_context.state.server_loads.find(described.name);
+    if (load != m_context.state.server_loads.end()) {
+        described.round_trip_ms = round_trip_ms(load->second.times);
+        described.service_ms = service_ms(load->second.times, kind);
+        described.queueing_ms = queueing_ms(load->second.times, m_context.now);
+        described.has_capacity =
+            !load->second.idle_connections.empty() || load->second.open_connections < max_relay_connections;
+    }
+    return described;
+}
+
 std::optional<connection_number> server_selector::find_relay_connection(caller_session& session)
 {
     pending_statement& pending = *session.pending;
-    for (const relay_candidate& candidate : find_relays(session)) {
+    for (const relay_candidate& candidate : order_by_zone(session, find_relays(session))) {
         const protocol::relay_host& host = m_context.state.view->relay_plan->relays.at(candidate.plan_index);
         const backend_server_name name{host.name.value};
         if (const std::optional<connection_number> connection = m_connections.find_idle(name, session)) {
             pending.minimum_position = required_position(session);
+            record_sent(m_context.state.selections[pending.route.group].relay_overflow,
+                        !candidate.is_in_own_zone, pending);
             return connection;
         }
         const std::size_t waiting = m_context.queued_count(pending.route.group);
@@ -203,12 +251,17 @@
     }
     minimum_position = std::max(minimum_position, required_position(session));
     compare_servers(group);
-    std::vector<read_candidate> servers = find_read_servers(session);
-    std::erase_if(servers, [&](const read_candidate& each) { return !has_capacity(each.name); });
-    for (const read_candidate& server : rank_read_servers(std::move(servers))) {
+    for (const backend_server_name& name : m_context.servers_of(group)) {
+        // No read waits for this server, so nothing else tries to reach it again.
+        if (is_unreachable(name) && !m_context.server(name)->is_leaving) {
+            m_connections.open_if_allowed(name, session.customer);
+        }
+    }
+    for (const read_candidate& server : order_by_region(session, find_read_servers(session))) {
         const std::optional<connection_number> connection = m_connections.find_idle(server.name, session);
         if (connection) {
             pending.minimum_position = server.is_primary ? std::nullopt : minimum_position;
+            record_sent(m_context.state.selections[group].read_overflow, server.is_far, pending);
             return connection;
         }
         // The pool to a better server grows even if another server can run this read now.
@@ -221,6 +274,54 @@
     return std::nullopt;
 }
 
+std::vector<read_candidate> server_selector::order_by_region(const caller_session& session,
+                                                             std::vector<read_candidate> servers)
+{
+    const group_name& group = session.pending->route.group;
+    zone_overflow& overflow = m_context.state.selections[group].read_overflow;
+    const double waited = std::max(overflow.waited_ms, waited_ms(*session.pending));
+    const zone_load nearby = load_of(servers, false);
+    const zone_load elsewhere = load_of(servers, true);
+    std::erase_if(servers, [](const read_candidate& each) { return !each.has_capacity; });
+    servers = rank_read_servers(std::move(servers));
+    if (!elsewhere.is_usable) {
+        return servers;
+    }
+    overflow = adjust(overflow, nearby, elsewhere, waited, m_context.now);
+    report_overflow(group, overflow, false);
+    if (!leaves(overflow, nearby, elsewhere, waited_ms(*session.pending))) {
+        std::erase_if(servers, [](const read_candidate& each) { return each.is_far; });
+    } else {
+        std::stable_partition(servers.begin(), servers.end(),
+                              [](const read_candidate& each) { return each.is_far; });
+    }
+    return servers;
+}
+
+double server_selector::waited_ms(const pending_statement& pending) const
+{
+    return static_cast<double>((m_context.now - pending.request.received_at).count());
+}
+
+void server_selector::record_sent(zone_overflow& overflow, bool has_left,
+                                  const pending_statement& pending) const
+{
+    overflow = after_sending(overflow, has_left, waited_ms(pending));
+}
+
+void server_selector::report_overflow(const group_name& group, zone_overflow& overflow, bool is_relayed)
+{
+    if (!is_report_due(overflow, m_context.now)) {
+        return;
+    }
+    overflow.reported_share = overflow.share;
+    overflow.reported_at = m_context.now;
+    m_context.log(logging::log_level::information, "change_overflow", "",
+                  fmt::format("group={} relayed={} share={:.2f} waited_ms={:.0f}", group.value, is_relayed,
+                              overflow.share, overflow.waited_ms));
+    m_context.emit(record_overflow_metrics{group, is_relayed, overflow.share});
+}
+
 std::vector<read_candidate> server_selector::find_read_servers(const caller_session& session) const
 {
     const pending_statement& pending = *session.pending;
@@ -247,7 +348,8 @@
         candidate.queueing_ms = queueing_ms(load.times, m_context.now);
         candidate.needs_opening = m_context.identifies_customers() && !m_connections.find_idle(name, session);
         candidate.is_avoided = m_context.now < load.avoid_until;
-        candidate.is_ejected = is_ejected(load.health, m_context.now) || is_starting;
+        candidate.has_capacity = has_capacity(name) && can_connect(name, session);
+        candidate.is_ejected = is_ejected(load.health, m_context.now) || is_starting || is_unreachable(name);
         has_healthy = has_healthy || (is_connected(name) && !candidate.is_ejected);
         servers.push_back(std::move(candidate));
     }
@@ -298,12 +400,18 @@
         return;
     }
     selection.next_comparison_at = m_context.now + comparison_interval;
+    const group_view* known = m_context.group(group);
+    const std::vector<backend_server_name>& servers = m_context.servers_of(group);
+    const bool is_group_known =
+        std::any_of(servers.begin(), servers.end(), [&](const backend_server_name& name) {
+            return m_context.state.server_loads[name].health.process_started_at != unix_milliseconds{0};
+        });
     std::vector<observed_server> observed;
-    for (const backend_server_name& name : m_context.servers_of(group)) {
+    observed.reserve(servers.size());
+    for (const backend_server_name& name : servers) {
         server_load& load = m_context.state.server_loads[name];
         const unix_milliseconds started_at = m_context.server(name)->started_at;
-        const bool was_restarted = load.health.process_started_at != started_at &&
-                                   load.health.process_started_at != unix_milliseconds{0};
+        const bool was_started = load.health.process_started_at != started_at && is_group_known;
         load.health.process_started_at = started_at;
         const bool has_served_ejection = load.health.ejected_until && !is_ejected(load.health, m_context.now);
         if (has_served_ejection) {
@@ -311,10 +419,11 @@
                           "group=" + group.value);
             m_context.emit(record_ejection_metrics{name});
         }
-        if (was_restarted || has_served_ejection) {
+        if (was_started || has_served_ejection) {
             load.health = readmit(load.health, m_context.now);
         }
-        observed.push_back({name, load.health, recent_read_ms(load.times, m_context.now)});
+        observed.push_back({name, load.health, known != nullptr && known->primary == name,
+                            recent_read_ms(load.times, m_context.now)});
     }
     for (const ejection& each : choose_ejections(observed, m_context.now)) {
         eject_server(group, each);
@@ -353,6 +462,24 @@
     return load == m_context.state.server_loads.end() || may_send(load->second.limit, load->second.in_flight);
 }
 
+bool server_selector::can_connect(const backend_server_name& server, const caller_session& session) const
+{
+    const auto load = m_context.state.server_loads.find(server);
+    if (load == m_context.state.server_loads.end() || m_connections.find_idle(server, session)) {
+        return true;
+    }
+    const bool has_share = load->second.open_connections < m_context.server(server)->connection_share ||
+                           !load->second.idle_connections.empty() || load->second.opening_connections > 0;
+    return has_share && m_context.now >= load->second.connect_after;
+}
+
+bool server_selector::is_unreachable(const backend_server_name& server) const
+{
+    const auto load = m_context.state.server_loads.find(server);
+    return load != m_context.state.server_loads.end() && load->second.unreachable_since &&
+           load->second.open_connections <= load->second.opening_connections;
+}
+
 bool server_selector::is_closed_to_new_work(const backend_server_name& server) const
 {
     const auto load = m_context.state.server_loads.find(server);
@@ -372,12 +499,10 @@
         return false;
     }
     const bool has_lost_lease = m_context.now - m_context.state.view->lease_until >= isolation_delay;
-    const auto load = m_context.state.server_loads.find(group->primary);
-    const bool is_unreachable = group->is_open && load != m_context.state.server_loads.end() &&
-                                load->second.unreachable_since &&
-                                load->second.open_connections <= load->second.opening_connections &&
-                                m_context.now - *load->second.unreachable_since >= isolation_delay;
-    return has_lost_lease || is_unreachable;
+    const bool is_cut_off =
+        group->is_open && is_unreachable(group->primary) &&
+        m_context.now - *m_context.state.server_loads.at(group->primary).unreachable_since >= isolation_delay;
+    return has_lost_lease || is_cut_off;
 }
 
 void server_selector::record_response(const server_connection& connection, response_code code)
@@ -411,11 +536,7 @@
     if (connection.stage != connection_stage::running || session == nullptr || !session->pending) {
         return std::nullopt;
     }
-    const pending_statement& pending = *session->pending;
-    const bool commits = !session->transaction || pending.request.body.kind == statement_kind::commit;
-    const work_kind kind = pending.is_read_only ? work_kind::read
-                           : commits            ? work_kind::commit
-                                                : work_kind::write;
+    const work_kind kind = work_kind_of(*session);
     load.times = after_statement(load.times, kind, m_context.now - connection.sent_at, m_context.now);
     return kind;
 }
--- a/src/sessions/internal/server_selector.h
+++ b/src/sessions/internal/server_selector.h
@@ -4,6 +4,7 @@
 #include "sessions/internal/event_context.h"
 #include "sessions/internal/read_ranking.h"
 #include "sessions/internal/relay_ranking.h"
+#include "sessions/internal/zone_overflow.h"
 
 #include <optional>
 #include <vector>
@@ -52,6 +53,11 @@
     [[nodiscard]] std::optional<region_name> region_of(const availability_zone& zone) const;
     [[nodiscard]] std::optional<region_name> region_of(const backend_server_name& server) const;
     [[nodiscard]] std::vector<relay_candidate> find_relays(const caller_session& session) const;
+    /// Puts relays of other zones first if the statement leaves the own zone.
+    std::vector<relay_candidate> order_by_zone(const caller_session& session,
+                                               std::vector<relay_candidate> relays);
+    /// The relay as a server with as many slots as connections; one of another zone counts as far.
+    [[nodiscard]] read_candidate describe_relay(const relay_candidate& relay, work_kind kind) const;
     std::optional<connection_number> find_relay_connection(caller_session& session);
     /// The position that a read of the session must have reached, regardless of its allowed staleness.
     static std::optional<group_position> required_position(const caller_session& session);
@@ -61,6 +67,14 @@
     /// The servers that may run the session's read. The primary is among them only if a read may use its
     /// slots.
     [[nodiscard]] std::vector<read_candidate> find_read_servers(const caller_session& session) const;
+    /// Removes the servers that take no statement now, and those of other regions unless the read leaves its
+    /// own; sorts the others, best first.
+    std::vector<read_candidate> order_by_region(const caller_session& session,
+                                                std::vector<read_candidate> servers);
+    [[nodiscard]] double waited_ms(const pending_statement& pending) const;
+    void record_sent(zone_overflow& overflow, bool has_left, const pending_statement& pending) const;
+    /// Logs and records the share that leaves if it has changed notably.
+    void report_overflow(const group_name& group, zone_overflow& overflow, bool is_relayed);
     /// The shortest round trip to a server of the group, once one is measured.
     [[nodiscard]] std::optional<double> shortest_round_trip_ms(const group_name& group) const;
     /// Ejects and readmits servers of the group for reads, at intervals.
@@ -69,6 +83,10 @@
     [[nodiscard]] queueing_signal queueing_at(const server_load& load, std::optional<work_kind> kind) const;
     /// Records the response time of the caller's statement that the connection has run; returns its kind.
     std::optional<work_kind> record_execution(const server_connection& connection, server_load& load);
+    /// True if the session has, or may get, a connection to the server.
+    [[nodiscard]] bool can_connect(const backend_server_name& server, const caller_session& session) const;
+    /// True if connection attempts have failed and no connection is left.
+    [[nodiscard]] bool is_unreachable(const backend_server_name& server) const;
     [[nodiscard]] bool is_closed_to_new_work(const backend_server_name& server) const;
 
     event_context& m_context;
