--- a/src/soak/tests/process_cluster.cpp
+++ b/src/soak/tests/process_cluster.cpp
@@ -238,6 +238,8 @@
     m_is_ending = false;
     m_entry.reset();
     m_control.reset();
+    std::error_code ignored;
+    std::filesystem::remove_all(m_folder, ignored);
     std::string folder = (std::filesystem::temp_directory_path() / "misbehaving-callers-XXXXXX").string();
     if (::mkdtemp(folder.data()) == nullptr) {
         return false;
