Replay overloaded callers that change the zone each second

Cause: no replay of the limits exceeded the bound when started operations were not counted as held, so none guarded against that; only a unit test failed.

--- a/src/limits/tests/limit_replay_tests.cpp
+++ b/src/limits/tests/limit_replay_tests.cpp
@@ -248,6 +248,27 @@
     EXPECT_EQ(m_replay.excess(), 0U);
 }
 
+/// Guards against operations that are given away while they are still in the window: callers with demand far
+/// above the limit use up what a zone has and go to the next, where hosts are restarted as well. Without
+/// counting started operations as held, this replay exceeds the bound.
+TEST_F(limit_replay_fixture, overloaded_callers_that_change_zone_each_second_stay_within_the_bound)
+{
+    for (int round = 0; round < 30; ++round) {
+        const int zone = round % 3 * 23;
+        for (const int customer : {0, 5, 10, 20, 40}) {
+            // Pauses fill the customers' burst again.
+            m_replay.set_demand_factor(customer, round % 10 < 6 ? 20 : 0);
+            m_replay.move_callers(customer, zone, 23);
+        }
+        for (int host = zone; host < zone + 4; ++host) {
+            m_replay.restart(host);
+        }
+        m_replay.run(milliseconds{1000});
+    }
+    report("callers that change the zone each second");
+    EXPECT_EQ(m_replay.excess(), 0U);
+}
+
 /// Guards against shares that stay where the callers were.
 TEST_F(limit_replay_fixture, callers_that_move_to_another_zone_are_served_there)
 {
