Judge free slots by the service time of the group, not of the server alone

Cause: a server that was slow when its first statements ran counted its own slowness as service time, so it seemed to have free slots, and reads stayed in its region.

Change: a slot is free only if service time and queueing together are within a service time of the fastest server of the group.

--- a/src/sessions/internal/read_ranking.cpp
+++ b/src/sessions/internal/read_ranking.cpp
@@ -33,6 +33,12 @@
     return std::max(1U, server.slots.value_or(default_slots));
 }
 
+/// Time by which a statement takes longer there than at a server of the group that is neither full nor slow.
+double excess_ms(const read_candidate& server, double group_service_ms)
+{
+    return server.service_ms.value_or(default_service_ms) + server.queueing_ms - group_service_ms;
+}
+
 } // namespace
 
 double measured_cost_ms(const read_candidate& server)
@@ -87,16 +93,15 @@
            *round_trip_ms - *shortest_of_group_ms >= far_difference_ms;
 }
 
-bool has_free_slot(const read_candidate& server)
+bool has_free_slot(const read_candidate& server, double group_service_ms)
 {
-    const double service = server.service_ms.value_or(default_service_ms);
-    return server.queueing_ms <= free_slot_queueing * service && server.in_flight + 1 <= slots_of(server);
+    return excess_ms(server, group_service_ms) <= free_slot_queueing * group_service_ms &&
+           server.in_flight + 1 <= slots_of(server);
 }
 
 double spare_share(const read_candidate& server, double group_service_ms)
 {
-    const double excess =
-        server.service_ms.value_or(default_service_ms) + server.queueing_ms - group_service_ms;
+    const double excess = excess_ms(server, group_service_ms);
     return std::clamp(1 - excess / (full_queueing * group_service_ms), 0.0, 1.0);
 }
 
--- a/src/sessions/internal/read_ranking.h
+++ b/src/sessions/internal/read_ranking.h
@@ -54,14 +54,14 @@
 /// another region. Entry hosts are not told regions, only zones. Without a measurement the server is near.
 bool is_far(std::optional<double> round_trip_ms, std::optional<double> shortest_of_group_ms);
 
-/// True if a statement sent to the server now probably finds a free slot.
-bool has_free_slot(const read_candidate& server);
-
-/// How much more the server could take, from 0 to 1. A server that was only measured while it was full is
-/// known by the service time of the group's others.
-double spare_share(const read_candidate& server, double group_service_ms);
 /// The lowest measured service time of the servers.
 double lowest_service_ms(const std::vector<read_candidate>& servers);
+/// True if a statement sent to the server now probably finds a free slot, and runs about as fast as at the
+/// others of the group. A server that was only measured while it was full or slow is known by the group's
+/// service time.
+bool has_free_slot(const read_candidate& server, double group_service_ms);
+/// How much more the server could take, from 0 to 1.
+double spare_share(const read_candidate& server, double group_service_ms);
 
 /// True if a read that a replica could run may use the primary: it has a free slot, and slots are left for
 /// the statements that only the primary can run.
--- a/src/sessions/internal/zone_overflow.cpp
+++ b/src/sessions/internal/zone_overflow.cpp
@@ -42,8 +42,8 @@
         load.is_usable = true;
         load.spare = server.has_capacity ? std::max(load.spare, spare_share(server, service)) : load.spare;
         load.has_capacity = load.has_capacity || server.has_capacity;
-        load.has_free_slot =
-            load.has_free_slot || (server.has_capacity && !server.is_avoided && has_free_slot(server));
+        load.has_free_slot = load.has_free_slot ||
+                             (server.has_capacity && !server.is_avoided && has_free_slot(server, service));
     }
     return load;
 }
