Let reads use the primary's slots before they idle near saturation

Cause: reads kept off the primary while queueing there exceeded half a service time, and waited 250 ms before they could use it anyway.

Change: the limits are one service time and 100 ms.

--- a/src/sessions/internal/read_ranking.cpp
+++ b/src/sessions/internal/read_ranking.cpp
@@ -23,8 +23,6 @@
 constexpr double primary_penalty = 0.5;
 /// Queueing above this share of a service time shows that the server has no free slot.
 constexpr double free_slot_queueing = 1;
-/// The same at the primary, where a read must not make a write wait.
-constexpr double free_primary_queueing = 0.5;
 /// With queueing of this many service times, a server takes nothing from other regions.
 constexpr double full_queueing = 2;
 
@@ -123,7 +121,7 @@
     // A third of the slots, one at least, stays free for writes.
     const double reserved = std::max(1.0, slots_of(primary) / 3);
     const double service = primary.service_ms.value_or(default_service_ms);
-    return primary.queueing_ms <= free_primary_queueing * service &&
+    return primary.queueing_ms <= free_slot_queueing * service &&
            primary.in_flight + 1 + reserved <= slots_of(primary);
 }
 
--- a/src/sessions/internal/server_selector.cpp
+++ b/src/sessions/internal/server_selector.cpp
@@ -1,7 +1,6 @@
 #include "sessions/internal/server_selector.h"
 
 #include "sessions/internal/position_samples.h"
-#include "sessions/internal/queue_order.h"
 
 #include <algorithm>
 
@@ -13,6 +12,9 @@
 
 /// Subtracted from a read's maximum staleness, because clocks are rounded to whole milliseconds.
 constexpr milliseconds clock_rounding_margin{5};
+/// A read that has waited for this long may use slots of the primary beyond its share: when the replicas
+/// can't run all reads, the slots would idle otherwise.
+constexpr milliseconds longest_wait_for_replica{100};
 /// Interval between two comparisons of the servers of a group.
 constexpr milliseconds comparison_interval{100};
 
@@ -293,7 +295,7 @@
         servers.push_back(std::move(candidate));
     }
     estimate_unmeasured(servers);
-    const bool has_waited = m_context.now - pending.request.received_at >= overload_threshold;
+    const bool has_waited = m_context.now - pending.request.received_at >= longest_wait_for_replica;
     std::erase_if(servers, [&](const read_candidate& each) {
         return (each.is_ejected && has_healthy) ||
                (each.is_primary && has_replica && !has_waited && !may_read_at_primary(each));
--- a/src/sessions/tests/zone_overflow_tests.cpp
+++ b/src/sessions/tests/zone_overflow_tests.cpp
@@ -173,7 +173,7 @@
             squares += share * share;
         }
         const auto count = static_cast<double>(m_shares.size());
-        return std::sqrt(squares / count - sum * sum / count / count);
+        return std::sqrt(std::max(0.0, squares / count - sum * sum / count / count));
     }
 
     static std::function<double(std::size_t, int)> constant_load(double load)
