--- a/src/sessions/internal/server_selector.cpp
+++ b/src/sessions/internal/server_selector.cpp
@@ -1,7 +1,6 @@
 #include "sessions/internal/server_selector.h"
 
 #include "sessions/internal/position_samples.h"
-#include "sessions/internal/queue_order.h"
 
 #include <algorithm>
 
@@ -16,6 +15,9 @@
 constexpr milliseconds clock_rounding_margin{5};
 /// A statement waits no longer than this for a connection that is being opened, if another server has one.
 constexpr milliseconds expected_opening_time{60};
+/// A read that has waited for this long may use slots of the primary beyond its share: when the replicas
+/// can't run all reads, the slots would idle otherwise.
+constexpr milliseconds longest_wait_for_replica{100};
 /// Interval between two comparisons of the servers of a group.
 constexpr milliseconds comparison_interval{100};
 
@@ -357,7 +359,7 @@
     if (has_healthy) {
         std::erase_if(servers, [](const read_candidate& each) { return each.is_ejected; });
     }
-    const bool has_waited = m_context.now - pending.request.received_at >= overload_threshold;
+    const bool has_waited = m_context.now - pending.request.received_at >= longest_wait_for_replica;
     const bool has_replica = std::any_of(servers.begin(), servers.end(), [&](const read_candidate& each) {
         return !each.is_primary && is_connected(each.name);
     });
