Let an operation wait for the quota that its first request asks for

Change: an operation beyond what the host holds waits in the queue, 400 ms at most, while no grant has answered a report of that demand. After such an answer it is refused at once.

--- a/src/limits/customer_budgets.h
+++ b/src/limits/customer_budgets.h
@@ -2,6 +2,7 @@
 
 #include "limits/operation_budget.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -20,6 +21,16 @@
     /// Starts an operation. Returns nothing if it may run; otherwise the time after which to retry.
     [[nodiscard]] std::optional<milliseconds> take(const customer_name& customer, time_point now);
 
+    /// Starts the operation of an earlier request that could not start then. False if it still can't.
+    [[nodiscard]] bool start(const customer_name& customer, time_point now);
+
+    /// Time after which an operation may start again, unless others take it first.
+    [[nodiscard]] milliseconds retry_after(const customer_name& customer, time_point now) const;
+
+    /// True if control may grant a larger quota soon: the host has used up what it holds of the customer, and
+    /// no grant has yet answered a report of that demand.
+    [[nodiscard]] bool may_get_quota(const customer_name& customer, time_point now) const;
+
     /// True if control should be asked for a larger quota before the next renewal: the customer has hardly
     /// any operation left, and control does not know of the demand.
     [[nodiscard]] bool needs_quota(const customer_name& customer, time_point now) const;
@@ -59,6 +70,8 @@
     std::map<customer_name, operation_budget> m_budgets;
     /// What was reported to control last.
     customer_demands m_reported;
+    /// The last reports and their times, the oldest first; it is the one that the last grant answered.
+    std::deque<std::pair<time_point, customer_demands>> m_reports;
 };
 
 } // namespace hickorymount::limits
--- a/src/limits/internal/customer_budgets.cpp
+++ b/src/limits/internal/customer_budgets.cpp
@@ -8,6 +8,8 @@
 
 /// The demand has grown by a quarter and by one operation since the last report: worth a renewal.
 constexpr operation_count growth_divisor = 4;
+/// Reports are at least 20 ms apart, and grants arrive within some hundred milliseconds.
+constexpr std::size_t max_reports = 32;
 
 } // namespace
 
@@ -26,6 +28,10 @@
         return false;
     }
     m_quota_sequence = quotas.sequence;
+    const time_point answered_at = quotas.valid_until - quota_duration + quota_drift_margin;
+    while (m_reports.size() > 1 && m_reports[1].first <= answered_at) {
+        m_reports.pop_front();
+    }
     for (auto& [name, budget] : m_budgets) {
         if (!quotas.operations.contains(name)) {
             budget.set_quota(0, quotas.valid_until, m_limits.at(name).operations_per_window);
@@ -66,6 +72,33 @@
     return budget.take(now) ? std::nullopt : std::optional(budget.retry_after(now));
 }
 
+bool customer_budgets::start(const customer_name& customer, time_point now)
+{
+    return !m_limits.contains(customer) || budget_of(customer).start(now);
+}
+
+milliseconds customer_budgets::retry_after(const customer_name& customer, time_point now) const
+{
+    const auto budget = m_budgets.find(customer);
+    return budget == m_budgets.end() ? milliseconds{0} : budget->second.retry_after(now);
+}
+
+bool customer_budgets::may_get_quota(const customer_name& customer, time_point now) const
+{
+    const auto budget = m_budgets.find(customer);
+    if (budget == m_budgets.end()) {
+        return false;
+    }
+    const customer_demand demand = budget->second.demand(now);
+    operation_count known = 0;
+    if (!m_reports.empty()) {
+        const customer_demands& answered = m_reports.front().second;
+        const auto found = answered.find(customer);
+        known = found == answered.end() ? 0 : found->second.wanted;
+    }
+    return demand.wanted > demand.held && demand.wanted > known + known / growth_divisor;
+}
+
 bool customer_budgets::needs_quota(const customer_name& customer, time_point now) const
 {
     const auto budget = m_budgets.find(customer);
@@ -101,6 +134,10 @@
         }
         m_reported[name] = demand;
     }
+    m_reports.emplace_back(now, m_reported);
+    if (m_reports.size() > max_reports) {
+        m_reports.pop_front();
+    }
     return m_reported;
 }
 
--- a/src/limits/internal/operation_budget.cpp
+++ b/src/limits/internal/operation_budget.cpp
@@ -56,6 +56,11 @@
 {
     m_requests_per_second = requests_per_second(now) + 1 / averaging_seconds;
     m_requested_at = now;
+    return start(now);
+}
+
+bool operation_budget::start(time_point now)
+{
     m_pace_tokens = pace_tokens(now);
     m_paced_at = now;
     while (!m_started.empty() && m_started.front().counted_until <= now) {
--- a/src/limits/operation_budget.h
+++ b/src/limits/operation_budget.h
@@ -22,6 +22,8 @@
 
     /// Records a request for an operation, and starts the operation if that stays within the budget.
     bool take(time_point now);
+    /// Starts the operation of an earlier request, if that stays within the budget.
+    bool start(time_point now);
     /// Time after which an operation may be started again, unless others take it first.
     [[nodiscard]] milliseconds retry_after(time_point now) const;
     /// Operations that may still start now.
--- a/src/sessions/internal/operation_limit.cpp
+++ b/src/sessions/internal/operation_limit.cpp
@@ -12,6 +12,8 @@
 /// Minimum time between two reports because of a quota. Each is an event of the control thread, which limits
 /// the renewals further.
 constexpr milliseconds quota_report_interval{20};
+/// An answer of control takes two round trips between regions, and early renewals are up to 300 ms apart.
+constexpr milliseconds longest_wait_for_quota{400};
 
 void request_quota(event_context& context)
 {
@@ -21,6 +23,13 @@
     }
 }
 
+void mark_counted(caller_session& session)
+{
+    if (session.transaction) {
+        session.transaction->is_counted = true;
+    }
+}
+
 void log_refusal(event_context& context, const customer_name& customer, milliseconds retry_after)
 {
     limit_refusals& refusals = context.state.limit_refusals_by_customer[customer];
@@ -36,27 +45,41 @@
 
 } // namespace
 
-std::optional<milliseconds> count_operation(event_context& context, caller_session& session)
+operation_admission count_operation(event_context& context, caller_session& session)
 {
     const bool is_counted = session.transaction && session.transaction->is_counted;
     if (session.is_relayed || is_counted || !context.state.budgets.has_limit(session.customer)) {
-        return std::nullopt;
+        return operation_admission::admitted;
     }
-    const std::optional<milliseconds> retry_after = context.state.budgets.take(session.customer, context.now);
+    const bool is_admitted = !context.state.budgets.take(session.customer, context.now);
+    const bool may_get_quota = context.state.budgets.may_get_quota(session.customer, context.now);
     if (context.state.budgets.needs_quota(session.customer, context.now)) {
         request_quota(context);
     }
-    if (retry_after) {
-        context.emit(record_limit_refusal{session.customer});
-        log_refusal(context, session.customer, *retry_after);
-    } else if (session.transaction) {
-        session.transaction->is_counted = true;
+    if (is_admitted) {
+        mark_counted(session);
+        return operation_admission::admitted;
+    }
+    return may_get_quota ? operation_admission::awaits_quota : operation_admission::refused;
+}
+
+operation_admission count_awaiting_operation(event_context& context, caller_session& session)
+{
+    if (context.state.budgets.start(session.customer, context.now)) {
+        mark_counted(session);
+        return operation_admission::admitted;
     }
-    return retry_after;
+    const milliseconds waited = context.now - session.pending->request.received_at;
+    const bool may_wait =
+        waited < longest_wait_for_quota && context.state.budgets.may_get_quota(session.customer, context.now);
+    return may_wait ? operation_admission::awaits_quota : operation_admission::refused;
 }
 
-std::string describe_limit(milliseconds retry_after)
+std::string refuse_operation(event_context& context, const customer_name& customer)
 {
+    const milliseconds retry_after = context.state.budgets.retry_after(customer, context.now);
+    context.emit(record_limit_refusal{customer});
+    log_refusal(context, customer, retry_after);
     return fmt::format("limit of customer reached; retry after {} ms", retry_after.count());
 }
 
--- a/src/sessions/internal/operation_limit.h
+++ b/src/sessions/internal/operation_limit.h
@@ -7,13 +7,24 @@
 
 namespace hickorymount::sessions::detail {
 
+enum class operation_admission
+{
+    admitted,
+    /// Control may grant this host a quota for the operation soon.
+    awaits_quota,
+    refused
+};
+
 /// Counts the session's next statement as an operation of its customer if it is the first one of an operation
-/// that needs a server. Returns the time after which to retry if the customer's limit is reached. Statements
-/// that other entry hosts relay were counted there.
-std::optional<milliseconds> count_operation(event_context& context, caller_session& session);
+/// that needs a server. Statements that other entry hosts relay were counted there.
+operation_admission count_operation(event_context& context, caller_session& session);
+
+/// Counts a queued statement that awaits a quota, if there is one now. It waits for as long as control needs
+/// for an answer.
+operation_admission count_awaiting_operation(event_context& context, caller_session& session);
 
-/// The text of a refusal.
-std::string describe_limit(milliseconds retry_after);
+/// Records the refusal of an operation. Returns its text, with the time after which to retry.
+std::string refuse_operation(event_context& context, const customer_name& customer);
 
 /// Requests a quota for a customer whose first session at this host was opened, so that its first statement
 /// is not refused.
--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -80,11 +80,12 @@
     if (handle_locally(number, session, request)) {
         return;
     }
-    if (const std::optional<milliseconds> retry_after = count_operation(m_context, session)) {
-        reply_with_code(number, session, response_code::busy, describe_limit(*retry_after));
+    const operation_admission admission = count_operation(m_context, session);
+    if (admission == operation_admission::refused) {
+        reply_with_code(number, session, response_code::busy, refuse_operation(m_context, session.customer));
         return;
     }
-    enqueue(number, session, request);
+    enqueue(number, session, request, admission == operation_admission::awaits_quota);
 }
 
 /// Handles statements that need no server; their responses carry no server signature.
@@ -186,10 +187,11 @@
 }
 
 void statement_dispatcher::enqueue(session_number number, caller_session& session,
-                                   const received_statement& request)
+                                   const received_statement& request, bool awaits_quota)
 {
     pending_statement pending;
     pending.request = request;
+    pending.awaits_quota = awaits_quota;
     if (session.transaction) {
         pending.route = session.transaction->route;
         pending.connection = session.transaction->connection;
--- a/src/sessions/internal/statement_dispatcher.h
+++ b/src/sessions/internal/statement_dispatcher.h
@@ -62,9 +62,18 @@
     void refuse_unauthorized(session_number number, caller_session& session);
     void begin_transaction(session_number number, caller_session& session, const received_statement& request);
     void roll_back_transaction(session_number number, caller_session& session);
-    void enqueue(session_number number, caller_session& session, const received_statement& request);
-
-    look_result look_at(const queue_place& place, std::vector<session_number>& refused);
+    void enqueue(session_number number, caller_session& session, const received_statement& request,
+                 bool awaits_quota);
+
+    /// The statements that a pass has taken out of the queue without sending them.
+    struct queue_pass_outcome
+    {
+        std::vector<session_number> refused;
+        std::vector<session_number> awaiting_quota;
+    };
+
+    void finish_pass(const queue_pass_outcome& outcome);
+    look_result look_at(const queue_place& place, queue_pass_outcome& outcome);
     [[nodiscard]] bool is_connection_opening(const caller_session& session) const;
     void unblock_customers_with_connections(const group_name& group, statement_queue& queue);
     [[nodiscard]] bool is_too_late_to_send(const caller_session& session) const;
--- a/src/sessions/internal/statement_queueing.cpp
+++ b/src/sessions/internal/statement_queueing.cpp
@@ -1,3 +1,4 @@
+#include "sessions/internal/operation_limit.h"
 #include "sessions/internal/queue_order.h"
 #include "sessions/internal/relay_deadline.h"
 #include "sessions/internal/statement_dispatcher.h"
@@ -9,6 +10,13 @@
 
 namespace hickorymount::sessions::detail {
 
+namespace {
+
+/// Interval between two looks at a statement that awaits a quota.
+constexpr milliseconds quota_check_interval{20};
+
+} // namespace
+
 void statement_dispatcher::dispatch(const group_name& group)
 {
     const auto found = m_context.state.queues.find(group);
@@ -16,38 +24,61 @@
         return;
     }
     statement_queue& queue = found->second;
-    std::vector<session_number> refused;
+    queue_pass_outcome outcome;
     queue.start_pass(m_context.now);
     unblock_customers_with_connections(group, queue);
     run_queue_pass(queue, m_context.now, m_context.identifies_customers(),
-                   [&](const queue_place& place) { return look_at(place, refused); });
+                   [&](const queue_place& place) { return look_at(place, outcome); });
     if (queue.is_empty()) {
         m_context.state.queues.erase(found);
         observe_drain(group);
     }
-    for (const session_number number : refused) {
+    finish_pass(outcome);
+}
+
+void statement_dispatcher::finish_pass(const queue_pass_outcome& outcome)
+{
+    for (const session_number number : outcome.awaiting_quota) {
+        caller_session& session = m_context.state.sessions.at(number);
+        session.pending->retry_at = m_context.now + quota_check_interval;
+        add_to_queue(number, session);
+    }
+    for (const session_number number : outcome.refused) {
         caller_session* session = m_context.session(number);
         if (session == nullptr || !session->pending || session->pending->stage != statement_stage::queued) {
             continue;
         }
-        if (is_still_authorized(*session)) {
-            refuse_queued(number, *session);
-        } else {
+        if (!is_still_authorized(*session)) {
             refuse_unauthorized(number, *session);
+        } else if (session->pending->awaits_quota) {
+            reply_with_code(number, *session, response_code::busy,
+                            refuse_operation(m_context, session->customer));
+        } else {
+            refuse_queued(number, *session);
         }
     }
 }
 
-look_result statement_dispatcher::look_at(const queue_place& place, std::vector<session_number>& refused)
+look_result statement_dispatcher::look_at(const queue_place& place, queue_pass_outcome& outcome)
 {
     const session_number number = place.arrival.session;
     caller_session& session = m_context.state.sessions.at(number);
     // A statement that returned to the queue may belong to a key that was withdrawn while it was in service.
     if (is_too_late_to_send(session) || !is_still_authorized(session)) {
         session.pending->place.reset();
-        refused.push_back(number);
+        outcome.refused.push_back(number);
         return look_result::too_late;
     }
+    if (session.pending->awaits_quota) {
+        const operation_admission admission = count_awaiting_operation(m_context, session);
+        session.pending->awaits_quota = admission != operation_admission::admitted;
+        if (session.pending->awaits_quota) {
+            session.pending->place.reset();
+            const bool may_wait = admission == operation_admission::awaits_quota;
+            (may_wait ? outcome.awaiting_quota : outcome.refused).push_back(number);
+            return look_result::too_late;
+        }
+    }
     if (try_dispatch(number, session)) {
         session.pending->place.reset();
         return look_result::sent;
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -186,6 +186,8 @@
     std::optional<time_point> first_sent_at;
     /// Where the statement waits while it is in the queue.
     std::optional<queue_place> place;
+    /// The statement is not sent before its operation is within the limit of its customer.
+    bool awaits_quota = false;
     /// Set when the statement is refused in the queue, or instead of a retry.
     wait_cause waited_for = wait_cause::none;
 
