Allow a customer its limit in every window, and the tolerance on top for a while

Change: what is allocated lastingly is rate x window + burst rather than 1.15 times the rate; the tolerance beyond it drains while more than that is started.

--- a/src/limits/internal/quota_allocator.cpp
+++ b/src/limits/internal/quota_allocator.cpp
@@ -9,9 +9,6 @@
 
 /// Part of the operations that stays unallocated for hosts where a customer newly appears.
 constexpr double reserved_part = 0.1;
-/// Operations above the customer's rate that may be allocated under sustained overload. They make up for the
-/// reserve and for quotas that are not used fully.
-constexpr double overallocation = 1.15;
 /// Each host gets up to this multiple of what it wants while the limit allows it, so that waves of demand
 /// need no renewal. More would be missing where hosts end and their callers move.
 constexpr double max_spread = 1.1;
@@ -55,6 +52,12 @@
     return std::max(1U, static_cast<operation_count>(own.wanted * part));
 }
 
+/// Operations in a window without the tolerance; a customer may start as many in each one.
+double sustained_operations(const division_terms& terms)
+{
+    return terms.limit.operations_per_second * seconds(terms.bounds.window) + terms.limit.burst;
+}
+
 operation_count difference(std::uint64_t from, std::uint64_t subtracted)
 {
     return from > subtracted ? static_cast<operation_count>(from - subtracted) : 0;
@@ -122,10 +125,8 @@
         std::uint64_t{allowance_per_host(terms.limit, terms.bounds, terms.entry_hosts)} * terms.entry_hosts;
     const double maximum = difference(limit, allowances);
     update_surplus(pool, terms, maximum, now);
-    const double sustained =
-        terms.limit.operations_per_second * seconds(terms.bounds.window) * overallocation;
-    const auto allocatable =
-        static_cast<operation_count>(std::min(maximum, std::ceil(sustained + *pool.surplus)));
+    const auto allocatable = static_cast<operation_count>(
+        std::min(maximum, std::ceil(sustained_operations(terms) + *pool.surplus)));
     const auto unreserved = static_cast<operation_count>(std::ceil(allocatable * (1 - reserved_part)));
 
     const std::uint64_t others = pool.counted - own.counted();
@@ -197,9 +198,9 @@
 void quota_allocator::update_surplus(customer_pool& pool, const division_terms& terms, double maximum,
                                      time_point now)
 {
-    const double rate = terms.limit.operations_per_second;
     const double window = seconds(terms.bounds.window);
-    const double largest = std::max(0.0, maximum - rate * window * overallocation);
+    const double rate = sustained_operations(terms) / window;
+    const double largest = std::max(0.0, maximum - sustained_operations(terms));
     if (!pool.surplus) {
         pool.surplus = largest;
     } else {
--- a/src/limits/quota_allocator.h
+++ b/src/limits/quota_allocator.h
@@ -73,8 +73,8 @@
         std::uint64_t counted = 0;
         std::uint64_t wanted = 0;
         std::uint64_t used = 0;
-        /// Operations above the rate that may still be allocated: a token bucket, refilled at the customer's
-        /// rate and drained by what all hosts start.
+        /// Operations beyond the limit without its tolerance that may still be allocated, for hosts that hold
+        /// more than they use: a token bucket, refilled at that limit and drained by what all hosts start.
         std::optional<double> surplus;
         time_point surplus_at{};
 
