--- a/src/gateway/internal/session_server.cpp
+++ b/src/gateway/internal/session_server.cpp
@@ -46,6 +46,8 @@
         return "misrouted";
     case sessions::response_code::too_many_connections:
         return "too_many";
+    case sessions::response_code::limit_reached:
+        return "limit_reached";
     case sessions::response_code::outcome_unknown:
         return "outcome_unknown";
     case sessions::response_code::timed_out:
--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -82,7 +82,8 @@
     }
     const operation_admission admission = count_operation(m_context, session);
     if (admission == operation_admission::refused) {
-        reply_with_code(number, session, response_code::busy, refuse_operation(m_context, session.customer));
+        reply_with_code(number, session, response_code::limit_reached,
+                        refuse_operation(m_context, session.customer));
         return;
     }
     enqueue(number, session, request, admission == operation_admission::awaits_quota);
@@ -652,7 +653,8 @@
 {
     // These codes guarantee that no effect remains, which inside a transaction applies to the whole
     // transaction.
-    const bool guarantees_no_effect = code == response_code::busy || code == response_code::aborted;
+    const bool guarantees_no_effect =
+        code == response_code::busy || code == response_code::aborted || code == response_code::limit_reached;
     if (guarantees_no_effect && session.transaction && !session.transaction->is_failed) {
         fail_transaction(session);
     }
--- a/src/sessions/internal/statement_queueing.cpp
+++ b/src/sessions/internal/statement_queueing.cpp
@@ -51,7 +51,7 @@
         if (!is_still_authorized(*session)) {
             refuse_unauthorized(number, *session);
         } else if (session->pending->awaits_quota) {
-            reply_with_code(number, *session, response_code::busy,
+            reply_with_code(number, *session, response_code::limit_reached,
                             refuse_operation(m_context, session->customer));
         } else {
             refuse_queued(number, *session);
--- a/src/sessions/statement.h
+++ b/src/sessions/statement.h
@@ -68,13 +68,15 @@
 enum class response_code
 {
     done,
-    /// `busy` to `too_many_connections`: no effect of the attempt remains.
+    /// `busy` to `limit_reached`: no effect of the attempt remains.
     busy,
     aborted,
     lagging,
     read_only,
     misrouted,
     too_many_connections,
+    /// The operation is beyond the limit of the caller's customer.
+    limit_reached,
     /// `outcome_unknown` to `failed`: the statement may have taken effect.
     outcome_unknown,
     timed_out,
