--- a/src/limits/internal/quota_allocator.cpp
+++ b/src/limits/internal/quota_allocator.cpp
@@ -7,13 +7,8 @@
 
 namespace {
 
-/// Part of the operations that stays unallocated for hosts where a customer newly appears. While hosts want
-/// more than there is, each of them can use what it gets.
+/// Part of the operations that stays unallocated for hosts where a customer newly appears.
 constexpr double reserved_part = 0.1;
-constexpr double reserved_part_in_overload = 0.02;
-/// Part of the tolerance that is allocated lastingly. It makes up for quotas of a few operations that hosts
-/// do not use up; the rest is for operations that reach a server later than they were counted.
-constexpr double lasting_tolerance = 0.5;
 /// Each host gets up to this multiple of what it wants while the limit allows it, so that waves of demand
 /// need no renewal. More would be missing where hosts end and their callers move.
 constexpr double max_spread = 1.1;
@@ -57,19 +52,12 @@
     return std::max(1U, static_cast<operation_count>(own.wanted * part));
 }
 
-/// Operations that a customer may start in each window, without the tolerance.
-double limit_of_window(const division_terms& terms)
+/// Operations in a window without the tolerance; a customer may start as many in each one.
+double sustained_operations(const division_terms& terms)
 {
     return terms.limit.operations_per_second * seconds(terms.bounds.window) + terms.limit.burst;
 }
 
-/// Operations that are allocated lastingly, of at most `maximum`.
-double lasting_operations(const division_terms& terms, double maximum)
-{
-    const double limit = std::min(maximum, limit_of_window(terms));
-    return limit + lasting_tolerance * (maximum - limit);
-}
-
 operation_count difference(std::uint64_t from, std::uint64_t subtracted)
 {
     return from > subtracted ? static_cast<operation_count>(from - subtracted) : 0;
@@ -138,9 +126,8 @@
     const double maximum = difference(limit, allowances);
     update_surplus(pool, terms, maximum, now);
     const auto allocatable = static_cast<operation_count>(
-        std::min(maximum, std::ceil(lasting_operations(terms, maximum) + *pool.surplus)));
-    const double reserved = pool.wanted > allocatable ? reserved_part_in_overload : reserved_part;
-    const auto unreserved = static_cast<operation_count>(std::ceil(allocatable * (1 - reserved)));
+        std::min(maximum, std::ceil(sustained_operations(terms) + *pool.surplus)));
+    const auto unreserved = static_cast<operation_count>(std::ceil(allocatable * (1 - reserved_part)));
 
     const std::uint64_t others = pool.counted - own.counted();
     const operation_count wanted = own.reported.wanted;
@@ -212,8 +199,8 @@
                                      time_point now)
 {
     const double window = seconds(terms.bounds.window);
-    const double rate = limit_of_window(terms) / window;
-    const double largest = maximum - lasting_operations(terms, maximum);
+    const double rate = sustained_operations(terms) / window;
+    const double largest = std::max(0.0, maximum - sustained_operations(terms));
     if (!pool.surplus) {
         pool.surplus = largest;
     } else {
