--- a/src/sessions/internal/reduce.cpp
+++ b/src/sessions/internal/reduce.cpp
@@ -114,6 +114,7 @@
         detail::start_primary_use_traces(m_context.state, *before, m_context.now);
         const bool has_new_quotas = detail::update_budgets(m_context);
         m_connections.close_surplus();
+        m_dispatcher.connect_to_relays();
         m_dispatcher.dispatch_all();
         // Control may give a lowered quota to others only once this report says that it is in use here.
         if (has_new_quotas || closed_terms(*before) != closed_terms(*m_context.state.view)) {
--- a/src/sessions/internal/server_selector.cpp
+++ b/src/sessions/internal/server_selector.cpp
@@ -18,6 +18,8 @@
 /// A read that has waited for this long may use slots of the primary beyond its share: when the replicas
 /// can't run all reads, the slots would idle otherwise.
 constexpr milliseconds longest_wait_for_replica{100};
+/// Relays to which connections are opened with one change of the view, which come a few times a second.
+constexpr int max_relays_opened_at_once = 6;
 /// Interval between two comparisons of the servers of a group.
 constexpr milliseconds comparison_interval{100};
 
@@ -120,6 +122,28 @@
     return known == nullptr ? std::nullopt : region_of(known->zone);
 }
 
+void server_selector::connect_to_relays()
+{
+    if (!m_context.identifies_customers() || m_context.state.routes.empty()) {
+        return;
+    }
+    const std::string& database = m_context.state.routes.begin()->first;
+    const protocol::relay_plan& plan = *m_context.state.view->relay_plan;
+    int opened = 0;
+    for (const auto& [group, access] : plan.groups) {
+        for (const std::uint32_t index : access.relay_indexes) {
+            const protocol::relay_host& host = plan.relays.at(index);
+            const auto load = m_context.state.server_loads.find(backend_server_name{host.name.value});
+            const bool is_connected =
+                load != m_context.state.server_loads.end() && load->second.open_connections > 0;
+            if (!is_connected && opened < max_relays_opened_at_once) {
+                m_connections.open_relay(host, group, database);
+                ++opened;
+            }
+        }
+    }
+}
+
 std::vector<relay_candidate> server_selector::find_relays(const caller_session& session) const
 {
     const std::optional<region_name> target = target_region(*session.pending);
--- a/src/sessions/internal/statement_dispatcher.h
+++ b/src/sessions/internal/statement_dispatcher.h
@@ -43,6 +43,8 @@
     /// Sends queued statements after a connection for the group has become free or was lost.
     void dispatch_after(const group_name& group, bool was_relay);
 
+    void connect_to_relays() { m_selector.connect_to_relays(); }
+
     /// Refuses statements that can't be answered in time, and handles servers that do not respond.
     void check_timeouts();
     /// When `check_timeouts` has to be called next.
--- a/src/sessions/tests/customer_tests.cpp
+++ b/src/sessions/tests/customer_tests.cpp
@@ -249,6 +249,20 @@
     EXPECT_EQ(third.caller, (relayed_caller{"inspections", customer_name{"boreal"}}));
 }
 
+/// Guards against first statements that wait until the connection to a far relay is open.
+TEST_F(relayed_customer_fixture, relays_are_connected_before_the_first_statement)
+{
+    use_relay();
+    const auto opened = take_effects<open_connection>();
+    ASSERT_EQ(opened.size(), 1U);
+    EXPECT_EQ(opened[0].server, backend_server_name{"near"});
+    apply_event(connection_opened{opened[0].connection});
+    submit_write(open_as("alpine"));
+    EXPECT_EQ(take_effects<send_statement>().size(), 1U);
+    publish();
+    EXPECT_TRUE(take_effects<open_connection>().empty());
+}
+
 TEST_F(relayed_customer_fixture, relay_opens_the_connection_for_the_named_customer)
 {
     const session_number session = open_relayed();
