Serve customers again sooner after restarts

The quota of a process that was replaced counted in full for one window.

Change: the unknown part of a limit falls evenly within the window after the end of the processes that were not heard.

--- a/src/limits/internal/quota_allocator.cpp
+++ b/src/limits/internal/quota_allocator.cpp
@@ -19,6 +19,9 @@
 constexpr operation_count min_free_for_remainder = 2;
 /// A process that has sent no request for this long has missed several renewals.
 constexpr milliseconds silence_limit{1500};
+/// Part of its quota that a process may have started between its last report, at most 0.4 s before its end,
+/// and its end: what the token bucket of a budget holds, and what is added to it meanwhile.
+constexpr double unreported_part = 0.25 + 0.16;
 /// Longest time for which one report of the used operations is taken to hold.
 constexpr milliseconds max_surplus_interval{1000};
 
@@ -125,8 +128,9 @@
         std::uint64_t{allowance_per_host(terms.limit, terms.bounds, terms.entry_hosts)} * terms.entry_hosts;
     const double maximum = difference(limit, allowances);
     update_surplus(pool, terms, maximum, now);
+    const double unknown = unknown_part(terms.bounds.window, now);
     const auto allocatable = static_cast<operation_count>(
-        std::min(maximum, std::ceil(sustained_operations(terms) + *pool.surplus)));
+        std::min(maximum * (1 - unknown), std::ceil(sustained_operations(terms) + *pool.surplus)));
     const auto unreserved = static_cast<operation_count>(std::ceil(allocatable * (1 - reserved_part)));
 
     const std::uint64_t others = pool.counted - own.counted();
@@ -139,7 +143,7 @@
     // A host with at most one operation left may use the reserve.
     const bool is_newcomer = held <= own.reported.used + 1;
     operation_count available = difference(is_newcomer ? allocatable : unreserved, others);
-    if (is_frozen(now)) {
+    if (unknown >= 1) {
         target = held;
         available = 0;
     }
@@ -163,16 +167,36 @@
     if (const auto known = m_processes.find(entry); known != m_processes.end()) {
         known->second.counted_until = std::min(known->second.counted_until, now + window);
         clear_wanted(entry, known->second);
+        release_unused(entry, known->second);
     }
     if (const auto unheard = m_unheard.find(entry); unheard != m_unheard.end()) {
         unheard->second = std::min(unheard->second, now + window);
     }
 }
 
-bool quota_allocator::is_frozen(time_point now) const
+double quota_allocator::unknown_part(milliseconds window, time_point now) const
 {
-    return std::any_of(m_unheard.begin(), m_unheard.end(),
-                       [&](const auto& unheard) { return unheard.second > now; });
+    double part = 0;
+    for (const auto& [entry, counted_until] : m_unheard) {
+        // Operations are spread over the window, so that part of them has left it already.
+        part = std::max(part, seconds(counted_until - now) / seconds(window));
+    }
+    return std::clamp(part, 0.0, 1.0);
+}
+
+void quota_allocator::release_unused(const entry_process_id& entry, const process& ended)
+{
+    for (const customer_name& customer : ended.customers) {
+        customer_pool& pool = m_pools.at(customer);
+        holding& own = pool.holdings.at(entry);
+        remove(pool, own);
+        const operation_count counted = own.counted();
+        const operation_count used = std::min(counted, own.reported.used);
+        const auto unreported = static_cast<operation_count>(std::ceil(counted * unreported_part));
+        own.reported.held = std::min(counted, used + unreported);
+        own.granted = 0;
+        add(pool, own);
+    }
 }
 
 operation_count quota_allocator::held(const customer_name& customer) const
--- a/src/limits/quota_allocator.h
+++ b/src/limits/quota_allocator.h
@@ -45,8 +45,9 @@
     /// Ends the processes that were replaced by a newer one of the same host.
     void end_older_processes(const entry_process_id& newest, milliseconds window, time_point now);
 
-    /// True while the quotas of some process are unknown; none is raised then.
-    [[nodiscard]] bool is_frozen(time_point now) const;
+    /// The part of each customer's operations that processes may have started of which this leader does not
+    /// know. It is 1 while one of them may be running, and falls to 0 within the window after its end.
+    [[nodiscard]] double unknown_part(milliseconds window, time_point now) const;
 
     /// Sum of what all processes may hold.
     [[nodiscard]] operation_count held(const customer_name& customer) const;
@@ -95,6 +96,8 @@
     static void remove(customer_pool& pool, const holding& removed);
     static void update_surplus(customer_pool& pool, const division_terms& terms, double maximum,
                                time_point now);
+    /// A process that has ended uses nothing more of its quotas; what it has started still counts.
+    void release_unused(const entry_process_id& entry, const process& ended);
     /// The process holds what it holds, but gets none of what the others could use.
     void clear_wanted(const entry_process_id& entry, const process& silent);
     void forget(const entry_process_id& entry);
