Let a new leader grant quotas while single hosts are unheard

Change: each unheard process is taken to hold three times its even share of every limit, and no host gives up what it holds for that. Formats two files.

--- a/src/limits/internal/quota_allocator.cpp
+++ b/src/limits/internal/quota_allocator.cpp
@@ -22,6 +22,10 @@
 /// Part of its quota that a process may have started between its last report, at most 0.4 s before its end,
 /// and its end: what the token bucket of a budget holds, and what is added to it meanwhile.
 constexpr double unreported_part = 0.25 + 0.16;
+/// A process that a new leader has not heard is taken to hold this many times its even share of each limit.
+/// Callers are spread over the hosts by a hash, so that the shares of several hosts together differ less than
+/// that.
+constexpr double unknown_factor = 3;
 /// Longest time for which one report of the used operations is taken to hold.
 constexpr milliseconds max_surplus_interval{1000};
 
@@ -72,6 +76,7 @@
                                     time_point now)
 {
     *this = {};
+    m_admitted = admitted.size();
     for (const entry_process_id& entry : admitted) {
         m_unheard[entry] = now + quota_duration + window;
     }
@@ -143,9 +148,10 @@
     // A host with at most one operation left may use the reserve.
     const bool is_newcomer = held <= own.reported.used + 1;
     operation_count available = difference(is_newcomer ? allocatable : unreserved, others);
-    if (unknown >= 1) {
-        target = held;
-        available = 0;
+    if (unknown > 0) {
+        // What is unknown may be nothing, so that nobody has to give up anything for it.
+        target = unknown < 1 ? std::max(target, held) : held;
+        available = unknown < 1 ? available : 0;
     }
     // A host keeps what it holds up to its target also while all together hold too much: the others give up
     // what exceeds their own targets.
@@ -176,12 +182,13 @@
 
 double quota_allocator::unknown_part(milliseconds window, time_point now) const
 {
-    double part = 0;
+    double unknown = 0;
     for (const auto& [entry, counted_until] : m_unheard) {
-        // Operations are spread over the window, so that part of them has left it already.
-        part = std::max(part, seconds(counted_until - now) / seconds(window));
+        // Operations are spread over the window, so that part of those of an ended process has left it
+        // already.
+        unknown += std::clamp(seconds(counted_until - now) / seconds(window), 0.0, 1.0);
     }
-    return std::clamp(part, 0.0, 1.0);
+    return m_admitted == 0 ? 0 : std::min(1.0, unknown_factor * unknown / static_cast<double>(m_admitted));
 }
 
 void quota_allocator::release_unused(const entry_process_id& entry, const process& ended)
--- a/src/limits/quota_allocator.h
+++ b/src/limits/quota_allocator.h
@@ -46,7 +46,7 @@
     void end_older_processes(const entry_process_id& newest, milliseconds window, time_point now);
 
     /// The part of each customer's operations that processes may have started of which this leader does not
-    /// know. It is 1 while one of them may be running, and falls to 0 within the window after its end.
+    /// know. It grows with the number of these processes, and falls to 0 within the window after their end.
     [[nodiscard]] double unknown_part(milliseconds window, time_point now) const;
 
     /// Sum of what all processes may hold.
@@ -107,6 +107,8 @@
     std::map<entry_process_id, process> m_processes;
     /// Processes whose quotas are unknown to this leader, and when nothing of them counts any longer.
     std::map<entry_process_id, time_point> m_unheard;
+    /// Number of processes that were admitted when this leader was elected.
+    std::size_t m_admitted = 0;
 };
 
 } // namespace hickorymount::limits
--- a/src/protocol/tests/message_codec_tests.cpp
+++ b/src/protocol/tests/message_codec_tests.cpp
@@ -284,7 +284,8 @@
 /// customers at the host.
 TEST_F(message_fixture, lease_exchange_with_many_customers_stays_small)
 {
-    // Regular renewals and early ones together. The replays of src/limits have 3.7 in calm and 4.0 in overload.
+    // Regular renewals and early ones together. The replays of src/limits have 3.7 in calm and 4.0 in
+    // overload.
     constexpr double renewals_per_second = 4.0;
     lease_request request;
     request.entry = {host_name{"entry-10"}, incarnation_id{"0123456789abcdef"}};
--- a/src/sessions/internal/server_selector.h
+++ b/src/sessions/internal/server_selector.h
@@ -35,8 +35,8 @@
     /// response.
     void record_response(const server_connection& connection, response_code code);
 
-    /// With customers, statements go to many relays, each of which gets few. Opens a connection to some of those
-    /// that have none, so that a statement does not wait for two round trips.
+    /// With customers, statements go to many relays, each of which gets few. Opens a connection to some of
+    /// those that have none, so that a statement does not wait for two round trips.
     void connect_to_relays();
 
     /// True when one more statement may be sent to the server now.
