--- a/src/sessions/internal/server_selector.cpp
+++ b/src/sessions/internal/server_selector.cpp
@@ -95,7 +95,7 @@
     if (pending.needs_primary) {
         return group == nullptr ? std::nullopt : region_of(group->primary);
     }
-    const std::optional<region_name> own = region_of(m_context.state.zone);
+    std::optional<region_name> own = region_of(m_context.state.zone);
     std::optional<region_name> other;
     for (const backend_server_name& name : m_context.servers_of(pending.route.group)) {
         const bool is_primary = group != nullptr && group->primary == name;
