Tell apart what arrives on a connection when it is no answer

Callers saw answers of others, and the logs of entry hosts had two reasons, "the server's answer can't be read" and "an answer to nothing", that did not tell a message cut in two from an answer that came twice.

An unreadable message of a server is now logged with its first word, if the protocol has it, its length and what of the answer came before it; a response with no statement unanswered with its outcome, its size and whether it repeats the connection's last one. Both are counted, and so are messages of callers that can't be decoded. Content is never logged. No decision changes.

--- a/src/gateway/internal/session_server.cpp
+++ b/src/gateway/internal/session_server.cpp
@@ -66,6 +66,18 @@
     return "unnamed";
 }
 
+/// The first word of a message if the protocol has it; other words may be content.
+std::string_view message_word(std::string_view line)
+{
+    const std::string_view word = line.substr(0, line.find(' '));
+    for (const std::string_view known : {"START", "QUERY", "BYE", "ROW", "DONE", "ERR", "READY"}) {
+        if (word == known) {
+            return known;
+        }
+    }
+    return word.empty() ? "none" : "other";
+}
+
 } // namespace
 
 session_server::session_server(std::unique_ptr<sessions::session_codec> codec, availability_zone zone,
@@ -453,6 +465,11 @@
                                                   request->remaining_time});
         return;
     }
+    if (std::holds_alternative<sessions::malformed_request>(decoded)) {
+        m_metrics.count("hickorymount_unreadable_messages_total",
+                        fmt::format("sender=\"{}\",word=\"{}\"", caller_state.is_relayed ? "relay" : "caller",
+                                    message_word(line)));
+    }
     if (caller_state.is_open && std::holds_alternative<sessions::malformed_request>(decoded)) {
         gate.record_statement(number, 0);
         handle_event(sessions::malformed_statement_received{number});
@@ -494,6 +511,7 @@
     }
     const auto* ready = std::get_if<sessions::ready_line>(&decoded);
     if (ready == nullptr || (connection_state.is_open && !connection_state.has_outcome)) {
+        record_unreadable(number, line);
         connection_state.connection->close();
         end_connection(number, "the server's answer can't be read");
         return;
@@ -511,6 +529,22 @@
     handle_event(sessions::response_received{number, std::move(complete)});
 }
 
+/// Logs and counts a server's message that can't be read. Its content may be a caller's, so only the kind and
+/// the length are named.
+void session_server::record_unreadable(sessions::connection_number number, std::string_view line)
+{
+    const server_connection& connection_state = m_server_connections.at(number);
+    const std::string_view word = message_word(line);
+    m_metrics.count("hickorymount_unreadable_messages_total",
+                    fmt::format("sender=\"server\",word=\"{}\"", word));
+    const auto known = m_state.connections.find(number);
+    m_log.write({logging::log_level::warning, "unreadable_message",
+                 known == m_state.connections.end() ? "" : known->second.server.value,
+                 fmt::format("link={} word={} bytes={} opening={} rows_before={} outcome_before={}", number,
+                             word, line.size(), !connection_state.is_open,
+                             connection_state.partial_answer.rows.size(), connection_state.has_outcome)});
+}
+
 void session_server::end_connection(sessions::connection_number number, const std::string& reason)
 {
     m_server_connections.erase(number);
@@ -694,6 +728,12 @@
     }
 }
 
+void session_server::execute(sessions::record_unexpected_response&& effect)
+{
+    m_metrics.count("hickorymount_unexpected_responses_total",
+                    effect.is_repeat ? "kind=\"repeat\"" : "kind=\"other\"");
+}
+
 void session_server::execute(sessions::record_queue_metrics&& effect)
 {
     for (const group_name& group : m_queued_groups) {
--- a/src/gateway/internal/session_server.h
+++ b/src/gateway/internal/session_server.h
@@ -118,6 +118,7 @@
     void check_limits(session_port& port);
     void handle_caller_line(sessions::session_number number, std::string_view line);
     void handle_server_line(sessions::connection_number number, std::string_view line);
+    void record_unreadable(sessions::connection_number number, std::string_view line);
     void end_connection(sessions::connection_number number, const std::string& reason);
 
     void handle_event(sessions::event_payload kind);
@@ -135,6 +136,7 @@
     void execute(sessions::record_statement_metrics&& effect);
     void execute(sessions::record_limit_refusal&& effect);
     void execute(sessions::record_ejection_metrics&& effect);
+    void execute(sessions::record_unexpected_response&& effect);
     void execute(sessions::record_queue_metrics&& effect);
     void execute(sessions::record_overflow_metrics&& effect);
     void execute(sessions::report_stopped&& effect);
--- a/src/sessions/internal/reduce.cpp
+++ b/src/sessions/internal/reduce.cpp
@@ -5,11 +5,14 @@
 #include "sessions/internal/event_context.h"
 #include "sessions/internal/operation_limit.h"
 #include "sessions/internal/primary_use_trace.h"
+#include "sessions/internal/response_description.h"
 #include "sessions/internal/statement_dispatcher.h"
 
 #include <algorithm>
 #include <utility>
 
+#include <fmt/format.h>
+
 namespace hickorymount::sessions {
 
 namespace {
@@ -71,15 +74,22 @@
 
     void apply(const response_received& answered)
     {
-        const server_connection* connection = m_context.connection(answered.connection);
+        server_connection* connection = m_context.connection(answered.connection);
         if (connection == nullptr) {
             return;
         }
+        const std::uint64_t digest = detail::digest_of(answered.response);
+        const std::uint64_t last_digest = std::exchange(connection->last_response_digest, digest);
         if (connection->internal_statement) {
             m_dispatcher.handle_internal_response(answered.connection, answered.response);
         } else if (connection->stage == connection_stage::running) {
             m_dispatcher.handle_response(answered.connection, answered.response);
         } else {
+            const bool is_repeat = digest == last_digest;
+            m_context.log(logging::log_level::warning, "unexpected_response", connection->server.value,
+                          fmt::format("group={} link={} {} is_repeat={}", connection->group.value,
+                                      answered.connection, detail::describe(answered.response), is_repeat));
+            m_context.emit(record_unexpected_response{is_repeat});
             m_context.emit(close_connection{answered.connection});
             m_dispatcher.handle_connection_loss(answered.connection, "an answer to nothing");
         }
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -257,6 +257,8 @@
     group_term sent_in_term = 0;
     time_point opened_at{};
     time_point idle_since{};
+    /// Digest of the last response, by which a repeat of it is recognized; zero before the first response.
+    std::uint64_t last_response_digest = 0;
     /// The check of the connection that is in the schedule.
     time_point next_check_at = time_point::max();
 
@@ -663,6 +665,15 @@
     friend bool operator==(const record_ejection_metrics&, const record_ejection_metrics&) = default;
 };
 
+/// Counts a response that arrived on a connection with no statement unanswered.
+struct record_unexpected_response
+{
+    /// The response is the same as the connection's last one.
+    bool is_repeat = false;
+
+    friend bool operator==(const record_unexpected_response&, const record_unexpected_response&) = default;
+};
+
 /// Records how many statements wait, by group; without the groups where none does.
 struct record_queue_metrics
 {
@@ -687,11 +698,11 @@
     friend bool operator==(const report_stopped&, const report_stopped&) = default;
 };
 
-using effect =
-    std::variant<accept_session, refuse_session, send_response, close_session, open_connection,
-                 send_statement, close_connection, report_suspected_primary, report_to_control,
-                 record_statement_metrics, record_limit_refusal, record_ejection_metrics,
-                 record_queue_metrics, record_overflow_metrics, report_stopped, logging::log_record>;
+using effect = std::variant<accept_session, refuse_session, send_response, close_session, open_connection,
+                            send_statement, close_connection, report_suspected_primary, report_to_control,
+                            record_statement_metrics, record_limit_refusal, record_ejection_metrics,
+                            record_unexpected_response, record_queue_metrics, record_overflow_metrics,
+                            report_stopped, logging::log_record>;
 
 struct transition
 {
