Show that content with a line feed is delivered as two messages

Callers got a row's content as a signature, and a caller's value ran as a statement of its own. By the protocol a message ends with CR LF and its last field extends to there, so a lone CR or LF is content; line_connection ends a message at LF.

The existing tests of line_connection sent lines that end in LF only. They check the same with CR LF.

--- a/src/framework/net/tests/line_connection_tests.cpp
+++ b/src/framework/net/tests/line_connection_tests.cpp
@@ -59,7 +59,7 @@
 /// Guards against lines that are lost or joined at the borders of pieces.
 TEST_F(line_connection_fixture, lines_in_pieces_are_delivered_whole)
 {
-    for (const char* piece : {"on", "e\r\ntw", "o\n", "\nthr"}) {
+    for (const char* piece : {"on", "e\r\ntw", "o\r\n", "\r\nthr"}) {
         send(piece);
         run();
     }
@@ -67,6 +67,63 @@
     EXPECT_EQ(m_buffered, 3U);
 }
 
+/// Guards against content that is taken for the end of a message, and so for messages of its own.
+TEST_F(line_connection_fixture, lone_line_feeds_and_carriage_returns_are_content)
+{
+    send("v1=vz\nQUERY 1 WRITE 2 x\r\n\n\r\n\r\r\na\rb\n\r\r\n");
+    run();
+    EXPECT_EQ(m_lines, (lines{"v1=vz\nQUERY 1 WRITE 2 x", "\n", "\r", "a\rb\n\r"}));
+}
+
+/// Guards against a line end that is missed because its two bytes arrive apart.
+TEST_F(line_connection_fixture, line_end_in_two_pieces_ends_the_line)
+{
+    for (const char* piece : {"one\r", "\n", "two\r", "x\r", "\r", "\n\n\r", "\n"}) {
+        send(piece);
+        run();
+    }
+    EXPECT_EQ(m_lines, (lines{"one", "two\rx\r", "\n"}));
+    EXPECT_EQ(m_buffered, 0U);
+}
+
+TEST_F(line_connection_fixture, content_arrives_unchanged_whatever_the_pieces)
+{
+    const std::string content("\0 \xff\n\r \n\n", 9);
+    for (std::size_t size = 1; size <= 5; ++size) {
+        m_lines.clear();
+        const std::string bytes = content + "\r\n\r\n" + content + "\r\r\n";
+        for (std::size_t start = 0; start < bytes.size(); start += size) {
+            send(bytes.substr(start, size));
+            m_context.restart();
+            m_context.run_for(std::chrono::milliseconds(5));
+        }
+        run();
+        EXPECT_EQ(m_lines, (lines{content, "", content + "\r"})) << "pieces of " << size;
+    }
+}
+
+/// Guards against a full line that is refused because the first byte of its end counts as content.
+TEST_F(line_connection_fixture, line_of_the_limit_is_delivered_when_its_end_is_split)
+{
+    send(std::string(100, 'a') + "\r");
+    run();
+    EXPECT_FALSE(m_closed);
+    send("\n");
+    run();
+    EXPECT_EQ(m_lines, lines{std::string(100, 'a')});
+}
+
+/// Guards against a peer whose lines never end by the protocol, and that sends on without a bound.
+TEST_F(line_connection_fixture, lines_that_end_in_a_line_feed_only_close_the_connection_at_the_limit)
+{
+    for (int at = 0; at < 26; ++at) {
+        send("abc\n");
+    }
+    run();
+    EXPECT_TRUE(m_lines.empty());
+    EXPECT_EQ(m_closed, "a line is longer than the limit");
+}
+
 TEST_F(line_connection_fixture, line_beyond_the_limit_closes_the_connection)
 {
     send(std::string(101, 'a'));
@@ -79,7 +136,7 @@
 TEST_F(line_connection_fixture, paused_lines_are_delivered_after_resume)
 {
     m_accepts_lines = false;
-    send(std::string(60, 'a') + "\n" + std::string(60, 'b') + "\n");
+    send(std::string(60, 'a') + "\r\n" + std::string(60, 'b') + "\r\n");
     run();
     EXPECT_TRUE(m_lines.empty());
     EXPECT_FALSE(m_closed);
@@ -88,7 +145,7 @@
     EXPECT_TRUE(m_lines.empty());
     run();
     EXPECT_EQ(m_lines.size(), 2U);
-    send("c\n");
+    send("c\r\n");
     run();
     EXPECT_EQ(m_lines.size(), 3U);
 }
@@ -97,7 +154,7 @@
 TEST_F(line_connection_fixture, nothing_is_read_until_resume)
 {
     m_may_read = false;
-    send("one\n");
+    send("one\r\n");
     run();
     EXPECT_EQ(m_connection->total_received_bytes(), 0U);
     m_may_read = true;
@@ -112,7 +169,7 @@
 TEST_F(line_connection_fixture, delivery_pauses_while_much_is_unsent)
 {
     m_response = std::string(std::size_t{8} << 20, 'r');
-    send("one\ntwo\nthree\n");
+    send("one\r\ntwo\r\nthree\r\n");
     run();
     EXPECT_EQ(m_lines, lines{"one"});
     EXPECT_GT(m_connection->unsent_bytes(), 1000U);
