End a message at CR LF, not at a lone line feed

Callers saw a row's content taken for a signature, and a server ran what followed a line feed in a caller's value as a statement of its own: any caller could run statements under names and values of its choosing, and the bytes of one caller made healthy servers look broken.

line_connection ended a message at LF and dropped a CR before it. The protocol ends it with CR LF, and the last field extends to there. The search is now for CR LF, and starts again one byte back when more bytes arrive. The length limit does not count the line end, also when only half of it has arrived.

A peer that ends messages with LF alone gets no answer; it is closed after the opening time, the progress time or the length limit, as any unfinished line.

--- a/src/framework/net/internal/line_connection.cpp
+++ b/src/framework/net/internal/line_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <new>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
@@ -16,6 +17,7 @@
 using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 constexpr std::size_t read_bytes = std::size_t{16} << 10;
+constexpr std::string_view line_end = "\r\n";
 
 } // namespace
 
@@ -109,23 +111,21 @@
     }
     m_has_undelivered_line = false;
     while (!m_is_closed && !m_closes_when_sent) {
-        const std::size_t line_end = m_received.find('\n', m_searched);
-        if (line_end == std::string::npos) {
-            m_searched = m_received.size();
+        const std::size_t end = m_received.find(line_end, m_searched);
+        if (end == std::string::npos) {
+            // The last byte may be the first one of a line end.
+            m_searched = m_received.size() - (received_bytes() > 0 ? 1 : 0);
             break;
         }
-        m_searched = line_end;
+        m_searched = end;
         const bool accepts_lines = unsent_bytes() <= m_limits.unsent_bytes &&
                                    (!m_handlers.accepts_lines || m_handlers.accepts_lines());
         if (!accepts_lines) {
             m_has_undelivered_line = true;
             break;
         }
-        std::string_view line(m_received.data() + m_delivered, line_end - m_delivered);
-        if (!line.empty() && line.back() == '\r') {
-            line.remove_suffix(1);
-        }
-        m_delivered = m_searched = line_end + 1;
+        const std::string_view line(m_received.data() + m_delivered, end - m_delivered);
+        m_delivered = m_searched = end + line_end.size();
         m_handlers.on_line(line);
     }
     m_is_delivering = false;
@@ -133,7 +133,8 @@
     if (m_is_closed) {
         return;
     }
-    if (!m_has_undelivered_line && received_bytes() > m_limits.line_bytes) {
+    const bool has_first_of_line_end = !m_received.empty() && m_received.back() == line_end.front();
+    if (!m_has_undelivered_line && received_bytes() > m_limits.line_bytes + (has_first_of_line_end ? 1 : 0)) {
         close_with_reason("a line is longer than the limit");
         return;
     }
--- a/src/framework/net/line_connection.h
+++ b/src/framework/net/line_connection.h
@@ -14,13 +14,14 @@
 
 namespace hickorymount::net {
 
-/// Line-based TCP connection. Use it only on the thread of its I/O context; it never blocks.
+/// TCP connection whose messages end with CR LF. A lone CR or LF is content. Use it only on the thread of its
+/// I/O context; it never blocks.
 class line_connection : public std::enable_shared_from_this<line_connection>
 {
 public:
     struct handlers
     {
-        /// `line` has no line break.
+        /// `line` is a message without its line end, byte by byte as it was received.
         std::function<void(std::string_view line)> on_line;
         /// Called once when the connection ends, unless it was closed locally.
         std::function<void(const std::string& reason)> on_closed;
@@ -35,7 +36,7 @@
 
     struct limits
     {
-        /// The connection is closed when a line exceeds this length.
+        /// The connection is closed when a line without its line end exceeds this length.
         std::size_t line_bytes = std::size_t{1} << 20;
         /// Reading and the delivery of lines pause while more than this number of bytes is unsent.
         std::size_t unsent_bytes = std::size_t{1} << 18;
