Complete a call to a server only with an outcome

Cause: server_call took any READY after the opening one for the end of the answer, and an answer without an outcome reads as success. A server that answers the opening line twice thereby acknowledged DEMOTE, PAUSE or RESUME before it had run. A second outcome within an answer replaced the first.

Change: gateway::detail::append, a pure function over a partial answer, is the grammar of an answer: any number of rows, one outcome, the state. It names a repeated answer to the opening line, and what can't follow. server_call uses it; an answer that can't be read is no answer.

--- a/src/gateway/internal/server_call.cpp
+++ b/src/gateway/internal/server_call.cpp
@@ -1,7 +1,6 @@
 #include "gateway/internal/server_call.h"
 
 #include <utility>
-#include <variant>
 
 namespace hickorymount::gateway::detail {
 
@@ -50,30 +49,23 @@
 
 void server_call::handle_line(std::string_view line)
 {
-    const sessions::server_line decoded = m_codec.decode_server_line(line);
-    if (const auto* failed = std::get_if<sessions::error_line>(&decoded)) {
-        m_answer.code = failed->code;
-        m_answer.detail = failed->detail;
-        if (!m_is_open) {
-            finish({std::nullopt, failed->code != sessions::response_code::misrouted});
-        }
+    switch (append(m_answer, m_codec.decode_server_line(line))) {
+    case read_step::incomplete:
+    case read_step::opened_again:
         return;
-    }
-    if (const auto* row = std::get_if<sessions::row_line>(&decoded)) {
-        m_answer.rows.push_back(row->text);
+    case read_step::opened:
+        m_connection->send(m_codec.encode_statement({"", m_statement}));
         return;
-    }
-    const auto* ready = std::get_if<sessions::ready_line>(&decoded);
-    if (ready == nullptr) {
+    case read_step::refused:
+        finish({std::nullopt, m_answer.response.code != sessions::response_code::misrouted});
         return;
-    }
-    if (!std::exchange(m_is_open, true)) {
-        m_connection->send(m_codec.encode_statement({"", m_statement}));
+    case read_step::answered:
+        finish({m_answer.response, false});
+        return;
+    case read_step::unreadable:
+        finish({});
         return;
     }
-    m_answer.state = ready->state;
-    m_answer.position = ready->position;
-    finish({m_answer, false});
 }
 
 void server_call::finish(const server_call_result& outcome)
--- a/src/gateway/internal/server_call.h
+++ b/src/gateway/internal/server_call.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/identifier.h"
+#include "gateway/internal/answer_reader.h"
 #include "net/line_connection.h"
 #include "protocol/types.h"
 #include "sessions/session_codec.h"
@@ -45,9 +46,8 @@
     std::shared_ptr<net::line_connection> m_connection;
     boost::asio::steady_timer m_timer;
     sessions::statement m_statement;
-    bool m_is_open = false;
     bool m_is_finished = false;
-    sessions::statement_response m_answer;
+    partial_answer m_answer;
 };
 
 /// Converts an address from settings or reports; empty if it is not an IP address.
