Bind each answer to its statement

Cause: whatever arrived on a pooled connection counted for what ran there. After an answer that a server gave twice, the connection was off by one: the next caller got the answer of the one before, a repeated refusal was taken for that of the next write, which was then sent again, and an answer on an idle connection counted as a lost connection, so that healthy servers were ejected as flapping and primaries suspected.

Change - sessions::answer_history (value, part of server_connection) keeps digests of the signatures seen, refusals whose repeat may still come, the number of answers without a signature that may still come, and the doubt that one of these was accepted in place of the true answer. - match_answer (pure) names an answer own, repeat, ambiguous or foreign. Repeats are discarded. After the last two the connection is closed and the statement treated as after a loss, without health accounting and without suspecting the primary. - Connections with a refusal that may be repeated run only reads outside transactions; if the share is used up, an idle one is closed for others. - A second outcome, or a row after the outcome, makes an answer unreadable: a loss, but no reason to suspect a primary.

What differs from a plain count by state: a repeat may carry the state of the moment of its sending. So the number of answers without a signature that may still come is one for all states, and only BEGIN and ROLLBACK, whose state shows that they have run, are matched against earlier answers with the same state. The doubt also ends after more such answers than could be repeats. The first write of a transaction whose BEGIN is in doubt is told UNKNOWN instead of ABORTED when it fails, since it may commit by itself. A refusal while nothing is unanswered, with a doubt, closes the connection, since it may be the answer that is due. Among idle connections, those with fitting values still come first for reads; an open refusal decides between equal ones.

session_fixture and relay_load_tests gave all answers the same signature, and rows to internal statements. Each answer now has a signature of its own, and internal ones have none, as the protocol says, which is stricter.

--- a/src/gateway/internal/session_server.cpp
+++ b/src/gateway/internal/session_server.cpp
@@ -487,46 +487,40 @@
 void session_server::handle_server_line(sessions::connection_number number, std::string_view line)
 {
     server_connection& connection_state = m_server_connections.at(number);
-    sessions::server_line decoded = m_codec->decode_server_line(line);
-    if (auto* row = std::get_if<sessions::row_line>(&decoded)) {
-        connection_state.partial_answer.rows.push_back(std::move(row->text));
+    switch (append(connection_state.answer, m_codec->decode_server_line(line))) {
+    case read_step::incomplete:
         return;
-    }
-    if (const auto* done = std::get_if<sessions::done_line>(&decoded)) {
-        connection_state.partial_answer.code = sessions::response_code::done;
-        connection_state.partial_answer.detail = done->signature;
-        connection_state.has_outcome = true;
+    case read_step::opened:
+        handle_event(sessions::connection_opened{number});
         return;
-    }
-    if (const auto* failed = std::get_if<sessions::error_line>(&decoded)) {
-        if (!connection_state.is_open) {
-            handle_event(sessions::connection_refused{number, failed->code});
-            return;
-        }
-        connection_state.partial_answer.code = failed->code;
-        connection_state.partial_answer.detail = failed->detail;
-        connection_state.partial_answer.rows.clear();
-        connection_state.has_outcome = true;
+    case read_step::refused:
+        handle_event(sessions::connection_refused{number, connection_state.answer.response.code});
+        return;
+    case read_step::answered: {
+        sessions::statement_response complete = std::move(connection_state.answer.response);
+        connection_state.answer = {true, false, {}};
+        handle_event(sessions::response_received{number, std::move(complete)});
         return;
     }
-    const auto* ready = std::get_if<sessions::ready_line>(&decoded);
-    if (ready == nullptr || (connection_state.is_open && !connection_state.has_outcome)) {
+    case read_step::opened_again:
+        record_repeated_opening(number);
+        return;
+    case read_step::unreadable:
         record_unreadable(number, line);
         connection_state.connection->close();
-        end_connection(number, "the server's answer can't be read");
-        return;
-    }
-    if (!connection_state.is_open) {
-        connection_state.is_open = true;
-        handle_event(sessions::connection_opened{number});
+        end_connection(number, "the server's answer can't be read", true);
         return;
     }
-    sessions::statement_response complete = std::move(connection_state.partial_answer);
-    connection_state.partial_answer = {};
-    connection_state.has_outcome = false;
-    complete.state = ready->state;
-    complete.position = ready->position;
-    handle_event(sessions::response_received{number, std::move(complete)});
+}
+
+/// Logs and counts a second answer to the opening line, which answers no statement.
+void session_server::record_repeated_opening(sessions::connection_number number)
+{
+    m_metrics.count("hickorymount_unexpected_responses_total", "kind=\"opening\"");
+    const auto known = m_state.connections.find(number);
+    m_log.write({logging::log_level::warning, "unexpected_response",
+                 known == m_state.connections.end() ? "" : known->second.server.value,
+                 fmt::format("link={} kind=opening", number)});
 }
 
 /// Logs and counts a server's message that can't be read. Its content may be a caller's, so only the kind and
@@ -538,17 +532,19 @@
     m_metrics.count("hickorymount_unreadable_messages_total",
                     fmt::format("sender=\"server\",word=\"{}\"", word));
     const auto known = m_state.connections.find(number);
-    m_log.write({logging::log_level::warning, "unreadable_message",
-                 known == m_state.connections.end() ? "" : known->second.server.value,
-                 fmt::format("link={} word={} bytes={} opening={} rows_before={} outcome_before={}", number,
-                             word, line.size(), !connection_state.is_open,
-                             connection_state.partial_answer.rows.size(), connection_state.has_outcome)});
+    m_log.write(
+        {logging::log_level::warning, "unreadable_message",
+         known == m_state.connections.end() ? "" : known->second.server.value,
+         fmt::format("link={} word={} bytes={} opening={} rows_before={} outcome_before={}", number, word,
+                     line.size(), !connection_state.answer.is_open,
+                     connection_state.answer.response.rows.size(), connection_state.answer.has_outcome)});
 }
 
-void session_server::end_connection(sessions::connection_number number, const std::string& reason)
+void session_server::end_connection(sessions::connection_number number, const std::string& reason,
+                                    bool is_unreadable)
 {
     m_server_connections.erase(number);
-    handle_event(sessions::connection_lost{number, reason});
+    handle_event(sessions::connection_lost{number, reason, is_unreadable});
 }
 
 void session_server::handle_event(sessions::event_payload kind)
@@ -624,7 +620,7 @@
         std::make_shared<net::line_connection>(tcp::socket(m_context), net::line_connection::limits{});
     connection->set_handlers({[this, number](std::string_view line) { handle_server_line(number, line); },
                               [this, number](const std::string& reason) { end_connection(number, reason); }});
-    m_server_connections.emplace(number, server_connection{connection, false, {}, false});
+    m_server_connections.emplace(number, server_connection{connection, {}});
     const auto address = socket_address(effect.address);
     if (!address) {
         asio::post(m_context, [this, number] {
@@ -731,7 +727,7 @@
 void session_server::execute(sessions::record_unexpected_response&& effect)
 {
     m_metrics.count("hickorymount_unexpected_responses_total",
-                    effect.is_repeat ? "kind=\"repeat\"" : "kind=\"other\"");
+                    fmt::format("kind=\"{}\"", sessions::to_string(effect.origin)));
 }
 
 void session_server::execute(sessions::record_queue_metrics&& effect)
--- a/src/gateway/internal/session_server.h
+++ b/src/gateway/internal/session_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/error.h"
+#include "gateway/internal/answer_reader.h"
 #include "gateway/internal/resource_limits.h"
 #include "gateway/internal/server_call.h"
 #include "gateway/internal/session_gate.h"
@@ -95,9 +96,7 @@
     struct server_connection
     {
         std::shared_ptr<net::line_connection> connection;
-        bool is_open = false;
-        sessions::statement_response partial_answer;
-        bool has_outcome = false;
+        partial_answer answer;
     };
 
     static result<void> listen(session_port& port, const protocol::endpoint& address);
@@ -119,7 +118,9 @@
     void handle_caller_line(sessions::session_number number, std::string_view line);
     void handle_server_line(sessions::connection_number number, std::string_view line);
     void record_unreadable(sessions::connection_number number, std::string_view line);
-    void end_connection(sessions::connection_number number, const std::string& reason);
+    void record_repeated_opening(sessions::connection_number number);
+    void end_connection(sessions::connection_number number, const std::string& reason,
+                        bool is_unreadable = false);
 
     void handle_event(sessions::event_payload kind);
     void arm_timer(time_point next_timer_at);
--- a/src/gateway/tests/relay_load_tests.cpp
+++ b/src/gateway/tests/relay_load_tests.cpp
@@ -419,13 +419,14 @@
         simulated_server& server = m_servers.at(name);
         m_received_by_servers.insert(effect.id);
         const auto respond = [this, host, effect](response_code code) {
-            schedule(network_delay, [this, host, effect, code] {
-                apply(host, sessions::response_received{effect.connection,
-                                                        {{"row"},
-                                                         code,
-                                                         "signature",
-                                                         sessions::transaction_state::none,
-                                                         session_token::group_position{1, 100}}});
+            sessions::statement_response response{
+                {}, code, "", sessions::transaction_state::none, session_token::group_position{1, 100}};
+            if (!effect.id.empty()) {
+                response.rows = {"row"};
+                response.detail = "signature-" + std::to_string(++m_last_signature);
+            }
+            schedule(network_delay, [this, host, effect, response] {
+                apply(host, sessions::response_received{effect.connection, response});
             });
         };
         if (server.queue.size() >= max_queued_statements) {
@@ -468,6 +469,7 @@
     int m_statements_per_second = 0;
     /// The ids of the callers' statements that reached a server.
     std::set<std::string> m_received_by_servers;
+    int m_last_signature = 0;
     std::mt19937 m_random{20261204};
 };
 
--- a/src/sessions/benchmarks/sessions_benchmark.cpp
+++ b/src/sessions/benchmarks/sessions_benchmark.cpp
@@ -95,6 +95,7 @@
     std::vector<connection_number> m_opening;
     std::int64_t m_customers = 0;
     connection_number m_running = 0;
+    std::int64_t m_last_signature = 0;
 };
 
 /// One statement arrives and one is answered.
@@ -103,7 +104,11 @@
     for (auto each : state) {
         submit_on_new_session();
         apply_event(response_received{m_running,
-                                      {{}, response_code::done, "s", transaction_state::none, std::nullopt}});
+                                      {{},
+                                       response_code::done,
+                                       "s" + std::to_string(++m_last_signature),
+                                       transaction_state::none,
+                                       std::nullopt}});
         complete_openings();
     }
     state.counters["per_event_ns"] =
--- a/src/sessions/internal/connection_pool.cpp
+++ b/src/sessions/internal/connection_pool.cpp
@@ -1,5 +1,6 @@
 #include "sessions/internal/connection_pool.h"
 
+#include "sessions/internal/answer_match.h"
 #include "sessions/internal/next_check.h"
 #include "sessions/internal/relay_deadline.h"
 
@@ -39,6 +40,12 @@
     return needs_reset ? 2 : 1;
 }
 
+/// True while a repeat of a refusal may come, which could be taken for the refusal of another statement.
+bool has_open_refusal(const server_connection& connection)
+{
+    return !connection.answers.refusals.empty();
+}
+
 /// Stops counting the connection as one that is being opened.
 void forget_opening(const server_connection& connection, server_load& load)
 {
@@ -67,14 +74,17 @@
     if (load == m_context.state.server_loads.end()) {
         return std::nullopt;
     }
+    const bool is_single_read = session.pending && session.pending->is_read_only && !session.transaction;
     std::optional<connection_number> best;
     int best_mismatch = 0;
     for (const connection_number number : load->second.idle_connections) {
         const server_connection& connection = m_context.state.connections.at(number);
-        if (!serves(connection, session)) {
+        if (!serves(connection, session) || (has_open_refusal(connection) && !is_single_read)) {
             continue;
         }
-        const int found = variables_mismatch(connection, session);
+        // Connections with an open refusal serve nothing but reads, so reads leave the others free.
+        const int found =
+            2 * variables_mismatch(connection, session) + (has_open_refusal(connection) ? 0 : 1);
         if (!best || found < best_mismatch) {
             best = number;
             best_mismatch = found;
@@ -103,7 +113,7 @@
         load.opening_connections >= max_opening_connections || m_context.now < load.connect_after) {
         return;
     }
-    if (load.open_connections >= known->connection_share && !close_idle_of_other_customer(server, customer)) {
+    if (load.open_connections >= known->connection_share && !close_unusable_idle(server, customer)) {
         return;
     }
     const connection_number number = m_context.state.next_connection++;
@@ -126,8 +136,7 @@
            load->second.opening_customers.contains(customer);
 }
 
-bool connection_pool::close_idle_of_other_customer(const backend_server_name& server,
-                                                   const customer_name& customer)
+bool connection_pool::close_unusable_idle(const backend_server_name& server, const customer_name& customer)
 {
     const server_load& load = m_context.state.server_loads[server];
     std::optional<connection_number> least_recent;
@@ -137,7 +146,8 @@
             !least_recent || connection.idle_since < m_context.state.connections.at(*least_recent).idle_since;
         const bool is_protected = connection.sent_at == time_point{} &&
                                   m_context.now - connection.idle_since < unused_connection_protection;
-        if (connection.customer != customer && is_earlier && !is_protected) {
+        const bool is_unusable = connection.customer != customer || has_open_refusal(connection);
+        if (is_unusable && is_earlier && !is_protected) {
             least_recent = number;
         }
     }
@@ -287,7 +297,7 @@
         return;
     }
     set_stage(number, connection, connection_stage::idle);
-    if (is_surplus(connection)) {
+    if (is_surplus(connection) || is_full(connection.answers)) {
         close(number);
     }
 }
--- a/src/sessions/internal/connection_pool.h
+++ b/src/sessions/internal/connection_pool.h
@@ -13,13 +13,14 @@
     explicit connection_pool(event_context& context);
 
     /// Returns an idle connection to the server that serves the session's customer, preferably one that
-    /// already has the session's variables set.
+    /// already has the session's variables set. One on which a refusal may be repeated serves only reads
+    /// outside transactions.
     [[nodiscard]] std::optional<connection_number> find_idle(const backend_server_name& server,
                                                              const caller_session& session) const;
 
     /// Opens one more connection to the server for the customer, within its share, the limit on simultaneous
-    /// attempts and the delay after a failed attempt. When the share is used up, the connection of another
-    /// customer that has been idle for the longest time is closed for it.
+    /// attempts and the delay after a failed attempt. When the share is used up, the connection that has been
+    /// idle for the longest time is closed for it, of those that can't run the customer's statement.
     void open_if_allowed(const backend_server_name& server, const customer_name& customer);
 
     /// True while a connection to the server is being opened for the customer.
@@ -74,9 +75,9 @@
     void forget(connection_number number);
     /// True if statements of the session can run on the connection.
     [[nodiscard]] bool serves(const server_connection& connection, const caller_session& session) const;
-    /// Closes the idle connection of another customer that was used least recently. Returns false if there is
-    /// none.
-    bool close_idle_of_other_customer(const backend_server_name& server, const customer_name& customer);
+    /// Closes the idle connection that was used least recently of those of other customers and those with an
+    /// open refusal. Returns false if there is none.
+    bool close_unusable_idle(const backend_server_name& server, const customer_name& customer);
     /// The caller to name in the next message on a connection to another entry host, if it has changed.
     std::optional<relayed_caller> changed_caller(server_connection& connection,
                                                  const caller_session& session) const;
--- a/src/sessions/internal/reduce.cpp
+++ b/src/sessions/internal/reduce.cpp
@@ -1,5 +1,6 @@
 #include "sessions/reduce.h"
 
+#include "sessions/internal/answer_match.h"
 #include "sessions/internal/connection_pool.h"
 #include "sessions/internal/customer_identity.h"
 #include "sessions/internal/event_context.h"
@@ -78,27 +79,37 @@
         if (connection == nullptr) {
             return;
         }
-        const std::uint64_t digest = detail::digest_of(answered.response);
-        const std::uint64_t last_digest = std::exchange(connection->last_response_digest, digest);
-        if (connection->internal_statement) {
+        detail::answer_match match = detail::match_answer(
+            std::move(connection->answers), detail::expectation_of(*connection), answered.response);
+        connection->answers = std::move(match.history);
+        if (match.origin != answer_origin::own) {
+            record_unexpected(answered, *connection, match.origin);
+        }
+        if (match.origin == answer_origin::repeat) {
+            return;
+        }
+        if (match.origin != answer_origin::own) {
+            m_dispatcher.close_untrusted(answered.connection, "an answer that may be another statement's");
+        } else if (connection->internal_statement) {
             m_dispatcher.handle_internal_response(answered.connection, answered.response);
-        } else if (connection->stage == connection_stage::running) {
-            m_dispatcher.handle_response(answered.connection, answered.response);
         } else {
-            const bool is_repeat = digest == last_digest;
-            m_context.log(logging::log_level::warning, "unexpected_response", connection->server.value,
-                          fmt::format("group={} link={} {} is_repeat={}", connection->group.value,
-                                      answered.connection, detail::describe(answered.response), is_repeat));
-            m_context.emit(record_unexpected_response{is_repeat});
-            m_context.emit(close_connection{answered.connection});
-            m_dispatcher.handle_connection_loss(answered.connection, "an answer to nothing");
+            m_dispatcher.handle_response(answered.connection, answered.response);
         }
     }
 
+    void record_unexpected(const response_received& answered, const server_connection& connection,
+                           answer_origin origin)
+    {
+        m_context.log(logging::log_level::warning, "unexpected_response", connection.server.value,
+                      fmt::format("group={} link={} kind={} {}", connection.group.value, answered.connection,
+                                  to_string(origin), detail::describe(answered.response)));
+        m_context.emit(record_unexpected_response{origin});
+    }
+
     void apply(const connection_lost& lost)
     {
         if (m_context.connection(lost.connection) != nullptr) {
-            m_dispatcher.handle_connection_loss(lost.connection, lost.reason);
+            m_dispatcher.handle_connection_loss(lost.connection, lost.reason, lost.is_unreadable);
         }
     }
 
--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -28,6 +28,15 @@
     pending.needs_primary = pending.needs_primary || code == response_code::lagging;
 }
 
+/// True if the server has run a statement of an open transaction without one.
+bool has_run_outside(const server_connection& connection, const caller_session& session,
+                     const statement_response& response)
+{
+    return session.pending && session.transaction && connection.is_in_transaction &&
+           session.pending->request.body.kind != statement_kind::commit &&
+           response.code == response_code::done && response.state == transaction_state::none;
+}
+
 transaction_state transaction_state_of(const caller_session& session)
 {
     if (!session.transaction) {
@@ -270,6 +279,7 @@
         return;
     }
     pending.stage = statement_stage::running;
+    pending.may_run_outside = may_run_outside(*m_context.connection(connection), session);
     pending.sent_at = m_context.now;
     pending.first_sent_at = pending.first_sent_at.value_or(m_context.now);
     m_connections.send_pending(connection, pending);
@@ -277,6 +287,18 @@
     schedule_check(m_context.connection(connection)->holder, session);
 }
 
+/// True for a write that commits by itself if the transaction was not begun, which is in doubt.
+bool statement_dispatcher::may_run_outside(const server_connection& connection,
+                                           const caller_session& session) const
+{
+    const statement& body = session.pending->request.body;
+    const bool is_write =
+        body.kind == statement_kind::write ||
+        (body.kind == statement_kind::execute && !session.prepared_statements.at(body.name).is_read_only);
+    return is_write && session.transaction && !session.transaction->has_run &&
+           !session.transaction->is_read_only && connection.answers.doubt > 0;
+}
+
 void statement_dispatcher::trace_primary_use(const server_connection& connection,
                                              const pending_statement& pending)
 {
@@ -388,6 +410,15 @@
     server_connection& connection = *m_context.connection(number);
     const group_name group = connection.group;
     const bool is_relay = connection.is_relay;
+    caller_session* session = connection.holder == 0 ? nullptr : m_context.session(connection.holder);
+    if (session != nullptr && has_run_outside(connection, *session, response)) {
+        session->pending->may_run_outside = session->pending->request.body.kind != statement_kind::read;
+        m_context.log(
+            logging::log_level::warning, "statement_outside_transaction", connection.server.value,
+            fmt::format("id={} group={} link={}", session->pending->request.id, group.value, number));
+        close_untrusted(number, "the statement ran outside its transaction");
+        return;
+    }
     record_relay_response(connection);
     if (connection.sent_in_term != 0 && response.position &&
         m_context.is_term_usable(group, connection.sent_in_term)) {
@@ -398,12 +429,12 @@
     connection.is_in_transaction = response.state != transaction_state::none;
     m_connections.set_stage(number, connection, connection_stage::reserved);
     const session_number holder = connection.holder;
-    caller_session* session = holder == 0 ? nullptr : m_context.session(holder);
     if (session == nullptr || !session->pending) {
         m_connections.release(number);
         dispatch_after(group, is_relay);
         return;
     }
+    session->pending->may_run_outside = false;
     record_finished(*session->pending, response.code);
     if (response.code != response_code::done) {
         if (!connection.is_relay) {
@@ -418,12 +449,10 @@
     dispatch_after(group, is_relay);
 }
 
-void statement_dispatcher::handle_connection_loss(connection_number number, const std::string& reason)
+void statement_dispatcher::handle_connection_loss(connection_number number, const std::string& reason,
+                                                  bool is_unreadable)
 {
-    server_connection& connection = *m_context.connection(number);
-    const group_name group = connection.group;
-    const bool is_relay = connection.is_relay;
-    const session_number holder = connection.holder;
+    const server_connection connection = *m_context.connection(number);
     const bool was_opening = connection.stage == connection_stage::opening;
     server_load& load = m_context.state.server_loads[connection.server];
     if (was_opening) {
@@ -434,11 +463,27 @@
         load.avoid_until = m_context.now + (was_opening ? relay_backoff : refusal_backoff);
     }
     m_context.log(logging::log_level::warning, "link_lost", connection.server.value,
-                  fmt::format("group={} link={} opening={} session={} reason=\"{}\"", group.value, number,
-                              was_opening, holder, reason));
-    suspect_if_primary(connection, reason);
-    const backend_server_name server = connection.server;
+                  fmt::format("group={} link={} opening={} session={} reason=\"{}\"", connection.group.value,
+                              number, was_opening, connection.holder, reason));
+    if (!is_unreadable) {
+        suspect_if_primary(connection, reason);
+    }
     m_connections.remove_lost(number);
+    end_work_on(number, connection, reason);
+}
+
+void statement_dispatcher::close_untrusted(connection_number number, const std::string& reason)
+{
+    const server_connection connection = *m_context.connection(number);
+    m_connections.close(number);
+    end_work_on(number, connection, reason);
+}
+
+/// Ends or requeues the work of a connection that is gone.
+void statement_dispatcher::end_work_on(connection_number number, const server_connection& closed,
+                                       const std::string& reason)
+{
+    const session_number holder = closed.holder;
     caller_session* session = holder == 0 ? nullptr : m_context.session(holder);
     if (session != nullptr && session->transaction && session->transaction->connection == number) {
         session->transaction->connection = 0;
@@ -447,14 +492,14 @@
         }
     }
     if (session != nullptr && session->pending && session->pending->connection == number) {
-        session->pending->tried_servers.insert(server);
+        session->pending->tried_servers.insert(closed.server);
         if (session->pending->stage == statement_stage::running) {
             resolve(holder, *session, std::nullopt, reason);
         } else {
             requeue_or_abort(holder, *session, reason);
         }
     }
-    dispatch_after(group, is_relay);
+    dispatch_after(closed.group, closed.is_relay);
 }
 
 void statement_dispatcher::handle_connection_refusal(connection_number number, response_code code)
@@ -682,6 +727,9 @@
 statement_scope statement_dispatcher::scope_of(const caller_session& session) const
 {
     const pending_statement& pending = *session.pending;
+    if (pending.may_run_outside) {
+        return statement_scope::single_write;
+    }
     if (!session.transaction) {
         return pending.is_read_only ? statement_scope::single_read : statement_scope::single_write;
     }
--- a/src/sessions/internal/statement_dispatcher.h
+++ b/src/sessions/internal/statement_dispatcher.h
@@ -32,8 +32,13 @@
     void handle_response(connection_number connection, statement_response response);
     /// Handles the response to one of the proxy's internal statements.
     void handle_internal_response(connection_number connection, const statement_response& response);
-    /// Handles a connection that was lost or could not be opened.
-    void handle_connection_loss(connection_number connection, const std::string& reason);
+    /// Handles a connection that was lost or could not be opened. A primary whose answer can't be read
+    /// responds, so it is not suspected.
+    void handle_connection_loss(connection_number connection, const std::string& reason,
+                                bool is_unreadable = false);
+    /// Closes a connection whose answers can't be told apart. Its server is neither counted as lost nor
+    /// suspected.
+    void close_untrusted(connection_number connection, const std::string& reason);
     /// Handles a connection that the server refused. The server is running, so it is not suspected.
     void handle_connection_refusal(connection_number connection, response_code code);
 
@@ -84,6 +89,10 @@
     bool try_dispatch(session_number number, caller_session& session);
     void start_on_connection(connection_number connection, session_number number, caller_session& session);
     void advance(connection_number connection, caller_session& session);
+    void end_work_on(connection_number connection, const server_connection& closed,
+                     const std::string& reason);
+    [[nodiscard]] bool may_run_outside(const server_connection& connection,
+                                       const caller_session& session) const;
     [[nodiscard]] bool has_lost_primary(const server_connection& connection,
                                         const caller_session& session) const;
     /// Logs a statement that was sent to a primary soon after a change of the belief about it.
--- a/src/sessions/tests/relay_tests.cpp
+++ b/src/sessions/tests/relay_tests.cpp
@@ -49,7 +49,7 @@
     respond_done(run.connection);
     const statement_response response = next_response();
     EXPECT_EQ(response.code, response_code::done);
-    EXPECT_EQ(response.detail, "signature");
+    EXPECT_EQ(response.detail, m_last_signature);
     EXPECT_EQ(response.position, (group_position{3, 100}));
 }
 
--- a/src/sessions/tests/session_fixture.h
+++ b/src/sessions/tests/session_fixture.h
@@ -151,10 +151,19 @@
         return sent.empty() ? send_statement{} : sent.front();
     }
 
+    /// Answers what the connection runs: a caller's statement with a row and a signature of its own, one of
+    /// the proxy's internal statements with neither.
     void respond_done(connection_number connection, transaction_state state = transaction_state::none,
                       group_position at = {3, 100})
     {
-        apply_event(response_received{connection, {{"row"}, response_code::done, "signature", state, at}});
+        const auto known = m_state.connections.find(connection);
+        const bool is_internal = known != m_state.connections.end() && known->second.internal_statement;
+        statement_response response{{}, response_code::done, "", state, at};
+        if (!is_internal) {
+            response.rows = {"row"};
+            response.detail = m_last_signature = "signature-" + std::to_string(m_next_signature++);
+        }
+        apply_event(response_received{connection, std::move(response)});
     }
 
     void respond_error(connection_number connection, response_code code,
@@ -219,6 +228,9 @@
     std::map<connection_number, std::string> m_servers;
     session_number m_next_session = 1;
     int m_next_id = 1;
+    int m_next_signature = 1;
+    /// Signature of the last response that `respond_done` has sent.
+    std::string m_last_signature;
 };
 
 } // namespace hickorymount::sessions
--- a/src/sessions/tests/session_tests.cpp
+++ b/src/sessions/tests/session_tests.cpp
@@ -21,7 +21,7 @@
     respond_done(run.connection);
     const statement_response response = next_response();
     EXPECT_EQ(response.rows, std::vector<std::string>{"row"});
-    EXPECT_EQ(response.detail, "signature");
+    EXPECT_EQ(response.detail, m_last_signature);
     EXPECT_EQ(response.position, (group_position{3, 100}));
 }
 
@@ -386,7 +386,7 @@
     respond_done(read.connection);
     const auto answers = take_effects<send_response>();
     ASSERT_EQ(answers.size(), 2U);
-    EXPECT_EQ(answers[0].response.detail, "signature");
+    EXPECT_EQ(answers[0].response.detail, m_last_signature);
     EXPECT_EQ(answers[1].response.code, response_code::done);
 }
 
@@ -558,7 +558,7 @@
     const send_statement run = next_sent_statement();
     EXPECT_EQ(run.body.text, "WRITE 1 a");
     respond_done(run.connection, transaction_state::open);
-    EXPECT_EQ(next_response().detail, "signature");
+    EXPECT_EQ(next_response().detail, m_last_signature);
 }
 
 class prepared_connection_fixture : public session_fixture
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -6,6 +6,7 @@
 #include "configuration/types.h"
 #include "limits/customer_budgets.h"
 #include "logging/types.h"
+#include "sessions/answer_history.h"
 #include "sessions/check_schedule.h"
 #include "sessions/concurrency_limit.h"
 #include "sessions/drain_rate.h"
@@ -178,6 +179,9 @@
     time_point retry_at{};
     statement_stage stage = statement_stage::queued;
     connection_number connection = 0;
+    /// The first write of a transaction, sent while it was in doubt whether the server had begun the
+    /// transaction. Without one, the write commits by itself.
+    bool may_run_outside = false;
     int attempts = 0;
     /// Servers that refused the statement or did not answer it.
     std::set<backend_server_name> tried_servers;
@@ -257,8 +261,8 @@
     group_term sent_in_term = 0;
     time_point opened_at{};
     time_point idle_since{};
-    /// Digest of the last response, by which a repeat of it is recognized; zero before the first response.
-    std::uint64_t last_response_digest = 0;
+    /// The answers so far, by which a repeat is told from the answer to the unanswered statement.
+    answer_history answers;
     /// The check of the connection that is in the schedule.
     time_point next_check_at = time_point::max();
 
@@ -492,6 +496,8 @@
 {
     connection_number connection = 0;
     std::string reason;
+    /// The other side sent an answer that can't be read.
+    bool is_unreadable = false;
 
     friend bool operator==(const connection_lost&, const connection_lost&) = default;
 };
@@ -665,11 +671,25 @@
     friend bool operator==(const record_ejection_metrics&, const record_ejection_metrics&) = default;
 };
 
-/// Counts a response that arrived on a connection with no statement unanswered.
+/// What a response on a connection answers.
+enum class answer_origin
+{
+    /// The unanswered statement.
+    own,
+    /// An earlier statement, which has been answered or is known to be answered in turn.
+    repeat,
+    /// Either the unanswered statement or an earlier one.
+    ambiguous,
+    /// No statement that the connection knows of.
+    foreign
+};
+
+std::string_view to_string(answer_origin origin);
+
+/// Counts a response that was not taken for the answer to a statement.
 struct record_unexpected_response
 {
-    /// The response is the same as the connection's last one.
-    bool is_repeat = false;
+    answer_origin origin = answer_origin::repeat;
 
     friend bool operator==(const record_unexpected_response&, const record_unexpected_response&) = default;
 };
