--- a/src/soak/tests/process_cluster.cpp
+++ b/src/soak/tests/process_cluster.cpp
@@ -1,7 +1,6 @@
 #include "soak/tests/process_cluster.h"
 
 #include "http/client.h"
-#include "net/line_connection.h"
 #include "platform/emulator_client.h"
 #include "soak/tests/raw_client.h"
 
@@ -38,9 +37,10 @@
 constexpr int start_attempts = 3;
 constexpr std::uint32_t connections = 20;
 constexpr milliseconds statement_timeout{3000};
-constexpr std::size_t server_line_bytes = std::size_t{4} << 20;
+constexpr std::size_t server_message_bytes = std::size_t{4} << 20;
 constexpr std::size_t printed_log_lines = 30;
 constexpr std::string_view rows_text = "READ rows ";
+constexpr sessions::group_position server_position{1, 1};
 
 /// Settings that lower the limits of the processes.
 constexpr const char* entry_limits = R"(memory_mb = 64
@@ -137,6 +137,13 @@
     return found;
 }
 
+struct stand_in_server::peer
+{
+    std::shared_ptr<message_connection> connection;
+    /// What is sent again before the next answer.
+    std::string repeat;
+};
+
 stand_in_server::stand_in_server()
     : m_acceptor(m_context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
       m_port(m_acceptor.local_endpoint().port())
@@ -151,48 +158,91 @@
     m_thread.join();
 }
 
+void stand_in_server::set_behavior(const server_behavior& behavior)
+{
+    const std::lock_guard lock(m_mutex);
+    m_behavior = behavior;
+}
+
+std::vector<std::string> stand_in_server::received_messages()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_received;
+}
+
+std::size_t stand_in_server::runs_of(const std::string& id)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_runs[id];
+}
+
 void stand_in_server::accept()
 {
     m_acceptor.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
         if (error) {
             return;
         }
-        net::line_connection::limits limits;
-        limits.line_bytes = server_line_bytes;
-        auto connection = std::make_shared<net::line_connection>(std::move(socket), limits);
-        connection->set_handlers(
-            {[this, connection](std::string_view line) { handle_line(connection, line); },
-             [](const std::string& /*reason*/) {}});
-        connection->start();
+        auto accepted = std::make_shared<peer>();
+        accepted->connection = std::make_shared<message_connection>(std::move(socket), server_message_bytes);
+        accepted->connection->set_handlers(
+            {[this, accepted](const std::string& message) { handle_message(accepted, message); }, [] {}});
+        accepted->connection->start();
         accept();
     });
 }
 
-void stand_in_server::handle_line(const std::shared_ptr<net::line_connection>& connection,
-                                  std::string_view line)
+void stand_in_server::handle_message(const std::shared_ptr<peer>& sender, const std::string& message)
 {
-    const sessions::group_position position{1, 1};
-    const sessions::caller_line decoded = m_codec->decode_proxy_line(line);
-    if (std::holds_alternative<sessions::open_request>(decoded)) {
-        connection->send(m_codec->encode_ready({transaction_state::none, position}));
+    const std::lock_guard lock(m_mutex);
+    m_received.push_back(message);
+    const request_message decoded = parse_request(message);
+    if (std::holds_alternative<opening_message>(decoded)) {
+        sender->connection->send(write_ready({transaction_state::none, server_position}));
         return;
     }
-    const auto* request = std::get_if<sessions::statement_request>(&decoded);
+    const auto* request = std::get_if<statement_message>(&decoded);
     if (request == nullptr) {
-        connection->close();
+        sender->connection->close();
         return;
     }
-    sessions::statement_response answer{
-        {}, response_code::done, server_name, transaction_state::none, position};
-    if (request->body.kind == statement_kind::status) {
-        answer.rows = {m_codec->encode_status(sessions::server_status{true, position})};
-    } else if (request->body.kind < statement_kind::reset && m_is_held) {
+    const bool is_of_caller = request->body.kind < statement_kind::reset;
+    if (is_of_caller && m_is_held) {
         return;
-    } else if (request->body.text.starts_with(rows_text)) {
+    }
+    const sessions::statement_response answer = answer_to(*request);
+    const std::string bytes = write_answer(answer);
+    sender->connection->send(std::exchange(sender->repeat, {}) + bytes);
+    const bool is_repeated = m_behavior.repeats_answers || answer.code == response_code::busy;
+    if (is_of_caller && is_repeated) {
+        sender->repeat = bytes;
+    }
+}
+
+sessions::statement_response stand_in_server::answer_to(const statement_message& request)
+{
+    const statement_kind kind = request.body.kind;
+    sessions::statement_response answer{
+        {}, response_code::done, "7." + request.id, transaction_state::none, server_position};
+    if (kind == statement_kind::status) {
+        answer.rows = {write_status({true, server_position})};
+        return answer;
+    }
+    const bool is_refused = kind == statement_kind::write && m_behavior.refuses_first_writes &&
+                            m_refused.insert(request.id).second;
+    if (is_refused) {
+        answer.code = response_code::busy;
+        answer.detail = server_name;
+        return answer;
+    }
+    ++m_runs[request.id];
+    if (request.body.text.starts_with(rows_text)) {
         answer.rows = {
-            std::string(std::strtoull(request->body.text.c_str() + rows_text.size(), nullptr, 10), 'r')};
+            std::string(std::strtoull(request.body.text.c_str() + rows_text.size(), nullptr, 10), 'r')};
+    } else if (kind == statement_kind::read || kind == statement_kind::execute) {
+        answer.rows = m_behavior.echoes ? std::vector{request.body.text} : std::vector{m_behavior.row};
+        std::erase(answer.rows, "");
     }
-    connection->send(m_codec->encode_answer(answer));
+    return answer;
 }
 
 process_cluster::process_cluster()
--- a/src/soak/tests/process_cluster.h
+++ b/src/soak/tests/process_cluster.h
@@ -1,14 +1,16 @@
 #pragma once
 
 #include "base/millisecond_clock.h"
-#include "platform/session_codec.h"
 #include "protocol/types.h"
+#include "soak/message_connection.h"
 
 #include <atomic>
 #include <cstdint>
 #include <filesystem>
 #include <map>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -17,10 +19,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <sys/types.h>
 
-namespace hickorymount::net {
-class line_connection;
-}
-
 namespace hickorymount::soak {
 
 /// What one process uses, from /proc.
@@ -50,7 +48,22 @@
     bool m_has_ended = false;
 };
 
-/// A backend server that accepts sessions and answers every statement. `READ rows N` gets a row of N bytes.
+/// How `stand_in_server` answers the statements of callers.
+struct server_behavior
+{
+    /// The row of each read and execution; empty for none.
+    std::string row{};
+    /// Each read and execution gets its text as a row.
+    bool echoes = false;
+    /// Each answer is sent again on its connection, before the next answer there.
+    bool repeats_answers = false;
+    /// The first attempt of each write is refused, and the refusal is sent again before the next answer on
+    /// its connection.
+    bool refuses_first_writes = false;
+};
+
+/// A backend server that accepts sessions and answers every statement. The signature ends with the id of the
+/// statement. `READ rows N` gets a row of N bytes.
 class stand_in_server
 {
 public:
@@ -62,16 +75,30 @@
     [[nodiscard]] std::uint16_t port() const { return m_port; }
     /// While set, statements of callers are received but not answered.
     void hold_answers(bool is_held) { m_is_held = is_held; }
+    /// Applies to the statements that arrive from now on.
+    void set_behavior(const server_behavior& behavior);
+    /// All messages as they arrived, without their CR LF.
+    [[nodiscard]] std::vector<std::string> received_messages();
+    /// Number of times that statements with this id ran.
+    [[nodiscard]] std::size_t runs_of(const std::string& id);
 
 private:
+    struct peer;
+
     void accept();
-    void handle_line(const std::shared_ptr<net::line_connection>& connection, std::string_view line);
+    void handle_message(const std::shared_ptr<peer>& sender, const std::string& message);
+    [[nodiscard]] sessions::statement_response answer_to(const statement_message& request);
 
-    std::unique_ptr<sessions::session_codec> m_codec = platform::make_session_codec();
     boost::asio::io_context m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::uint16_t m_port = 0;
     std::atomic<bool> m_is_held{false};
+    /// Protects the members that follow.
+    std::mutex m_mutex;
+    server_behavior m_behavior;
+    std::vector<std::string> m_received;
+    std::map<std::string, std::size_t> m_runs;
+    std::set<std::string> m_refused;
     std::thread m_thread;
 };
 
