Check what servers receive and what callers get beyond their statements

The soak's checks covered the statements that a server ran under the id of a caller, and answers with a signature.

Change: consistency_checker reports - a statement that reaches a server under the id of no caller, or that differs from the one sent under its id; an execution is now compared by its arguments and a SET or PREPARE by its value, kind and shape, since names may change, - a message that its receiver can't parse, with its bytes, - a message to a caller that has no statement outstanding, rows in the answer of a statement that has none, and a state that does not follow from the statement.

--- a/src/soak/consistency_checker.h
+++ b/src/soak/consistency_checker.h
@@ -74,6 +74,14 @@
 public:
     void record_sent(const sent_statement& sent);
     void record_served(const served_statement& served);
+    /// A server received a statement, before it decides whether to run it. Its own id is `-` if the system
+    /// under test issued it.
+    void record_received(const std::string& id, const sessions::statement& received,
+                         const std::string& server);
+    /// `receiver` got a message that is none of the protocol.
+    void record_unreadable(const std::string& receiver, const std::string& message);
+    /// A caller got a message, or rows, that answer none of its statements.
+    void record_unasked_answer(int session, const std::string& message);
     /// A primary appended these writes to its log. A later `record_promotion` may discard them.
     void record_committed(const std::vector<std::string>& writes, const group_position& at);
     /// A server answered the commit of these writes at this position of its log.
@@ -83,6 +91,9 @@
     void record_promotion(const std::vector<term_start>& term_starts, std::uint64_t log_end);
     /// A caller received a successful answer to a statement.
     void record_answered(const std::string& id, const sessions::statement_response& answer);
+    /// A successful answer named another state than the one that the statement leads to.
+    void record_wrong_state(const std::string& id, sessions::transaction_state expected,
+                            sessions::transaction_state answered);
     /// A caller received a successful answer to the commit of these writes, or to a write outside a
     /// transaction.
     void record_acknowledged(int session, const std::vector<std::string>& writes, time_point now);
--- a/src/soak/internal/consistency_checker.cpp
+++ b/src/soak/internal/consistency_checker.cpp
@@ -1,5 +1,7 @@
 #include "soak/consistency_checker.h"
 
+#include "soak/wire_format.h"
+
 #include <algorithm>
 
 #include <fmt/format.h>
@@ -10,6 +12,28 @@
 
 /// Time after an acknowledgement within which a control host may still return an older version.
 constexpr milliseconds configuration_apply_time{3000};
+/// Id of the statements that the system under test issues itself.
+constexpr const char* own_id = "-";
+
+/// Names of prepared statements may differ, and so may the text of an execution.
+bool is_same_statement(const sessions::statement& sent, const sessions::statement& received)
+{
+    if (sent.kind != received.kind) {
+        return false;
+    }
+    switch (sent.kind) {
+    case sessions::statement_kind::execute:
+        return sent.argument == received.argument;
+    case sessions::statement_kind::prepare:
+        return sent.argument == received.argument && sent.is_read_only == received.is_read_only;
+    case sessions::statement_kind::set_variable:
+        return sent.argument == received.argument && sent.name == received.name;
+    case sessions::statement_kind::deallocate:
+        return true;
+    default:
+        return sent.text == received.text;
+    }
+}
 
 } // namespace
 
@@ -27,10 +51,9 @@
 void consistency_checker::record_served(const served_statement& served)
 {
     const auto sent = m_sent.find(served.id);
-    if (sent == m_sent.end() || sent->second.command.kind != served.command.kind ||
-        (served.command.kind != sessions::statement_kind::execute &&
-         sent->second.command.text != served.command.text)) {
-        report_violation("unasked", fmt::format("{} at {}", served.id, served.server.value));
+    if (sent == m_sent.end() || !is_same_statement(sent->second.command, served.command)) {
+        report_violation("unasked", fmt::format("{} ran at {} as '{}'", to_printable(served.id),
+                                                served.server.value, to_printable(served.command.text)));
         return;
     }
     check_customer(sent->second, served);
@@ -39,6 +62,27 @@
     m_served[served.id] = served;
 }
 
+void consistency_checker::record_received(const std::string& id, const sessions::statement& received,
+                                          const std::string& server)
+{
+    const auto sent = m_sent.find(id);
+    if (id != own_id && (sent == m_sent.end() || !is_same_statement(sent->second.command, received))) {
+        report_violation("unasked", fmt::format("{} reached {} as '{}'", to_printable(id), server,
+                                                to_printable(received.text)));
+    }
+}
+
+void consistency_checker::record_unreadable(const std::string& receiver, const std::string& message)
+{
+    report_violation("unreadable", fmt::format("{} got '{}'", receiver, to_printable(message)));
+}
+
+void consistency_checker::record_unasked_answer(int session, const std::string& message)
+{
+    report_violation("mixed", fmt::format("session {} got '{}', which answers none of its statements",
+                                          session, to_printable(message)));
+}
+
 void consistency_checker::check_customer(const sent_statement& sent, const served_statement& served)
 {
     if (!sent.customer.empty() && served.credential != sent.customer) {
@@ -169,12 +213,20 @@
     const auto served = m_served.find(id);
     if (served == m_served.end() || served->second.signature != answer.detail ||
         served->second.rows != answer.rows) {
-        report_violation(
-            "mixed", fmt::format("{} got an answer that no server gave: signature '{}', served as '{}'", id,
-                                 answer.detail, served == m_served.end() ? "" : served->second.signature));
+        report_violation("mixed",
+                         fmt::format("{} got an answer that no server gave: signature '{}', served as '{}'",
+                                     id, to_printable(answer.detail),
+                                     served == m_served.end() ? "" : served->second.signature));
     }
 }
 
+void consistency_checker::record_wrong_state(const std::string& id, sessions::transaction_state expected,
+                                             sessions::transaction_state answered)
+{
+    report_violation("mixed", fmt::format("{} was answered with state {} instead of {}", id,
+                                          static_cast<int>(answered), static_cast<int>(expected)));
+}
+
 void consistency_checker::record_acknowledged(int session, const std::vector<std::string>& writes,
                                               time_point now)
 {
--- a/src/soak/tests/consistency_checker_tests.cpp
+++ b/src/soak/tests/consistency_checker_tests.cpp
@@ -300,4 +300,68 @@
     EXPECT_EQ(m_checker.violations().size(), 1U);
 }
 
+TEST_F(consistency_checker_fixture, execution_with_other_arguments_is_unasked)
+{
+    sent_statement sent = send("e1", 1, false);
+    sent.command.kind = sessions::statement_kind::execute;
+    sent.command.argument = "7 x\ny";
+    m_checker.record_sent(sent);
+    served_statement execution = served("e1");
+    execution.command = sent.command;
+    execution.command.name = "renamed";
+    m_checker.record_served(execution);
+    EXPECT_EQ(violated_rules(), rule_list{});
+    execution.command.argument = "7 x";
+    m_checker.record_served(execution);
+    EXPECT_EQ(violated_rules(), rule_list{"unasked"});
+}
+
+TEST_F(consistency_checker_fixture, received_statement_of_no_caller_is_unasked)
+{
+    const sessions::statement rollback{.kind = sessions::statement_kind::rollback, .text = "ROLLBACK"};
+    m_checker.record_received("-", rollback, "first");
+    EXPECT_EQ(violated_rules(), rule_list{});
+    m_checker.record_received("00", rollback, "first");
+    EXPECT_EQ(violated_rules(), rule_list{"unasked"});
+}
+
+TEST_F(consistency_checker_fixture, received_setting_with_another_value_is_unasked)
+{
+    sent_statement sent = send("s1", 1, false);
+    sent.command = {.kind = sessions::statement_kind::set_variable, .name = "v1", .argument = "vz\ny"};
+    m_checker.record_sent(sent);
+    m_checker.record_received("s1", sent.command, "first");
+    EXPECT_EQ(violated_rules(), rule_list{});
+    sent.command.argument = "vz";
+    m_checker.record_received("s1", sent.command, "first");
+    EXPECT_EQ(violated_rules(), rule_list{"unasked"});
+}
+
+TEST_F(consistency_checker_fixture, unreadable_message_is_reported_with_its_bytes)
+{
+    m_checker.record_unreadable("server first", "y\n\xff");
+    ASSERT_EQ(violated_rules(), rule_list{"unreadable"});
+    EXPECT_EQ(m_checker.violations().front(), "unreadable: server first got 'y\\x0a\\xff'");
+}
+
+TEST_F(consistency_checker_fixture, answer_to_no_statement_is_mixed)
+{
+    m_checker.record_unasked_answer(1, "DONE 7.1");
+    EXPECT_EQ(violated_rules(), rule_list{"mixed"});
+}
+
+TEST_F(consistency_checker_fixture, answer_with_the_state_of_another_statement_is_mixed)
+{
+    m_checker.record_wrong_state("r1", sessions::transaction_state::none, sessions::transaction_state::open);
+    EXPECT_EQ(violated_rules(), rule_list{"mixed"});
+}
+
+TEST_F(consistency_checker_fixture, row_with_one_other_byte_is_mixed)
+{
+    send("r1", 1, false);
+    serve("r1");
+    m_checker.record_answered("r1", {{"row\r"}, sessions::response_code::done, "signature", {}, {}});
+    EXPECT_EQ(violated_rules(), rule_list{"mixed"});
+}
+
 } // namespace hickorymount::soak
