Soak with fields of any bytes and servers that answer twice

Change: - Emulated servers and callers use the soak's own framing and grammar. - Values, data, shapes, arguments of executions, rows and error texts come from an alphabet by the seed: LF, CR, NUL, 0xff, blanks at both ends, words of the protocol and whole messages. Its random numbers are separate from those of the faults. - In periods that the seed chooses, one server or all send 5, 30 or 100 % of their answers a second time, at once or 2 to 700 ms later, with the same bytes or with the state and position of that moment. Refusals and the READY of START are among them.

--- a/src/app/soak/main.cpp
+++ b/src/app/soak/main.cpp
@@ -1,7 +1,6 @@
 #include "command_line/option_parser.h"
 #include "operations/control_client.h"
 #include "platform/emulator_client.h"
-#include "platform/session_codec.h"
 #include "soak/soak_run.h"
 
 #include <cstdlib>
@@ -90,9 +89,10 @@
     }
     fmt::print(
         "answered={} refused={} unknown={} cut={} acknowledged_writes={} reads={} answered_at_the_end={} "
-        "broken={}\n",
+        "repeated_answers={} cut_answers={} broken={}\n",
         report.answered, report.refused, report.unknown, report.interrupted, report.acknowledged_writes,
-        report.reads, report.answered_after_recovery, report.violations.size());
+        report.reads, report.answered_after_recovery, report.repeated_answers, report.cut_answers,
+        report.violations.size());
     return report.violations.empty() ? EXIT_SUCCESS : exit_violation_found;
 }
 
@@ -102,6 +102,8 @@
     int seed = 1;
     int seconds = 30;
     int platform_port = 0;
+    int has_plain_data = 0;
+    int has_no_stutter = 0;
     std::string control_addresses;
     std::string control_pid_files;
     std::string entry_addresses;
@@ -112,6 +114,9 @@
     options.add("seconds", seconds, "duration of the run, in seconds", "N");
     options.add("customers", soak_options.customers, "number of customers; without any, callers need no key",
                 "N");
+    options.add_flag("plain-data", has_plain_data,
+                     "leave control bytes and whole messages out of the fields");
+    options.add_flag("no-stutter", has_no_stutter, "servers send no answer twice or in part");
     options.add("control", control_addresses, "operator addresses of the control hosts", "ADDRESS:PORT,…");
     options.add("control-ids", control_pid_files, "files with the process ids of these hosts", "FILE,…");
     options.add("entries", entry_addresses, "session addresses of the entry hosts", "ADDRESS:PORT,…");
@@ -123,6 +128,8 @@
     BOOST_LEAF_CHECK(options.parse(arguments));
     soak_options.seed = static_cast<std::uint32_t>(seed);
     soak_options.duration = milliseconds{seconds * 1000};
+    soak_options.has_unusual_bytes = has_plain_data == 0;
+    soak_options.disturbs_answers = has_no_stutter == 0;
     soak_options.platform_port = static_cast<std::uint16_t>(platform_port);
     BOOST_LEAF_ASSIGN(soak_options.control_hosts, operations::parse_endpoints(control_addresses));
     BOOST_LEAF_AUTO(session_endpoints, operations::parse_endpoints(entry_addresses));
@@ -145,8 +152,7 @@
                  ? std::nullopt
                  : std::optional(static_cast<std::size_t>(std::atoi(pair.c_str() + entry + 1)))});
     }
-    BOOST_LEAF_AUTO(report, soak::run_soak(soak_options, platform::make_session_codec(),
-                                           make_platform_calls(soak_options.customers)));
+    BOOST_LEAF_AUTO(report, soak::run_soak(soak_options, make_platform_calls(soak_options.customers)));
     return print_report(report);
 }
 
--- a/src/soak/caller.h
+++ b/src/soak/caller.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "net/line_connection.h"
-#include "sessions/session_codec.h"
 #include "soak/consistency_checker.h"
+#include "soak/field_data.h"
+#include "soak/message_connection.h"
 
 #include <functional>
 #include <map>
@@ -45,13 +45,13 @@
     struct run_environment
     {
         boost::asio::io_context& context;
-        const sessions::session_codec& codec;
         consistency_checker& checker;
         caller_counts& counts;
         /// Ports of entry hosts on loopback.
         std::vector<std::uint16_t> entry_ports;
         /// True when the entry host is in a planned stop and no recent fault can have interrupted a request.
         std::function<bool(std::size_t index)> is_planned_stop;
+        field_alphabet alphabet = field_alphabet::any_byte;
     };
 
     /// The customer that a caller belongs to, and its key; empty without customers.
@@ -70,8 +70,10 @@
 private:
     void connect();
     void reconnect_later();
-    void handle_line(std::string_view line);
+    void handle_message(const std::string& message);
     void handle_answer(const sessions::statement_response& answer);
+    /// Reports an answer whose state does not follow from the statement.
+    void check_state(const sessions::statement_response& answer);
     void handle_disconnect();
     void start_operation();
     void send_next_statement();
@@ -86,8 +88,10 @@
     database_route m_database;
     identity m_identity;
     std::mt19937 m_random;
+    /// Separate, so that the statements of a seed do not depend on the data.
+    field_source m_fields;
     boost::asio::steady_timer m_timer;
-    std::shared_ptr<net::line_connection> m_connection;
+    std::shared_ptr<message_connection> m_connection;
     std::size_t m_entry_index = 0;
     bool m_is_open = false;
     bool m_is_stopped = false;
@@ -100,6 +104,8 @@
     /// Statements of the operation that have not been sent, in reverse order.
     std::vector<sessions::statement> m_remaining_statements;
     bool m_is_in_transaction = false;
+    /// The state in the last answer.
+    sessions::transaction_state m_state = sessions::transaction_state::none;
     std::vector<std::string> m_write_ids;
     std::string m_pending_id;
     sessions::statement m_pending_statement;
--- a/src/soak/emulated_group.h
+++ b/src/soak/emulated_group.h
@@ -1,10 +1,11 @@
 #pragma once
 
-#include "net/line_connection.h"
-#include "sessions/session_codec.h"
 #include "soak/consistency_checker.h"
+#include "soak/field_data.h"
+#include "soak/message_connection.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -32,6 +33,17 @@
     bool is_lost = false;
 };
 
+/// How a server sends answers while a fault lasts.
+struct answer_faults
+{
+    /// Probability that an answer is sent a second time, at once or up to 700 ms later.
+    double repeat_probability = 0;
+    /// The second time, an answer has the state and the position of that moment.
+    bool repeats_with_new_state = false;
+    /// Probability that the connection is closed in the middle of an answer.
+    double cut_probability = 0;
+};
+
 /// An in-process database group of three servers that accept sessions: a primary that answers a commit after
 /// a replica has it, and two replicas. A replaced primary continues until it is demoted, or has been able to
 /// reach the new one for a second. Only `announcements` and `promote` may be called from any thread; all
@@ -41,8 +53,8 @@
 public:
     static constexpr std::size_t server_count = 3;
 
-    emulated_group(boost::asio::io_context& context, const sessions::session_codec& codec, std::string name,
-                   consistency_checker& checker, std::uint32_t seed);
+    emulated_group(boost::asio::io_context& context, std::string name, consistency_checker& checker,
+                   std::uint32_t seed, field_alphabet alphabet);
     ~emulated_group();
     emulated_group(const emulated_group&) = delete;
     emulated_group& operator=(const emulated_group&) = delete;
@@ -69,6 +81,10 @@
     void stop_replication(std::size_t index, milliseconds duration);
     /// Closes the connection instead of sending the answer to a statement that ran, with this probability.
     void lose_answers(std::size_t index, double probability, milliseconds duration);
+    /// Applies to all answers, including refusals and the `READY` after `START`.
+    void disturb_answers(std::size_t index, const answer_faults& faults, milliseconds duration);
+    [[nodiscard]] std::size_t repeated_count() const { return m_repeated_count; }
+    [[nodiscard]] std::size_t cut_count() const { return m_cut_count; }
 
 private:
     struct session;
@@ -110,6 +126,8 @@
         time_point lag_until{};
         time_point answer_loss_until{};
         double answer_loss_probability = 0;
+        answer_faults disturbance;
+        time_point disturbed_until{};
         std::uint64_t sequence = 0;
         std::int64_t started_at_ms = 0;
         std::vector<std::shared_ptr<session>> sessions;
@@ -117,19 +135,24 @@
     };
 
     void accept(std::size_t index);
-    void handle_line(const std::shared_ptr<session>& client, std::string_view line);
-    void handle_statement(const std::shared_ptr<session>& client, const sessions::statement_request& request);
+    void handle_message(const std::shared_ptr<session>& client, const std::string& message);
+    void handle_statement(const std::shared_ptr<session>& client, const statement_message& request);
     void handle_control_statement(const std::shared_ptr<session>& client,
                                   const sessions::statement& statement);
     /// Returns the error that rejects a statement before it runs; empty when it may run.
     std::optional<sessions::response_code> rejection_for(const session& client,
-                                                         const sessions::statement_request& request);
-    void execute(const std::shared_ptr<session>& client, const sessions::statement_request& request);
+                                                         const statement_message& request);
+    void execute(const std::shared_ptr<session>& client, const statement_message& request);
     void commit(const std::shared_ptr<session>& client, const std::string& id,
                 std::vector<std::string> writes, sessions::statement_response answer);
     /// Returns false if a fault loses the answer.
     bool send_answer(const std::shared_ptr<session>& client, sessions::statement_response answer,
                      bool has_run);
+    /// Sends a message, twice or in part if a fault does so. Returns false if it was not sent as a whole.
+    bool send_message(const std::shared_ptr<session>& client, const std::function<std::string()>& make);
+    void repeat_message(const std::shared_ptr<session>& client, const std::function<std::string()>& make,
+                        const std::string& first);
+    [[nodiscard]] static sessions::transaction_state state_of(const session& client);
     void close_session(server& local_server, const std::shared_ptr<session>& closed);
     static void synchronize_log(std::vector<log_entry>& log, const std::vector<log_entry>& primary);
     void replicate();
@@ -141,15 +164,19 @@
     server* newest_primary();
 
     boost::asio::io_context& m_context;
-    const sessions::session_codec& m_codec;
     std::string m_name;
     consistency_checker& m_checker;
     std::mt19937 m_random;
+    /// Separate, so that the timing of a seed does not depend on the data.
+    field_source m_fields;
+    std::mt19937 m_disturbance_random;
     std::vector<server> m_servers;
     boost::asio::steady_timer m_replication_timer;
     boost::asio::steady_timer m_promotion_timer;
     std::uint64_t m_next_id = 1;
     group_term m_newest_term = 1;
+    std::size_t m_repeated_count = 0;
+    std::size_t m_cut_count = 0;
     std::mutex m_announcement_mutex;
     std::vector<server_announcement> m_announcements;
 };
--- a/src/soak/internal/caller.cpp
+++ b/src/soak/internal/caller.cpp
@@ -43,7 +43,8 @@
 caller::caller(run_environment environment, int number, database_route database, identity credentials,
                std::uint32_t seed)
     : m_environment(std::move(environment)), m_number(number), m_database(std::move(database)),
-      m_identity(std::move(credentials)), m_random(seed), m_timer(m_environment.context)
+      m_identity(std::move(credentials)), m_random(seed), m_fields(seed + 1, m_environment.alphabet),
+      m_timer(m_environment.context)
 {
 }
 
@@ -77,18 +78,17 @@
     m_session = m_number + session_number_stride * ++m_connection_count;
     m_is_open = m_is_awaiting_answer = false;
     m_partial_answer = {};
+    m_state = transaction_state::none;
     m_values.clear();
     m_prepared.clear();
-    m_connection = std::make_shared<net::line_connection>(asio::ip::tcp::socket(m_environment.context),
-                                                          net::line_connection::limits{});
+    m_connection = std::make_shared<message_connection>(asio::ip::tcp::socket(m_environment.context));
     m_connection->set_handlers(
-        {[self = shared_from_this()](std::string_view line) { self->handle_line(line); },
-         [self = shared_from_this()](const std::string& /*reason*/) { self->handle_disconnect(); }});
+        {[self = shared_from_this()](const std::string& message) { self->handle_message(message); },
+         [self = shared_from_this()] { self->handle_disconnect(); }});
     const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4::loopback(),
                                            m_environment.entry_ports[m_entry_index]);
     m_connection->connect(endpoint, [self = shared_from_this()] {
-        self->m_connection->send(
-            self->m_environment.codec.encode_open({self->m_database.name, self->m_identity.key}));
+        self->m_connection->send(write_opening({self->m_database.name, self->m_identity.key, ""}));
     });
     start_timer(answer_timeout, &caller::handle_timeout);
 }
@@ -100,23 +100,29 @@
     start_timer(reconnect_pause, &caller::connect);
 }
 
-void caller::handle_line(std::string_view line)
+void caller::handle_message(const std::string& message)
 {
-    const sessions::server_line decoded = m_environment.codec.decode_server_line(line);
-    if (const auto* row = std::get_if<sessions::row_line>(&decoded)) {
-        m_partial_answer.rows.push_back(row->text);
+    const answer_message decoded = parse_answer(message);
+    if (const auto* error = std::get_if<error_message>(&decoded)) {
+        m_partial_answer.code = error->code;
         return;
     }
-    if (const auto* done = std::get_if<sessions::done_line>(&decoded)) {
-        m_partial_answer.detail = done->signature;
+    if (m_is_open && !m_is_awaiting_answer) {
+        m_environment.checker.record_unasked_answer(m_session, message);
+        reconnect_later();
         return;
     }
-    if (const auto* error = std::get_if<sessions::error_line>(&decoded)) {
-        m_partial_answer.code = error->code;
+    if (const auto* row = std::get_if<row_message>(&decoded)) {
+        m_partial_answer.rows.push_back(row->data);
+        return;
+    }
+    if (const auto* done = std::get_if<done_message>(&decoded)) {
+        m_partial_answer.detail = done->signature;
         return;
     }
-    const auto* ready = std::get_if<sessions::ready_line>(&decoded);
+    const auto* ready = std::get_if<ready_message>(&decoded);
     if (ready == nullptr) {
+        m_environment.checker.record_unreadable(fmt::format("caller {}", m_number), message);
         reconnect_later();
         return;
     }
@@ -158,7 +164,7 @@
         statement setting;
         setting.kind = statement_kind::set_variable;
         setting.name = fmt::format("v{}", m_random() % 3);
-        setting.argument = fmt::format("{}", m_random() % 4);
+        setting.argument = m_fields.next(fmt::format("{}", m_random() % 4));
         m_remaining_statements.push_back(setting);
     }
     std::uniform_int_distribution<int> think_time(1, max_think_time_ms);
@@ -174,18 +180,19 @@
         data_statement.kind = statement_kind::execute;
         data_statement.name = writes ? "w" : "r";
         if (m_prepared.contains(data_statement.name)) {
-            data_statement.argument = writes ? item + " x" : item;
+            data_statement.argument = writes ? item + " " + m_fields.next("x") : item;
             return data_statement;
         }
     }
     data_statement.kind = writes ? statement_kind::write : statement_kind::read;
-    data_statement.text = writes ? fmt::format("WRITE {} x", item) : fmt::format("READ {}", item);
+    data_statement.text =
+        writes ? fmt::format("WRITE {} {}", item, m_fields.next("x")) : fmt::format("READ {}", item);
     if (m_random() % 8 == 0 && !m_prepared.contains(writes ? "w" : "r")) {
         statement prepare;
         prepare.kind = statement_kind::prepare;
         prepare.name = writes ? "w" : "r";
         prepare.is_read_only = !writes;
-        prepare.argument = fmt::format("s{}", m_random() % 3);
+        prepare.argument = m_fields.next(fmt::format("s{}", m_random() % 3));
         return prepare;
     }
     return data_statement;
@@ -233,7 +240,7 @@
         m_write_ids.push_back(m_pending_id);
     }
     m_is_awaiting_answer = true;
-    m_connection->send(m_environment.codec.encode_statement({m_pending_id, next}));
+    m_connection->send(write_statement(m_pending_id, next));
     start_timer(answer_timeout, &caller::handle_timeout);
 }
 
@@ -248,12 +255,15 @@
         return;
     }
     ++m_environment.counts.answered;
+    check_state(answer);
     const statement_kind kind = m_pending_statement.kind;
     const bool is_forwarded = kind == statement_kind::read || kind == statement_kind::write ||
                               kind == statement_kind::execute ||
                               (kind == statement_kind::commit && answer.detail != "-");
     if (is_forwarded) {
         m_environment.checker.record_answered(m_pending_id, answer);
+    } else if (!answer.rows.empty()) {
+        m_environment.checker.record_unasked_answer(m_session, answer.rows.front());
     }
     if (kind == statement_kind::set_variable) {
         m_values[m_pending_statement.name] = m_pending_statement.argument;
@@ -270,6 +280,19 @@
     start_timer(milliseconds{think_time(m_random)}, &caller::send_next_statement);
 }
 
+void caller::check_state(const sessions::statement_response& answer)
+{
+    const statement_kind kind = m_pending_statement.kind;
+    const bool ends = kind == statement_kind::commit || kind == statement_kind::rollback;
+    const transaction_state expected = kind == statement_kind::begin ? transaction_state::open
+                                       : ends                        ? transaction_state::none
+                                                                     : m_state;
+    if (answer.state != expected) {
+        m_environment.checker.record_wrong_state(m_pending_id, expected, answer.state);
+    }
+    m_state = answer.state;
+}
+
 void caller::handle_error(response_code code)
 {
     if (promises_not_applied(code)) {
--- a/src/soak/internal/emulated_group.cpp
+++ b/src/soak/internal/emulated_group.cpp
@@ -24,6 +24,11 @@
 /// Range of the time that a statement takes.
 constexpr int min_statement_time_ms = 1;
 constexpr int max_statement_time_ms = 8;
+/// Range of the time after which an answer is sent again.
+constexpr int min_repeat_delay_ms = 2;
+constexpr int max_repeat_delay_ms = 700;
+/// Stands in an error answer if the alphabet is plain.
+constexpr const char* error_text = "refused";
 /// On average, one of this many statements gets `busy`, as if the server's queue were full.
 constexpr std::uint32_t busy_interval = 60;
 
@@ -34,7 +39,7 @@
 {
     /// Index of the server.
     std::size_t index = 0;
-    std::shared_ptr<net::line_connection> connection;
+    std::shared_ptr<message_connection> connection;
     bool is_open = false;
     bool is_ended = false;
     /// The session was opened while the server was isolated; nothing on it is answered.
@@ -50,10 +55,11 @@
     std::vector<std::string> writes;
 };
 
-emulated_group::emulated_group(asio::io_context& context, const sessions::session_codec& codec,
-                               std::string name, consistency_checker& checker, std::uint32_t seed)
-    : m_context(context), m_codec(codec), m_name(std::move(name)), m_checker(checker), m_random(seed),
-      m_servers(server_count), m_replication_timer(context), m_promotion_timer(context)
+emulated_group::emulated_group(asio::io_context& context, std::string name, consistency_checker& checker,
+                               std::uint32_t seed, field_alphabet alphabet)
+    : m_context(context), m_name(std::move(name)), m_checker(checker), m_random(seed),
+      m_fields(seed + 1, alphabet), m_disturbance_random(seed + 2), m_servers(server_count),
+      m_replication_timer(context), m_promotion_timer(context)
 {
     for (std::size_t index = 0; index < server_count; ++index) {
         m_servers[index].name = fmt::format("{}-{}", m_name, index + 1);
@@ -205,6 +211,12 @@
     m_servers[index].answer_loss_until = millisecond_clock::now() + duration;
 }
 
+void emulated_group::disturb_answers(std::size_t index, const answer_faults& faults, milliseconds duration)
+{
+    m_servers[index].disturbance = faults;
+    m_servers[index].disturbed_until = millisecond_clock::now() + duration;
+}
+
 void emulated_group::accept(std::size_t index)
 {
     m_servers[index].acceptor->async_accept(
@@ -216,13 +228,10 @@
                 auto accepted = std::make_shared<session>();
                 accepted->index = index;
                 accepted->is_unheard = millisecond_clock::now() < m_servers[index].isolated_until;
-                accepted->connection =
-                    std::make_shared<net::line_connection>(std::move(socket), net::line_connection::limits{});
+                accepted->connection = std::make_shared<message_connection>(std::move(socket));
                 accepted->connection->set_handlers(
-                    {[this, accepted](std::string_view line) { handle_line(accepted, line); },
-                     [this, accepted](const std::string& /*reason*/) {
-                         close_session(m_servers[accepted->index], accepted);
-                     }});
+                    {[this, accepted](const std::string& message) { handle_message(accepted, message); },
+                     [this, accepted] { close_session(m_servers[accepted->index], accepted); }});
                 m_servers[index].sessions.push_back(accepted);
                 accepted->connection->start();
             }
@@ -239,31 +248,37 @@
                   [&](const pending_commit& each) { return each.client == closed; });
 }
 
-void emulated_group::handle_line(const std::shared_ptr<session>& client, std::string_view line)
+void emulated_group::handle_message(const std::shared_ptr<session>& client, const std::string& message)
 {
     server& local_server = m_servers[client->index];
+    const request_message decoded = parse_request(message);
+    if (std::holds_alternative<std::monostate>(decoded)) {
+        m_checker.record_unreadable(fmt::format("server {}", local_server.name), message);
+    }
     if (client->is_unheard || millisecond_clock::now() < local_server.unresponsive_until) {
         return;
     }
-    const sessions::caller_line decoded = m_codec.decode_proxy_line(line);
-    if (const auto* opening = std::get_if<sessions::open_request>(&decoded)) {
+    if (const auto* opening = std::get_if<opening_message>(&decoded)) {
         const bool is_expected_server =
             opening->database == m_name && (opening->server.empty() || opening->server == local_server.name);
         if (!is_expected_server) {
-            client->connection->send(m_codec.encode_refusal({response_code::misrouted, local_server.name}));
+            client->connection->send(write_error({response_code::misrouted, local_server.name}));
             close_session(local_server, client);
             return;
         }
         client->is_open = true;
         client->credential = opening->credential;
-        client->connection->send(m_codec.encode_ready({transaction_state::none, position_of(local_server)}));
+        send_message(client, [this, client] {
+            return write_ready({state_of(*client), position_of(m_servers[client->index])});
+        });
         return;
     }
-    const auto* request = std::get_if<sessions::statement_request>(&decoded);
+    const auto* request = std::get_if<statement_message>(&decoded);
     if (request == nullptr || !client->is_open) {
         close_session(local_server, client);
         return;
     }
+    m_checker.record_received(request->id, request->body, local_server.name);
     auto timer = std::make_shared<asio::steady_timer>(m_context);
     std::uniform_int_distribution<int> statement_time(min_statement_time_ms, max_statement_time_ms);
     timer->expires_after(milliseconds{statement_time(m_random)});
@@ -275,7 +290,7 @@
 }
 
 void emulated_group::handle_statement(const std::shared_ptr<session>& client,
-                                      const sessions::statement_request& request)
+                                      const statement_message& request)
 {
     if (request.body.kind > statement_kind::reset) {
         handle_control_statement(client, request.body);
@@ -284,15 +299,14 @@
     if (const auto rejection = rejection_for(*client, request)) {
         client->has_failed =
             client->has_failed || (client->transaction != 0 && *rejection != response_code::busy);
-        send_answer(client, {{}, *rejection, m_servers[client->index].name, transaction_state::none, {}},
-                    false);
+        send_answer(client, {{}, *rejection, m_fields.next(error_text), transaction_state::none, {}}, false);
         return;
     }
     execute(client, request);
 }
 
 std::optional<response_code> emulated_group::rejection_for(const session& client,
-                                                           const sessions::statement_request& request)
+                                                           const statement_message& request)
 {
     const server& local_server = m_servers[client.index];
     const statement_kind kind = request.body.kind;
@@ -321,8 +335,7 @@
     return takes_slot && m_random() % busy_interval == 0 ? std::optional(response_code::busy) : std::nullopt;
 }
 
-void emulated_group::execute(const std::shared_ptr<session>& client,
-                             const sessions::statement_request& request)
+void emulated_group::execute(const std::shared_ptr<session>& client, const statement_message& request)
 {
     const server& local_server = m_servers[client->index];
     const sessions::statement& statement = request.body;
@@ -366,7 +379,12 @@
     }
     answer.detail = fmt::format("{}.{}", local_server.name, m_next_id++);
     if (statement.kind != statement_kind::commit) {
-        answer.rows = {fmt::format("row {}", m_random())};
+        // Rows differ, so that each belongs to one statement.
+        const std::string number = fmt::format("{}", m_random());
+        answer.rows = {m_fields.next("row ") + number};
+        if (m_random() % 4 == 0) {
+            answer.rows.push_back(number + m_fields.next(" row"));
+        }
     }
     served_statement served;
     served.id = request.id;
@@ -426,14 +444,66 @@
         close_session(local_server, client);
         return false;
     }
-    answer.state = client->has_failed         ? transaction_state::failed
-                   : client->transaction != 0 ? transaction_state::open
-                                              : transaction_state::none;
-    answer.position = position_of(local_server);
-    client->connection->send(m_codec.encode_answer(answer));
+    return send_message(client, [this, client, answer = std::move(answer)]() mutable {
+        answer.state = state_of(*client);
+        answer.position = position_of(m_servers[client->index]);
+        return write_answer(answer);
+    });
+}
+
+transaction_state emulated_group::state_of(const session& client)
+{
+    return client.has_failed         ? transaction_state::failed
+           : client.transaction != 0 ? transaction_state::open
+                                     : transaction_state::none;
+}
+
+bool emulated_group::send_message(const std::shared_ptr<session>& client,
+                                  const std::function<std::string()>& make)
+{
+    server& local_server = m_servers[client->index];
+    const std::string message = make();
+    if (millisecond_clock::now() >= local_server.disturbed_until) {
+        client->connection->send(message);
+        return true;
+    }
+    std::uniform_real_distribution<double> probability;
+    if (probability(m_disturbance_random) < local_server.disturbance.cut_probability) {
+        ++m_cut_count;
+        client->connection->send(message.substr(0, m_disturbance_random() % message.size()));
+        close_session(local_server, client);
+        return false;
+    }
+    client->connection->send(message);
+    if (probability(m_disturbance_random) < local_server.disturbance.repeat_probability) {
+        repeat_message(client, make, message);
+    }
     return true;
 }
 
+void emulated_group::repeat_message(const std::shared_ptr<session>& client,
+                                    const std::function<std::string()>& make, const std::string& first)
+{
+    const bool has_new_state = m_servers[client->index].disturbance.repeats_with_new_state;
+    const auto send = [this, client, make, first, has_new_state] {
+        if (!client->is_ended) {
+            ++m_repeated_count;
+            client->connection->send(has_new_state ? make() : first);
+        }
+    };
+    if (m_disturbance_random() % 2 == 0) {
+        send();
+        return;
+    }
+    std::uniform_int_distribution<int> delay(min_repeat_delay_ms, max_repeat_delay_ms);
+    auto timer = std::make_shared<asio::steady_timer>(m_context, milliseconds{delay(m_disturbance_random)});
+    timer->async_wait([send, timer](const boost::system::error_code& error) {
+        if (!error) {
+            send();
+        }
+    });
+}
+
 void emulated_group::handle_control_statement(const std::shared_ptr<session>& client,
                                               const sessions::statement& statement)
 {
@@ -453,8 +523,7 @@
     }
     const sessions::server_status status{local_server.is_primary,
                                          {local_server.term, local_server.log.size()}};
-    send_answer(client,
-                {{m_codec.encode_status(status)}, response_code::done, "", transaction_state::none, {}},
+    send_answer(client, {{write_status(status)}, response_code::done, "", transaction_state::none, {}},
                 false);
 }
 
--- a/src/soak/internal/soak_run.cpp
+++ b/src/soak/internal/soak_run.cpp
@@ -6,6 +6,7 @@
 #include "soak/fault_proxy.h"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <csignal>
 #include <fstream>
@@ -69,16 +70,24 @@
 constexpr int min_time_between_cuts_ms = 150;
 constexpr int max_time_between_cuts_ms = 500;
 
+/// Shares of the answers that a server sends twice, one of which applies to a period.
+constexpr std::array repeat_shares{0.05, 0.3, 1.0};
+constexpr double cut_share = 0.03;
+constexpr int min_disturbance_ms = 500;
+constexpr int max_disturbance_ms = 4000;
+constexpr int min_disturbance_pause_ms = 200;
+constexpr int max_disturbance_pause_ms = 2000;
+
 /// State of one run.
 class soak_run
 {
 public:
-    soak_run(const soak_options& options, const sessions::session_codec& codec,
-             const platform_client& platform)
-        : m_options(options), m_codec(codec), m_platform(platform), m_random(options.seed),
-          m_cut_random(options.seed + 2),
-          m_group(m_context, codec, group_under_test, m_checker, options.seed), m_fault_timer(m_context),
-          m_replacement_timer(m_context), m_end_timer(m_context)
+    soak_run(const soak_options& options, const platform_client& platform)
+        : m_options(options), m_platform(platform), m_random(options.seed), m_cut_random(options.seed + 2),
+          m_disturbance_random(options.seed + 3),
+          m_alphabet(options.has_unusual_bytes ? field_alphabet::any_byte : field_alphabet::plain),
+          m_group(m_context, group_under_test, m_checker, options.seed, m_alphabet), m_fault_timer(m_context),
+          m_replacement_timer(m_context), m_disturbance_timer(m_context), m_end_timer(m_context)
     {
         for (const proxied_port& each : options.proxies) {
             m_proxies.push_back(std::make_unique<fault_proxy>(m_context, each.port, each.target));
@@ -106,6 +115,11 @@
         if (m_options.seed % seeds_per_cut_series == 0) {
             schedule_replacement(startup_time + random_duration(m_cut_random, 0, max_replacement_delay_ms));
         }
+        if (m_options.disturbs_answers) {
+            schedule_disturbance(startup_time + random_duration(m_disturbance_random,
+                                                                min_disturbance_pause_ms,
+                                                                max_disturbance_pause_ms));
+        }
         m_end_timer.expires_after(m_options.duration - recovery_check_time);
         m_end_timer.async_wait([this](const boost::system::error_code&) { check_recovery(); });
         m_context.run();
@@ -234,10 +248,12 @@
             {"catalogue", configuration::read_consistency::bounded_staleness, bounded_staleness_limit},
             {"inspections", configuration::read_consistency::read_your_writes, read_your_writes_staleness}};
         for (int number = 0; number < m_options.callers; ++number) {
-            caller::run_environment environment{
-                m_context, m_codec, m_checker, m_counts, m_options.entry_ports, [this](std::size_t index) {
-                    return is_planned_stop(index);
-                }};
+            caller::run_environment environment{m_context,
+                                                m_checker,
+                                                m_counts,
+                                                m_options.entry_ports,
+                                                [this](std::size_t index) { return is_planned_stop(index); },
+                                                m_alphabet};
             m_callers.push_back(std::make_shared<caller>(
                 std::move(environment), number,
                 databases[static_cast<std::size_t>(number) % databases.size()], identity_of(number),
@@ -298,6 +314,43 @@
         });
     }
 
+    void schedule_disturbance(milliseconds delay)
+    {
+        m_disturbance_timer.expires_after(delay);
+        m_disturbance_timer.async_wait([this](const boost::system::error_code& error) {
+            if (error || is_too_late_for_faults()) {
+                return;
+            }
+            const milliseconds duration =
+                random_duration(m_disturbance_random, min_disturbance_ms, max_disturbance_ms);
+            disturb_answers(duration);
+            schedule_disturbance(duration + random_duration(m_disturbance_random, min_disturbance_pause_ms,
+                                                            max_disturbance_pause_ms));
+        });
+    }
+
+    /// Disturbs the answers of one server, or of all.
+    void disturb_answers(milliseconds duration)
+    {
+        answer_faults faults;
+        faults.repeat_probability = repeat_shares[m_disturbance_random() % repeat_shares.size()];
+        faults.repeats_with_new_state = m_disturbance_random() % 2 == 0;
+        faults.cut_probability = m_disturbance_random() % 3 == 0 ? cut_share : 0;
+        const bool is_at_all = m_disturbance_random() % 2 == 0;
+        const std::size_t server =
+            is_at_all ? emulated_group::server_count : m_disturbance_random() % emulated_group::server_count;
+        record_fault(fmt::format("answers are repeated with probability {}{} and cut with probability {}",
+                                 faults.repeat_probability,
+                                 faults.repeats_with_new_state ? ", with the state of that moment," : "",
+                                 faults.cut_probability),
+                     server, duration);
+        for (std::size_t index = 0; index < emulated_group::server_count; ++index) {
+            if (index == server || is_at_all) {
+                m_group.disturb_answers(index, faults, duration);
+            }
+        }
+    }
+
     /// Lets the primary be replaced while it keeps answering, and cuts the links between one or two entry
     /// hosts and the control hosts meanwhile.
     void replace_primary_beside_cuts()
@@ -486,6 +539,7 @@
             }
             m_fault_timer.cancel();
             m_replacement_timer.cancel();
+            m_disturbance_timer.cancel();
             m_group.stop();
             m_context.stop();
         });
@@ -500,6 +554,8 @@
         m_report.interrupted = m_counts.interrupted;
         m_report.acknowledged_writes = m_checker.acknowledged_count();
         m_report.reads = m_checker.read_count();
+        m_report.repeated_answers = m_group.repeated_count();
+        m_report.cut_answers = m_group.cut_count();
         if (m_report.answered_after_recovery == 0) {
             m_report.violations.emplace_back("recover: no statement was answered after the last fault");
         }
@@ -510,17 +566,19 @@
     static constexpr std::uint32_t fault_kinds = 13;
 
     const soak_options& m_options;
-    const sessions::session_codec& m_codec;
     const platform_client& m_platform;
     std::mt19937 m_random;
     /// Separate, so that the other faults of a seed do not depend on the cuts.
     std::mt19937 m_cut_random;
+    std::mt19937 m_disturbance_random;
+    field_alphabet m_alphabet;
     consistency_checker m_checker;
     caller_counts m_counts;
     asio::io_context m_context;
     emulated_group m_group;
     asio::steady_timer m_fault_timer;
     asio::steady_timer m_replacement_timer;
+    asio::steady_timer m_disturbance_timer;
     asio::steady_timer m_end_timer;
     std::vector<std::unique_ptr<fault_proxy>> m_proxies;
     std::vector<std::shared_ptr<caller>> m_callers;
@@ -545,10 +603,9 @@
            version >= first_version_without_second_keys + versions_without_second_keys;
 }
 
-result<soak_report> run_soak(const soak_options& options, std::unique_ptr<sessions::session_codec> codec,
-                             const platform_client& platform)
+result<soak_report> run_soak(const soak_options& options, const platform_client& platform)
 {
-    return std::make_unique<soak_run>(options, *codec, platform)->run();
+    return std::make_unique<soak_run>(options, platform)->run();
 }
 
 } // namespace hickorymount::soak
--- a/src/soak/soak_run.h
+++ b/src/soak/soak_run.h
@@ -3,7 +3,6 @@
 #include "base/error.h"
 #include "base/millisecond_clock.h"
 #include "protocol/types.h"
-#include "sessions/session_codec.h"
 
 #include <cstdint>
 #include <functional>
@@ -48,6 +47,10 @@
     int callers = 12;
     /// Number of customers that the callers belong to; without customers, callers need no key.
     int customers = 0;
+    /// Fields contain line feeds, other control bytes and whole messages.
+    bool has_unusual_bytes = true;
+    /// Servers send answers twice, or in part, in some periods.
+    bool disturbs_answers = true;
 };
 
 /// The key of a customer's callers; the second key is withdrawn for a while and restored.
@@ -82,6 +85,9 @@
     std::size_t reads = 0;
     /// Statements answered in the last seconds of the run, after all faults have ended.
     std::size_t answered_after_recovery = 0;
+    /// Answers that servers sent a second time, and that they cut off.
+    std::size_t repeated_answers = 0;
+    std::size_t cut_answers = 0;
 };
 
 /// The database group of the run; its databases are the routes that `platform_client::configure` sends.
@@ -91,7 +97,6 @@
 
 /// Runs callers, backend servers, the platform and faults against processes that another program has started.
 /// Blocks for `soak_options::duration`. Errors: a port is not available.
-result<soak_report> run_soak(const soak_options& options, std::unique_ptr<sessions::session_codec> codec,
-                             const platform_client& platform);
+result<soak_report> run_soak(const soak_options& options, const platform_client& platform);
 
 } // namespace hickorymount::soak
--- a/src/soak/tests/emulated_group_tests.cpp
+++ b/src/soak/tests/emulated_group_tests.cpp
@@ -1,3 +1,4 @@
+#include "net/line_connection.h"
 #include "platform/session_codec.h"
 #include "soak/emulated_group.h"
 
@@ -90,7 +91,8 @@
     static constexpr milliseconds until_end{600'000};
 
     emulated_group_fixture()
-        : m_codec(platform::make_session_codec()), m_group(m_context, *m_codec, "orders", m_checker, 1)
+        : m_codec(platform::make_session_codec()),
+          m_group(m_context, "orders", m_checker, 1, field_alphabet::plain)
     {
         EXPECT_TRUE(m_group.start());
         run_until([this] { return m_group.announcements().size() == emulated_group::server_count; });
@@ -216,4 +218,90 @@
     EXPECT_EQ(begin_at(first), response_code::read_only);
 }
 
+/// Collects the messages that a server sends on one connection.
+class raw_server_session
+{
+public:
+    raw_server_session(boost::asio::io_context& context, std::uint16_t port)
+        : m_context(context),
+          m_connection(std::make_shared<message_connection>(boost::asio::ip::tcp::socket(context)))
+    {
+        m_connection->set_handlers({[this](const std::string& message) { messages.push_back(message); },
+                                    [this] { is_closed = true; }});
+        m_connection->connect({boost::asio::ip::address_v4::loopback(), port},
+                              [this] { is_connected = true; });
+        run_until([this] { return is_connected; });
+    }
+    ~raw_server_session() { m_connection->close(); }
+    raw_server_session(const raw_server_session&) = delete;
+    raw_server_session& operator=(const raw_server_session&) = delete;
+
+    void send(const std::string& message) { m_connection->send(message + "\r\n"); }
+    void run_until(const std::function<bool()>& is_reached)
+    {
+        while (!is_reached()) {
+            m_context.run_one();
+        }
+    }
+    void wait_for_messages(std::size_t count)
+    {
+        run_until([this, count] { return messages.size() >= count; });
+    }
+
+    std::vector<std::string> messages;
+    bool is_connected = false;
+    bool is_closed = false;
+
+private:
+    boost::asio::io_context& m_context;
+    std::shared_ptr<message_connection> m_connection;
+};
+
+TEST_F(emulated_group_fixture, disturbed_server_sends_each_answer_twice)
+{
+    m_group.disturb_answers(first, {.repeat_probability = 1}, until_end);
+    raw_server_session session(m_context, m_group.announcements()[first].port);
+    session.send("START orders any orders-1");
+    session.wait_for_messages(2);
+    session.send("QUERY - STATUS");
+    session.wait_for_messages(8);
+    const std::vector<std::string> status{"ROW primary 1 1.1 0 0 0 0", "DONE -", "READY I 1.1"};
+    EXPECT_EQ(std::vector(session.messages.begin(), session.messages.begin() + 2),
+              (std::vector<std::string>{"READY I 1.1", "READY I 1.1"}));
+    EXPECT_EQ(std::vector(session.messages.begin() + 2, session.messages.begin() + 5), status);
+    EXPECT_EQ(std::vector(session.messages.begin() + 5, session.messages.end()), status);
+    EXPECT_EQ(m_group.repeated_count(), 2U);
+}
+
+TEST_F(emulated_group_fixture, disturbed_server_sends_part_of_an_answer_and_closes)
+{
+    raw_server_session session(m_context, m_group.announcements()[first].port);
+    session.send("START orders");
+    session.wait_for_messages(1);
+    m_group.disturb_answers(first, {.cut_probability = 1}, until_end);
+    session.send("QUERY - STATUS");
+    session.run_until([&] { return session.is_closed; });
+    EXPECT_LT(session.messages.size(), 4U);
+    EXPECT_EQ(m_group.cut_count(), 1U);
+}
+
+TEST_F(emulated_group_fixture, message_that_is_none_is_a_violation)
+{
+    raw_server_session session(m_context, m_group.announcements()[first].port);
+    session.send("START orders");
+    session.send("QUERY 1 y\nQUERY 2 READ 1");
+    session.run_until([&] { return session.is_closed; });
+    EXPECT_EQ(m_checker.violations().size(), 1U);
+}
+
+TEST_F(emulated_group_fixture, value_with_a_line_feed_is_one_statement)
+{
+    raw_server_session session(m_context, m_group.announcements()[first].port);
+    session.send("START orders");
+    session.send("QUERY - SET v1 vz\nQUERY 00 WRITE 1 y");
+    session.wait_for_messages(3);
+    EXPECT_EQ(session.messages, (std::vector<std::string>{"READY I 1.1", "DONE -", "READY I 1.1"}));
+    EXPECT_TRUE(m_checker.violations().empty());
+}
+
 } // namespace hickorymount::soak
