--- a/src/soak/internal/soak_run.cpp
+++ b/src/soak/internal/soak_run.cpp
@@ -97,7 +97,6 @@
 
     result<soak_report> run()
     {
-        BOOST_LEAF_CHECK(m_group.start());
         for (const auto& each : m_proxies) {
             BOOST_LEAF_CHECK(each->start());
         }
@@ -106,6 +105,8 @@
         BOOST_LEAF_AUTO(server,
                         http::start_server(
                             options, [this](const http::request& request) { return promote(request); }, {}));
+        // The kernel chooses the group's ports, among them any fixed port that is still free.
+        BOOST_LEAF_CHECK(m_group.start());
         m_started_at = millisecond_clock::now();
         m_report.faults.push_back(fmt::format("started_at_unix_ms={}", unix_now().count()));
         std::thread announcement_thread([this] { announce_until_done(); });
