Keep the grammar of emulated servers and callers in platform/

scripts/check-names failed since the soak has a grammar of its own: names of the platform's protocol stood in src/soak/internal/wire_format.cpp, and only platform/ may have them.

Change: the grammar is platform/emulator_messages.h, beside the emulated platform's other calls, and shares no code with session_codec.cpp. The framing stays in the soak as message_splitter.h, and to_printable goes to the alphabet of the fields. No test is changed but for its file and namespace.

--- a/src/soak/caller.h
+++ b/src/soak/caller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "sessions/statement.h"
 #include "soak/consistency_checker.h"
 #include "soak/field_data.h"
 #include "soak/message_connection.h"
--- a/src/soak/emulated_group.h
+++ b/src/soak/emulated_group.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "platform/emulator_messages.h"
 #include "soak/consistency_checker.h"
 #include "soak/field_data.h"
 #include "soak/message_connection.h"
@@ -136,13 +137,13 @@
 
     void accept(std::size_t index);
     void handle_message(const std::shared_ptr<session>& client, const std::string& message);
-    void handle_statement(const std::shared_ptr<session>& client, const statement_message& request);
+    void handle_statement(const std::shared_ptr<session>& client, const platform::statement_message& request);
     void handle_control_statement(const std::shared_ptr<session>& client,
                                   const sessions::statement& statement);
     /// Returns the error that rejects a statement before it runs; empty when it may run.
     std::optional<sessions::response_code> rejection_for(const session& client,
-                                                         const statement_message& request);
-    void execute(const std::shared_ptr<session>& client, const statement_message& request);
+                                                         const platform::statement_message& request);
+    void execute(const std::shared_ptr<session>& client, const platform::statement_message& request);
     void commit(const std::shared_ptr<session>& client, const std::string& id,
                 std::vector<std::string> writes, sessions::statement_response answer);
     /// Returns false if a fault loses the answer.
--- a/src/soak/field_data.h
+++ b/src/soak/field_data.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <random>
 #include <string>
+#include <string_view>
 
 namespace hickorymount::soak {
 
@@ -30,4 +31,7 @@
     field_alphabet m_alphabet;
 };
 
+/// Replaces bytes that are not printable by `\xNN`.
+std::string to_printable(std::string_view bytes);
+
 } // namespace hickorymount::soak
--- a/src/soak/internal/caller.cpp
+++ b/src/soak/internal/caller.cpp
@@ -1,5 +1,7 @@
 #include "soak/caller.h"
 
+#include "platform/emulator_messages.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -88,7 +90,7 @@
     const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4::loopback(),
                                            m_environment.entry_ports[m_entry_index]);
     m_connection->connect(endpoint, [self = shared_from_this()] {
-        self->m_connection->send(write_opening({self->m_database.name, self->m_identity.key, ""}));
+        self->m_connection->send(platform::write_opening({self->m_database.name, self->m_identity.key, ""}));
     });
     start_timer(answer_timeout, &caller::handle_timeout);
 }
@@ -102,8 +104,8 @@
 
 void caller::handle_message(const std::string& message)
 {
-    const answer_message decoded = parse_answer(message);
-    if (const auto* error = std::get_if<error_message>(&decoded)) {
+    const platform::answer_message decoded = platform::parse_answer(message);
+    if (const auto* error = std::get_if<platform::error_message>(&decoded)) {
         m_partial_answer.code = error->code;
         return;
     }
@@ -112,15 +114,15 @@
         reconnect_later();
         return;
     }
-    if (const auto* row = std::get_if<row_message>(&decoded)) {
+    if (const auto* row = std::get_if<platform::row_message>(&decoded)) {
         m_partial_answer.rows.push_back(row->data);
         return;
     }
-    if (const auto* done = std::get_if<done_message>(&decoded)) {
+    if (const auto* done = std::get_if<platform::done_message>(&decoded)) {
         m_partial_answer.detail = done->signature;
         return;
     }
-    const auto* ready = std::get_if<ready_message>(&decoded);
+    const auto* ready = std::get_if<platform::ready_message>(&decoded);
     if (ready == nullptr) {
         m_environment.checker.record_unreadable(fmt::format("caller {}", m_number), message);
         reconnect_later();
@@ -240,7 +242,7 @@
         m_write_ids.push_back(m_pending_id);
     }
     m_is_awaiting_answer = true;
-    m_connection->send(write_statement(m_pending_id, next));
+    m_connection->send(platform::write_statement(m_pending_id, next));
     start_timer(answer_timeout, &caller::handle_timeout);
 }
 
--- a/src/soak/internal/consistency_checker.cpp
+++ b/src/soak/internal/consistency_checker.cpp
@@ -1,6 +1,6 @@
 #include "soak/consistency_checker.h"
 
-#include "soak/wire_format.h"
+#include "soak/field_data.h"
 
 #include <algorithm>
 
--- a/src/soak/internal/emulated_group.cpp
+++ b/src/soak/internal/emulated_group.cpp
@@ -251,29 +251,29 @@
 void emulated_group::handle_message(const std::shared_ptr<session>& client, const std::string& message)
 {
     server& local_server = m_servers[client->index];
-    const request_message decoded = parse_request(message);
+    const platform::request_message decoded = platform::parse_request(message);
     if (std::holds_alternative<std::monostate>(decoded)) {
         m_checker.record_unreadable(fmt::format("server {}", local_server.name), message);
     }
     if (client->is_unheard || millisecond_clock::now() < local_server.unresponsive_until) {
         return;
     }
-    if (const auto* opening = std::get_if<opening_message>(&decoded)) {
+    if (const auto* opening = std::get_if<platform::opening_message>(&decoded)) {
         const bool is_expected_server =
             opening->database == m_name && (opening->server.empty() || opening->server == local_server.name);
         if (!is_expected_server) {
-            client->connection->send(write_error({response_code::misrouted, local_server.name}));
+            client->connection->send(platform::write_error({response_code::misrouted, local_server.name}));
             close_session(local_server, client);
             return;
         }
         client->is_open = true;
         client->credential = opening->credential;
         send_message(client, [this, client] {
-            return write_ready({state_of(*client), position_of(m_servers[client->index])});
+            return platform::write_ready({state_of(*client), position_of(m_servers[client->index])});
         });
         return;
     }
-    const auto* request = std::get_if<statement_message>(&decoded);
+    const auto* request = std::get_if<platform::statement_message>(&decoded);
     if (request == nullptr || !client->is_open) {
         close_session(local_server, client);
         return;
@@ -290,7 +290,7 @@
 }
 
 void emulated_group::handle_statement(const std::shared_ptr<session>& client,
-                                      const statement_message& request)
+                                      const platform::statement_message& request)
 {
     if (request.body.kind > statement_kind::reset) {
         handle_control_statement(client, request.body);
@@ -306,7 +306,7 @@
 }
 
 std::optional<response_code> emulated_group::rejection_for(const session& client,
-                                                           const statement_message& request)
+                                                           const platform::statement_message& request)
 {
     const server& local_server = m_servers[client.index];
     const statement_kind kind = request.body.kind;
@@ -335,7 +335,8 @@
     return takes_slot && m_random() % busy_interval == 0 ? std::optional(response_code::busy) : std::nullopt;
 }
 
-void emulated_group::execute(const std::shared_ptr<session>& client, const statement_message& request)
+void emulated_group::execute(const std::shared_ptr<session>& client,
+                             const platform::statement_message& request)
 {
     const server& local_server = m_servers[client->index];
     const sessions::statement& statement = request.body;
@@ -447,7 +448,7 @@
     return send_message(client, [this, client, answer = std::move(answer)]() mutable {
         answer.state = state_of(*client);
         answer.position = position_of(m_servers[client->index]);
-        return write_answer(answer);
+        return platform::write_answer(answer);
     });
 }
 
@@ -523,7 +524,8 @@
     }
     const sessions::server_status status{local_server.is_primary,
                                          {local_server.term, local_server.log.size()}};
-    send_answer(client, {{write_status(status)}, response_code::done, "", transaction_state::none, {}},
+    send_answer(client,
+                {{platform::write_status(status)}, response_code::done, "", transaction_state::none, {}},
                 false);
 }
 
--- a/src/soak/internal/field_data.cpp
+++ b/src/soak/internal/field_data.cpp
@@ -1,7 +1,8 @@
 #include "soak/field_data.h"
 
 #include <array>
-#include <string_view>
+
+#include <fmt/format.h>
 
 namespace hickorymount::soak {
 
@@ -29,6 +30,7 @@
     "\nROW x\nDONE -\nREADY I -\n"sv,
     "\nERR BUSY x\nREADY I 1.1\n"sv,
 };
+constexpr std::size_t max_printed_bytes = 200;
 constexpr std::size_t max_pieces = 4;
 /// One in this many values is the plain one.
 constexpr std::uint32_t plain_interval = 3;
@@ -51,4 +53,15 @@
     return value;
 }
 
+std::string to_printable(std::string_view bytes)
+{
+    std::string printable;
+    for (const char each : bytes.substr(0, max_printed_bytes)) {
+        const bool is_printable = each >= ' ' && each <= '~' && each != '\\';
+        printable +=
+            is_printable ? std::string(1, each) : fmt::format("\\x{:02x}", static_cast<unsigned char>(each));
+    }
+    return printable;
+}
+
 } // namespace hickorymount::soak
--- a/src/soak/message_connection.h
+++ b/src/soak/message_connection.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "soak/wire_format.h"
+#include "soak/message_splitter.h"
 
 #include <array>
 #include <functional>
--- a/src/soak/tests/field_data_tests.cpp
+++ b/src/soak/tests/field_data_tests.cpp
@@ -6,6 +6,8 @@
 
 namespace hickorymount::soak {
 
+using namespace std::string_literals;
+
 class field_source_fixture : public ::testing::Test
 {
 protected:
@@ -48,4 +50,9 @@
     EXPECT_EQ(source.next("x"), "x");
 }
 
+TEST_F(field_source_fixture, unprintable_bytes_are_escaped)
+{
+    EXPECT_EQ(to_printable("a \n\r\0\xff\\"s), "a \\x0a\\x0d\\x00\\xff\\x5c");
+}
+
 } // namespace hickorymount::soak
--- a/src/soak/tests/process_cluster.cpp
+++ b/src/soak/tests/process_cluster.cpp
@@ -195,12 +195,12 @@
 {
     const std::lock_guard lock(m_mutex);
     m_received.push_back(message);
-    const request_message decoded = parse_request(message);
-    if (std::holds_alternative<opening_message>(decoded)) {
-        sender->connection->send(write_ready({transaction_state::none, server_position}));
+    const platform::request_message decoded = platform::parse_request(message);
+    if (std::holds_alternative<platform::opening_message>(decoded)) {
+        sender->connection->send(platform::write_ready({transaction_state::none, server_position}));
         return;
     }
-    const auto* request = std::get_if<statement_message>(&decoded);
+    const auto* request = std::get_if<platform::statement_message>(&decoded);
     if (request == nullptr) {
         sender->connection->close();
         return;
@@ -210,7 +210,7 @@
         return;
     }
     const sessions::statement_response answer = answer_to(*request);
-    const std::string bytes = write_answer(answer);
+    const std::string bytes = platform::write_answer(answer);
     sender->connection->send(std::exchange(sender->repeat, {}) + bytes);
     const bool is_repeated = m_behavior.repeats_answers || answer.code == response_code::busy;
     if (is_of_caller && is_repeated) {
@@ -218,13 +218,13 @@
     }
 }
 
-sessions::statement_response stand_in_server::answer_to(const statement_message& request)
+sessions::statement_response stand_in_server::answer_to(const platform::statement_message& request)
 {
     const statement_kind kind = request.body.kind;
     sessions::statement_response answer{
         {}, response_code::done, "7." + request.id, transaction_state::none, server_position};
     if (kind == statement_kind::status) {
-        answer.rows = {write_status({true, server_position})};
+        answer.rows = {platform::write_status({true, server_position})};
         return answer;
     }
     const bool is_refused = kind == statement_kind::write && m_behavior.refuses_first_writes &&
--- a/src/soak/tests/process_cluster.h
+++ b/src/soak/tests/process_cluster.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/millisecond_clock.h"
+#include "platform/emulator_messages.h"
 #include "protocol/types.h"
 #include "soak/message_connection.h"
 
@@ -87,7 +88,7 @@
 
     void accept();
     void handle_message(const std::shared_ptr<peer>& sender, const std::string& message);
-    [[nodiscard]] sessions::statement_response answer_to(const statement_message& request);
+    [[nodiscard]] sessions::statement_response answer_to(const platform::statement_message& request);
 
     boost::asio::io_context m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/src/soak/tests/session_bytes_tests.cpp
+++ b/src/soak/tests/session_bytes_tests.cpp
@@ -1,6 +1,7 @@
+#include "soak/field_data.h"
+#include "soak/message_splitter.h"
 #include "soak/tests/process_cluster.h"
 #include "soak/tests/raw_client.h"
-#include "soak/wire_format.h"
 
 #include <algorithm>
 #include <memory>
