Take no late or ambiguous HTTP response for the answer to a call

A kept HTTP connection gave the next call whatever had arrived on it. A server that answers twice, the second time late, shifted all further answers of the connection by one. Of two Content-Length headers the first counted, and a length of "5x" or "+5" was 5.

The client now reads with Boost.Beast, as timed calls do. Bytes that arrive after a whole response and before the next request make the connection unusable: the call is not sent. A response with two lengths, with a length that is no number, or with a length and a transfer encoding is lost, and so is one that is not final (1xx).

A repeat that arrives between the sending of a request and its answer can't be told apart in HTTP; calls that matter name their request in the body.

--- a/src/framework/http/internal/client.cpp
+++ b/src/framework/http/internal/client.cpp
@@ -1,89 +1,133 @@
 #include "http/client.h"
 
-#include <array>
-#include <mutex>
+#include <chrono>
+#include <optional>
 #include <utility>
 
-#include <civetweb.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
 #include <fmt/format.h>
 
 namespace hickorymount::http {
 
 namespace {
 
-constexpr std::size_t error_text_bytes = 128;
-constexpr std::size_t read_bytes = std::size_t{16} << 10;
-constexpr long long max_response_bytes = 64LL << 20;
+namespace asio = boost::asio;
+namespace beast = boost::beast;
 
-void initialize_library()
-{
-    static std::once_flag once;
-    std::call_once(once, [] { mg_init_library(0); });
-}
+constexpr std::uint64_t max_response_bytes = std::uint64_t{64} << 20;
+constexpr std::uint32_t max_response_head_bytes = std::uint32_t{16} << 10;
+constexpr std::chrono::seconds connect_timeout{10};
+constexpr unsigned first_final_status = 200;
 
-class civetweb_connection final : public client_connection
+class beast_connection final : public client_connection
 {
 public:
-    civetweb_connection(mg_connection* connection, std::string host)
-        : m_connection(connection), m_host(std::move(host))
+    explicit beast_connection(std::string host) : m_stream(m_context), m_host(std::move(host)) {}
+
+    beast::error_code open(const std::string& address, std::uint16_t port)
     {
+        beast::error_code error;
+        asio::ip::tcp::resolver resolver(m_context);
+        const auto addresses = resolver.resolve(address, std::to_string(port), error);
+        if (error) {
+            return error;
+        }
+        m_stream.expires_after(connect_timeout);
+        m_stream.async_connect(
+            addresses, [&](const beast::error_code& failure, const auto& /*endpoint*/) { error = failure; });
+        run();
+        if (!error) {
+            beast::error_code ignored;
+            m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+        }
+        return error;
     }
-    ~civetweb_connection() override { mg_close_connection(m_connection); }
-    civetweb_connection(const civetweb_connection&) = delete;
-    civetweb_connection& operator=(const civetweb_connection&) = delete;
 
     call_result call(const std::string& method, const std::string& path,
                      const std::map<std::string, std::string>& headers, const std::string& body,
                      milliseconds timeout) override
     {
+        if (has_unread_bytes()) {
+            return {call_status::not_sent, {}, "bytes that answer no request came on the connection"};
+        }
         std::string message = fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\n", method,
                                           path, m_host, body.size());
         for (const auto& [name, value] : headers) {
             message += fmt::format("{}: {}\r\n", name, value);
         }
         message += "\r\n" + body;
-        const int written = mg_write(m_connection, message.data(), message.size());
-        if (written != static_cast<int>(message.size())) {
-            return lost_result("the request could not be sent whole");
-        }
-        std::array<char, error_text_bytes> error_text{};
-        const int timeout_ms = static_cast<int>(timeout.count() > 0 ? timeout.count() : 1);
-        if (mg_get_response(m_connection, error_text.data(), error_text.size(), timeout_ms) < 0) {
-            return lost_result(error_text.data());
-        }
-        return read_response();
+        m_stream.expires_after(std::chrono::milliseconds(timeout.count() > 0 ? timeout.count() : 1));
+        beast::error_code error;
+        asio::async_write(m_stream, asio::buffer(message),
+                          [&](const beast::error_code& failure, std::size_t) { error = failure; });
+        run();
+        return error ? lost_result("the request could not be sent whole: " + error.message())
+                     : receive_response();
     }
 
 private:
+    using response_parser = beast::http::response_parser<beast::http::string_body>;
+
     static call_result lost_result(std::string reason)
     {
         return {call_status::response_lost, {}, std::move(reason)};
     }
 
-    call_result read_response()
+    void run()
     {
-        const mg_response_info* info = mg_get_response_info(m_connection);
-        if (info == nullptr || info->content_length < 0 || info->content_length > max_response_bytes) {
+        m_context.restart();
+        m_context.run();
+    }
+
+    /// After a whole response nothing comes before the next request. What does is no answer to it.
+    bool has_unread_bytes()
+    {
+        beast::error_code error;
+        return m_buffer.size() > 0 || m_stream.socket().available(error) > 0;
+    }
+
+    call_result receive_response()
+    {
+        response_parser parser;
+        parser.header_limit(max_response_head_bytes);
+        parser.body_limit(max_response_bytes);
+        beast::error_code error;
+        const auto keep_error = [&](const beast::error_code& failure, std::size_t) { error = failure; };
+        beast::http::async_read_header(m_stream, m_buffer, parser, keep_error);
+        run();
+        if (error) {
+            return lost_result(error.message());
+        }
+        if (!parser.content_length()) {
             return lost_result("the response has no usable length");
         }
-        call_result result{call_status::answered, {}, {}};
-        result.answer.status = info->status_code;
-        const auto length = static_cast<std::size_t>(info->content_length);
-        for (int index = 0; index < info->num_headers; ++index) {
-            result.answer.headers.emplace(info->http_headers[index].name, info->http_headers[index].value);
+        if (parser.get().result_int() < first_final_status) {
+            return lost_result("the response is not a final one");
         }
-        std::array<char, read_bytes> buffer{};
-        while (result.answer.body.size() < length) {
-            const int count = mg_read(m_connection, buffer.data(), buffer.size());
-            if (count <= 0) {
-                return lost_result("the response was cut short");
-            }
-            result.answer.body.append(buffer.data(), static_cast<std::size_t>(count));
+        beast::http::async_read(m_stream, m_buffer, parser, keep_error);
+        run();
+        return error ? lost_result("the response was cut short: " + error.message())
+                     : to_call_result(parser.release());
+    }
+
+    static call_result to_call_result(response_parser::value_type received)
+    {
+        call_result result{call_status::answered, {}, {}};
+        result.answer.status = static_cast<int>(received.result_int());
+        for (const auto& field : received) {
+            result.answer.headers.emplace(field.name_string(), field.value());
         }
+        result.answer.body = std::move(received.body());
         return result;
     }
 
-    mg_connection* m_connection;
+    asio::io_context m_context;
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
     std::string m_host;
 };
 
@@ -91,15 +135,12 @@
 
 result<std::unique_ptr<client_connection>> connect(const std::string& address, std::uint16_t port)
 {
-    initialize_library();
-    std::array<char, error_text_bytes> error_text{};
-    mg_connection* connection =
-        mg_connect_client(address.c_str(), port, 0, error_text.data(), error_text.size());
     const std::string host = fmt::format("{}:{}", address, port);
-    if (connection == nullptr) {
-        return fail("connect", host, error_text.data());
+    auto connection = std::make_unique<beast_connection>(host);
+    if (const beast::error_code error = connection->open(address, port)) {
+        return fail("connect", host, error.message());
     }
-    return std::unique_ptr<client_connection>(std::make_unique<civetweb_connection>(connection, host));
+    return std::unique_ptr<client_connection>(std::move(connection));
 }
 
 call_result call_once(const std::string& address, std::uint16_t port, const std::string& method,
