Refuse values that would end a line of an HTTP head

Methods, paths and header values were written as they came. A host name with CR LF in Holder added a Fence-Token of its own to a promotion request, a server name with CR LF in a path added a header, and a Location with CR LF ended the head of a response.

message_head.h says what a head can hold. A client call or a timed call with another value is not sent, with the value escaped in the reason; a response of a handler with such a header becomes status 500 without its headers.

--- a/src/framework/http/internal/client.cpp
+++ b/src/framework/http/internal/client.cpp
@@ -1,5 +1,7 @@
 #include "http/client.h"
 
+#include "http/internal/message_head.h"
+
 #include <chrono>
 #include <optional>
 #include <utility>
@@ -51,6 +53,9 @@
                      const std::map<std::string, std::string>& headers, const std::string& body,
                      milliseconds timeout) override
     {
+        if (std::string reason = detail::request_head_error(method, path, headers); !reason.empty()) {
+            return {call_status::not_sent, {}, std::move(reason)};
+        }
         if (has_unread_bytes()) {
             return {call_status::not_sent, {}, "bytes that answer no request came on the connection"};
         }
--- a/src/framework/http/internal/server.cpp
+++ b/src/framework/http/internal/server.cpp
@@ -1,6 +1,7 @@
 #include "http/server.h"
 
 #include "base/millisecond_clock.h"
+#include "http/internal/message_head.h"
 
 #include <array>
 #include <atomic>
@@ -20,6 +21,15 @@
 constexpr std::size_t read_bytes = 16;
 constexpr int internal_error = 500;
 
+response text_response(int status, std::string text)
+{
+    response made;
+    made.status = status;
+    made.content_type = "text/plain";
+    made.body = std::move(text);
+    return made;
+}
+
 class civetweb_server final : public server
 {
 public:
@@ -118,6 +128,9 @@
         }
         read_body(connection, info, incoming);
         response answer = handle(incoming);
+        if (!detail::is_header("Content-Type", answer.content_type) || !detail::are_headers(answer.headers)) {
+            answer = text_response(internal_error, "a header of the response has control characters");
+        }
         const bool is_unread = incoming.is_body_too_large || incoming.is_body_truncated;
         answer.closes_connection = answer.closes_connection || is_unread ||
                                    m_open_connections > m_options.max_kept_alive_connections;
@@ -130,11 +143,8 @@
         try {
             return m_on_request(incoming);
         } catch (const std::exception& error) {
-            response failed;
-            failed.status = internal_error;
-            failed.content_type = "text/plain";
-            failed.body = fmt::format("the request could not be handled: {}", error.what());
-            return failed;
+            return text_response(internal_error,
+                                 fmt::format("the request could not be handled: {}", error.what()));
         }
     }
 
--- a/src/framework/http/internal/timed_call.cpp
+++ b/src/framework/http/internal/timed_call.cpp
@@ -1,5 +1,7 @@
 #include "http/timed_call.h"
 
+#include "http/internal/message_head.h"
+
 #include <chrono>
 
 #include <boost/asio/io_context.hpp>
@@ -29,6 +31,10 @@
 
     call_result run()
     {
+        m_result.reason = detail::request_head_error(m_request.method, m_request.path, m_request.headers);
+        if (!m_result.reason.empty()) {
+            return m_result;
+        }
         beast::error_code error;
         const auto address = asio::ip::make_address(m_request.address, error);
         if (error) {
--- a/src/framework/http/tests/client_framing_tests.cpp
+++ b/src/framework/http/tests/client_framing_tests.cpp
@@ -163,5 +163,51 @@
     }
 }
 
+// Guards against a name in a path or header that ends it, so that its rest is sent as a header or a request.
+TEST_F(client_framing_fixture, request_with_a_value_that_would_end_its_line_is_not_sent)
+{
+    struct odd_request
+    {
+        std::string method;
+        std::string path;
+        std::map<std::string, std::string> headers;
+    };
+    const std::vector<odd_request> odd_requests = {{"GET", "/a b", {}},
+                                                   {"GET", "/a\r\nHolder: x", {}},
+                                                   {"GET", "/a\nb", {}},
+                                                   {"GET", "", {}},
+                                                   {"GET /x HTTP/1.1\r\nA: ", "/", {}},
+                                                   {"GET", "/", {{"Holder", "a\r\nFence-Token: 9"}}},
+                                                   {"GET", "/", {{"Holder", "a\nFence-Token: 9"}}},
+                                                   {"GET", "/", {{"Holder", std::string("a\0b", 3)}}},
+                                                   {"GET", "/", {{"Holder: a\r\nFence-Token", "9"}}},
+                                                   {"GET", "/", {{"", "9"}}}};
+    for (const odd_request& each : odd_requests) {
+        std::string received;
+        start([&](const raw_peer& caller) { received = caller.receive_all(); });
+        {
+            const auto connection = open();
+            EXPECT_EQ(connection->call(each.method, each.path, each.headers, "", milliseconds{200}).status,
+                      call_status::not_sent)
+                << each.path;
+        }
+        finish();
+        EXPECT_EQ(received, "");
+    }
+}
+
+TEST_F(client_framing_fixture, order_with_a_value_that_would_end_its_line_is_not_sent)
+{
+    const std::vector<std::pair<std::string, std::map<std::string, std::string>>> odd_requests = {
+        {"/promote\r\nA: b", {}},
+        {"/pro mote", {}},
+        {"/promote", {{"Holder", "a\r\nFence-Token: 9"}}},
+        {"/promote", {{"Holder", "a\nFence-Token: 9"}}},
+        {"/promote", {{"Holder: a\r\nFence-Token", "9"}}}};
+    for (const auto& [path, headers] : odd_requests) {
+        EXPECT_EQ(call_in_time_with(path, headers).status, call_status::not_sent) << path;
+    }
+}
+
 } // namespace
 } // namespace hickorymount::http
--- /dev/null
+++ b/src/framework/http/tests/server_framing_tests.cpp
@@ -0,0 +1,98 @@
+#include "http/server.h"
+#include "http/tests/raw_peer.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace hickorymount::http {
+namespace {
+
+/// A server whose requests are written byte by byte; it answers with the path.
+class server_framing_fixture : public ::testing::Test
+{
+protected:
+    server_framing_fixture()
+    {
+        server_options options;
+        options.request_timeout_ms = 1000;
+        options.keep_alive_timeout_ms = 1000;
+        m_server = handle_failure(
+            [&] {
+                return start_server(options, [this](const request& incoming) { return answer(incoming); },
+                                    {});
+            },
+            [](const failure& error) {
+                ADD_FAILURE() << to_string(error);
+                return std::unique_ptr<server>();
+            });
+    }
+
+    response answer(const request& incoming)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_requests.push_back(incoming);
+        response made;
+        made.headers = m_answer_headers;
+        made.body = incoming.path;
+        return made;
+    }
+
+    /// Sends the bytes on one connection and returns all that is received.
+    std::string exchange(const std::string& bytes) const
+    {
+        const raw_peer caller(raw_peer::connect_to(m_server->port()));
+        caller.send(bytes);
+        caller.end_sending();
+        return caller.receive_all();
+    }
+
+    std::vector<request> requests()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_requests;
+    }
+
+    static constexpr const char* smuggled = "GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n";
+
+    std::mutex m_mutex;
+    std::vector<request> m_requests;
+    std::map<std::string, std::string> m_answer_headers;
+    std::unique_ptr<server> m_server;
+};
+
+TEST_F(server_framing_fixture, bytes_after_a_body_are_no_part_of_it)
+{
+    const std::string received =
+        exchange("PUT /first HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}GET /second HTTP/1.1\r\nHost: "
+                 "a\r\n\r\n");
+    ASSERT_EQ(requests().size(), 2U) << received;
+    EXPECT_EQ(requests()[0].body, "{}");
+    EXPECT_EQ(requests()[1].path, "/second");
+    EXPECT_EQ(requests()[1].body, "");
+    EXPECT_LT(received.find("/first"), received.find("/second"));
+}
+
+// Guards against a value of the handler that ends the head of the response.
+TEST_F(server_framing_fixture, header_of_a_response_that_would_end_its_line_is_left_out_with_status_500)
+{
+    for (const char* value :
+         {"http://a/\r\nSet-Cookie: x=1", "a\nb", "a\rb", "http://a/\r\n\r\nHTTP/1.1 200 OK"}) {
+        m_answer_headers = {{"Location", value}};
+        const std::string received = exchange("GET /first HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        EXPECT_TRUE(received.starts_with("HTTP/1.1 500 ")) << received;
+        EXPECT_EQ(received.find("Location"), std::string::npos) << received;
+        EXPECT_EQ(received.find("Set-Cookie"), std::string::npos) << received;
+    }
+    m_answer_headers = {{"Location", "http://10.0.0.4:8782/-/config"}};
+    EXPECT_NE(exchange("GET /first HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+                  .find("Location: http://10.0.0.4:8782/-/config\r\n"),
+              std::string::npos);
+}
+
+} // namespace
+} // namespace hickorymount::http
