Refuse HTTP requests whose body has no certain end

CivetWeb takes the first of several lengths, the digits that a length begins with, and a transfer encoding before a length. What a sender counted as body ran as a request of its own ("4x", "+4", "4, 4", "4.0", two Content-Length, Content-Length beside Transfer-Encoding). A chunked body that was cut counted as whole and empty.

Such a request gets status 400 and its connection is closed; a chunked body without its last chunk is marked as truncated, as one shorter than its length was already.

Not covered: CivetWeb accepts a blank between the name and the colon of a header, and reports the name without it.

--- a/src/framework/http/internal/server.cpp
+++ b/src/framework/http/internal/server.cpp
@@ -6,9 +6,11 @@
 #include <array>
 #include <atomic>
 #include <exception>
+#include <string_view>
 #include <utility>
 #include <vector>
 
+#include <boost/beast/core/string.hpp>
 #include <civetweb.h>
 #include <fmt/format.h>
 
@@ -16,10 +18,13 @@
 
 namespace {
 
+namespace beast = boost::beast;
+
 /// CivetWeb's read returns only when the buffer is full or nothing has come for the request timeout. With a
 /// small one, a client that sends byte after byte does not hold a thread for long.
 constexpr std::size_t read_bytes = 16;
 constexpr int internal_error = 500;
+constexpr int bad_request = 400;
 
 response text_response(int status, std::string text)
 {
@@ -30,6 +35,33 @@
     return made;
 }
 
+/// Why the end of the request's body is not certain; empty if it is. CivetWeb takes the first of several
+/// lengths, and the digits that a length begins with.
+std::string body_length_error(const mg_request_info& info)
+{
+    std::vector<std::string_view> lengths;
+    std::vector<std::string_view> encodings;
+    for (int index = 0; index < info.num_headers; ++index) {
+        const std::string_view name = info.http_headers[index].name;
+        const std::string_view value = info.http_headers[index].value;
+        if (beast::iequals(name, "Content-Length")) {
+            lengths.push_back(value);
+        } else if (beast::iequals(name, "Transfer-Encoding")) {
+            encodings.push_back(value);
+        }
+    }
+    if (lengths.size() + encodings.size() > 1) {
+        return "expected one Content-Length or Transfer-Encoding";
+    }
+    if (!lengths.empty() && !detail::is_content_length(lengths.front())) {
+        return "expected a Content-Length of digits";
+    }
+    if (!encodings.empty() && !beast::iequals(encodings.front(), "chunked")) {
+        return "expected no Transfer-Encoding but chunked";
+    }
+    return {};
+}
+
 class civetweb_server final : public server
 {
 public:
@@ -118,6 +150,12 @@
 
     int receive_and_answer(mg_connection* connection, const mg_request_info& info)
     {
+        if (std::string error = body_length_error(info); !error.empty()) {
+            response refusal = text_response(bad_request, std::move(error));
+            refusal.closes_connection = true;
+            write(connection, refusal);
+            return refusal.status;
+        }
         request incoming;
         incoming.method = info.request_method;
         incoming.path = info.local_uri == nullptr ? "" : info.local_uri;
@@ -166,7 +204,12 @@
         std::array<char, read_bytes> buffer{};
         for (;;) {
             const int count = mg_read(connection, buffer.data(), buffer.size());
-            if (count <= 0) {
+            if (count < 0) {
+                incoming.body.clear();
+                incoming.is_body_truncated = true;
+                return;
+            }
+            if (count == 0) {
                 break;
             }
             incoming.body.append(buffer.data(), static_cast<std::size_t>(count));
--- a/src/framework/http/tests/server_framing_tests.cpp
+++ b/src/framework/http/tests/server_framing_tests.cpp
@@ -65,6 +65,56 @@
     std::unique_ptr<server> m_server;
 };
 
+// Guards against a request that a host before this one has read with another length, and whose rest is run.
+TEST_F(server_framing_fixture, request_with_two_lengths_is_refused_and_its_rest_is_not_run)
+{
+    const std::vector<std::string> lengths = {"Content-Length: 4\r\nContent-Length: 0\r\n",
+                                              "Content-Length: 0\r\nContent-Length: 4\r\n",
+                                              "Content-Length: 0\r\ncontent-length: 4\r\n",
+                                              "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+                                              "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+                                              "Content-Length: 4\r\nTransfer-Encoding: identity\r\n",
+                                              "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+                                              "Transfer-Encoding: gzip, chunked\r\n",
+                                              "Transfer-Encoding: xchunked\r\n"};
+    for (const std::string& length : lengths) {
+        const std::string received =
+            exchange("PUT /first HTTP/1.1\r\nHost: a\r\n" + length + "\r\n0\r\n\r\n" + smuggled);
+        EXPECT_TRUE(received.starts_with("HTTP/1.1 4") || received.starts_with("HTTP/1.1 5"))
+            << length << received;
+    }
+    EXPECT_TRUE(requests().empty()) << requests().front().path;
+}
+
+TEST_F(server_framing_fixture, request_whose_length_is_no_number_is_refused_and_its_rest_is_not_run)
+{
+    for (const char* length : {"4x", "+4", "-1", "0x4", "4, 4", "4 4", "", "99999999999999999999", "4.0"}) {
+        const std::string received =
+            exchange("PUT /first HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::string(length) +
+                     "\r\n\r\nabcd" + smuggled);
+        EXPECT_TRUE(received.starts_with("HTTP/1.1 4")) << length << ": " << received;
+    }
+    EXPECT_TRUE(requests().empty());
+}
+
+TEST_F(server_framing_fixture, chunked_body_that_ends_before_its_last_chunk_is_reported_as_truncated)
+{
+    const std::string head = "PUT /first HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    exchange(head + "4\r\nabcd\r\n0\r\n\r\n");
+    ASSERT_EQ(requests().size(), 1U);
+    EXPECT_EQ(requests().back().body, "abcd");
+    EXPECT_FALSE(requests().back().is_body_truncated);
+    for (const char* body : {"4\r\nabcd\r\n", "4\r\nab", "4\r\nabcd\r\nzz\r\n", "4\r\nabcd", ""}) {
+        const std::size_t before = requests().size();
+        const std::string received = exchange(head + body);
+        if (requests().size() > before) {
+            EXPECT_TRUE(requests().back().is_body_truncated) << body << " -> " << requests().back().body;
+        } else {
+            EXPECT_TRUE(received.empty() || received.starts_with("HTTP/1.1 4")) << body << received;
+        }
+    }
+}
+
 TEST_F(server_framing_fixture, bytes_after_a_body_are_no_part_of_it)
 {
     const std::string received =
