Refuse paths with an encoded null byte

CivetWeb decodes a path into a C string. A report to /-/instances/i-7%00x counted as one of the server i-7, and "/%00" as "/".

The path is now decoded by its length, and one with a null byte gets status 400. Other encoded bytes are passed on as before and are judged by whoever reads the name.

--- a/src/framework/http/internal/server.cpp
+++ b/src/framework/http/internal/server.cpp
@@ -62,6 +62,17 @@
     return {};
 }
 
+/// CivetWeb's own decoding ends the path at an encoded null byte. Empty for a path with one.
+std::string decoded_path(const mg_request_info& info)
+{
+    const std::string_view encoded = info.local_uri == nullptr ? "" : info.local_uri;
+    std::string decoded(encoded.size() + 1, '\0');
+    const int bytes = mg_url_decode(encoded.data(), static_cast<int>(encoded.size()), decoded.data(),
+                                    static_cast<int>(decoded.size()), 0);
+    decoded.resize(bytes < 0 ? 0 : static_cast<std::size_t>(bytes));
+    return decoded.find('\0') == std::string::npos ? decoded : std::string();
+}
+
 class civetweb_server final : public server
 {
 public:
@@ -83,7 +94,7 @@
         const std::string threads = std::to_string(m_options.threads);
         const std::string keep_alive_timeout = std::to_string(m_options.keep_alive_timeout_ms);
         const std::string request_timeout = std::to_string(m_options.request_timeout_ms);
-        const std::array<const char*, 13> settings{"listening_ports",
+        const std::array<const char*, 15> settings{"listening_ports",
                                                    listening_addresses.c_str(),
                                                    "num_threads",
                                                    threads.c_str(),
@@ -93,6 +104,8 @@
                                                    keep_alive_timeout.c_str(),
                                                    "request_timeout_ms",
                                                    request_timeout.c_str(),
+                                                   "decode_url",
+                                                   "no",
                                                    "tcp_nodelay",
                                                    "1",
                                                    nullptr};
@@ -150,15 +163,17 @@
 
     int receive_and_answer(mg_connection* connection, const mg_request_info& info)
     {
-        if (std::string error = body_length_error(info); !error.empty()) {
+        request incoming;
+        incoming.path = decoded_path(info);
+        std::string error =
+            incoming.path.empty() ? "expected a path without null bytes" : body_length_error(info);
+        if (!error.empty()) {
             response refusal = text_response(bad_request, std::move(error));
             refusal.closes_connection = true;
             write(connection, refusal);
             return refusal.status;
         }
-        request incoming;
         incoming.method = info.request_method;
-        incoming.path = info.local_uri == nullptr ? "" : info.local_uri;
         incoming.query = info.query_string == nullptr ? "" : info.query_string;
         incoming.connection_number = connection_number(mg_get_user_connection_data(connection));
         for (int index = 0; index < info.num_headers; ++index) {
--- a/src/framework/http/tests/server_framing_tests.cpp
+++ b/src/framework/http/tests/server_framing_tests.cpp
@@ -127,6 +127,20 @@
     EXPECT_LT(received.find("/first"), received.find("/second"));
 }
 
+// Guards against a report about one server that counts for another, whose name is the beginning of its name.
+TEST_F(server_framing_fixture, path_with_an_encoded_null_byte_is_not_cut_there)
+{
+    for (const char* path : {"/servers/i-7%00x", "/servers/i-7%00", "/%00"}) {
+        const std::string received =
+            exchange("PUT " + std::string(path) + " HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+        EXPECT_TRUE(received.starts_with("HTTP/1.1 4")) << received;
+    }
+    EXPECT_TRUE(requests().empty()) << requests().front().path;
+    exchange("PUT /servers/i%2d7%0d%0a HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+    ASSERT_EQ(requests().size(), 1U);
+    EXPECT_EQ(requests().front().path, "/servers/i-7\r\n");
+}
+
 // Guards against a value of the handler that ends the head of the response.
 TEST_F(server_framing_fixture, header_of_a_response_that_would_end_its_line_is_left_out_with_status_500)
 {
