Keep each value of a log line one value

Statement ids, database names, peers and reasons were written as they came. A line feed became a blank, so that an id of "a\ngroup=forged" added a field, a quote in a reason ended it, and escape sequences reached the terminal.

logging/fields.h quotes and escapes a value, unless it is plain; call sites use it for values that callers, servers or other hosts choose. format_record escapes control characters and bytes that are not UTF-8 in whatever else the line has. Reasons without a key have one now (`reason="..."`). Lines with plain values are as before.

--- a/src/framework/base/internal/names.cpp
+++ b/src/framework/base/internal/names.cpp
@@ -49,6 +49,22 @@
     return sequence;
 }
 
+/// Escapes control characters, bytes that are not UTF-8, and the characters of `also_escaped`.
+std::string escape(std::string_view text, std::string_view also_escaped)
+{
+    std::string readable;
+    readable.reserve(text.size());
+    for_each_character(text, [&](boost::nowide::utf::code_point character, std::string_view bytes) {
+        if (character == boost::nowide::utf::illegal || is_control(character)) {
+            readable += escape_sequence(bytes);
+        } else {
+            readable += also_escaped.find(bytes) != std::string_view::npos ? "\\" : "";
+            readable += bytes;
+        }
+    });
+    return readable;
+}
+
 } // namespace
 
 bool is_line_text(std::string_view text)
@@ -65,19 +81,14 @@
     return !text.empty() && text != no_name && text.find(' ') == std::string_view::npos && is_line_text(text);
 }
 
+std::string without_control_characters(std::string_view text)
+{
+    return escape(text, "");
+}
+
 std::string escaped(std::string_view text)
 {
-    std::string readable;
-    readable.reserve(text.size());
-    for_each_character(text, [&](boost::nowide::utf::code_point character, std::string_view bytes) {
-        if (character == boost::nowide::utf::illegal || is_control(character)) {
-            readable += escape_sequence(bytes);
-        } else {
-            readable += character == '"' || character == '\\' ? "\\" : "";
-            readable += bytes;
-        }
-    });
-    return readable;
+    return escape(text, "\"\\");
 }
 
 } // namespace hickorymount
--- a/src/framework/base/names.h
+++ b/src/framework/base/names.h
@@ -21,8 +21,11 @@
 /// characters, and not `no_name`.
 bool is_name(std::string_view text);
 
-/// The text for a line that people or programs read: control characters, quotes, backslashes and bytes that
-/// are not UTF-8 are written as escape sequences.
+/// The text for a line that people or programs read: control characters and bytes that are not UTF-8 are
+/// written as escape sequences. Quotes and backslashes stay, so that an escaped text is not escaped again.
+std::string without_control_characters(std::string_view text);
+
+/// As `without_control_characters`, for a text between quotes: quotes and backslashes are escaped as well.
 std::string escaped(std::string_view text);
 
 } // namespace hickorymount
--- a/src/framework/base/tests/names_tests.cpp
+++ b/src/framework/base/tests/names_tests.cpp
@@ -68,6 +68,7 @@
     EXPECT_EQ(escaped("\x1b[31m"), "\\x1b[31m");
     EXPECT_EQ(escaped("say \"a\\b\""), R"(say \"a\\b\")");
     EXPECT_EQ(escaped("\xff\xc2\x9b"), "\\xff\\xc2\\x9b");
+    EXPECT_EQ(without_control_characters("reason=\"a\\b\"\n"), "reason=\"a\\b\"\\n");
     EXPECT_EQ(escaped("\xc3\xa6 plain"), "\xc3\xa6 plain");
 }
 
--- a/src/framework/logging/internal/log_writer.cpp
+++ b/src/framework/logging/internal/log_writer.cpp
@@ -1,6 +1,8 @@
 #include "logging/log_writer.h"
 
-#include <algorithm>
+#include "base/names.h"
+#include "logging/fields.h"
+
 #include <chrono>
 #include <cstdio>
 #include <utility>
@@ -87,15 +89,13 @@
     std::string line =
         fmt::format("time={} level={} host={} step={}", time, level_name(record.level), host, record.step);
     if (!record.peer.empty()) {
-        line += " peer=" + record.peer;
+        line += " peer=" + value(record.peer);
     }
     if (!record.text.empty()) {
         line += " " + record.text;
     }
-    for (char& each : line) {
-        each = each == '\n' || each == '\r' ? ' ' : each;
-    }
-    return line;
+    // The text has its own quotes, but nothing in it may end the line or act on a terminal.
+    return is_line_text(line) ? line : without_control_characters(line);
 }
 
 } // namespace hickorymount::logging
--- a/src/gateway/internal/control_service.cpp
+++ b/src/gateway/internal/control_service.cpp
@@ -10,6 +10,7 @@
 #include "gateway/primary_switch_request.h"
 #include "http/server.h"
 #include "link/peer_transport.h"
+#include "logging/fields.h"
 #include "logging/log_writer.h"
 #include "metrics/metric_registry.h"
 #include "node/reduce.h"
@@ -83,7 +84,7 @@
         };
         handlers.on_connected = [](const std::string&) {};
         handlers.on_error = [this](const std::string& peer, const std::string& reason) {
-            m_log.write({logging::log_level::warning, "link", peer, reason});
+            m_log.write({logging::log_level::warning, "link", peer, "reason=" + logging::quoted(reason)});
         };
         m_transport = link::make_websocket_transport(
             m_settings.name.value, std::move(handlers),
@@ -263,8 +264,8 @@
         m_metrics.count("hickorymount_disk_failures_total", fmt::format("step=\"{}\"", error.step));
         if (attempts == 1) {
             m_log.write({logging::log_level::error, "disk_failing", error.peer,
-                         fmt::format("operation={} reason=\"{}\" retry_ms={}", error.step, error.reason,
-                                     detail::storage_retry_pause.count())});
+                         fmt::format("operation={} reason={} retry_ms={}", error.step,
+                                     logging::quoted(error.reason), detail::storage_retry_pause.count())});
         }
     }
 
@@ -285,7 +286,8 @@
             },
             [&](const failure& error) {
                 m_metrics.count("hickorymount_bad_messages_total", "");
-                m_log.write({logging::log_level::warning, error.step, error.peer, error.reason});
+                m_log.write({logging::log_level::warning, error.step, error.peer,
+                             "reason=" + logging::quoted(error.reason)});
             });
     }
 
@@ -339,8 +341,8 @@
             }
             m_log.write(
                 {logging::log_level::information, "promotion_answered", order.server.value,
-                 fmt::format("group={} token={} outcome={} reason=\"{}\"", order.group.value,
-                             order.fencing_token, codec::enumerator_name(answer.outcome), answer.reason)});
+                 fmt::format("group={} token={} outcome={} reason={}", order.group.value, order.fencing_token,
+                             codec::enumerator_name(answer.outcome), logging::quoted(answer.reason))});
             post(supervision::promotion_response_received{order.request_id, order.group, answer.outcome});
         });
     }
--- a/src/gateway/internal/entry_service.cpp
+++ b/src/gateway/internal/entry_service.cpp
@@ -12,6 +12,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "link/peer_transport.h"
+#include "logging/fields.h"
 #include "logging/log_writer.h"
 #include "metrics/metric_registry.h"
 #include "node/reduce.h"
@@ -89,7 +90,7 @@
             post(routing::control_connected{host_name{peer}});
         };
         handlers.on_error = [this](const std::string& peer, const std::string& reason) {
-            m_log.write({logging::log_level::warning, "link", peer, reason});
+            m_log.write({logging::log_level::warning, "link", peer, "reason=" + logging::quoted(reason)});
         };
         m_transport = link::make_websocket_transport(m_settings.name.value, std::move(handlers));
         if (codec != nullptr && m_settings.session_address) {
@@ -238,7 +239,8 @@
             },
             [&](const failure& error) {
                 m_metrics.count("hickorymount_bad_messages_total", "");
-                m_log.write({logging::log_level::warning, error.step, error.peer, error.reason});
+                m_log.write({logging::log_level::warning, error.step, error.peer,
+                             "reason=" + logging::quoted(error.reason)});
             });
     }
 
@@ -393,7 +395,8 @@
                 return {};
             },
             [&](const failure& error) {
-                m_log.write({logging::log_level::warning, error.step, error.peer, error.reason});
+                m_log.write({logging::log_level::warning, error.step, error.peer,
+                             "reason=" + logging::quoted(error.reason)});
             });
         post(routing::role_change_finished{effect.requester, std::move(report)});
     }
--- a/src/gateway/internal/session_server.cpp
+++ b/src/gateway/internal/session_server.cpp
@@ -2,6 +2,7 @@
 
 #include "configuration/key_digest.h"
 #include "gateway/internal/probe_step.h"
+#include "logging/fields.h"
 
 #include <algorithm>
 #include <new>
@@ -253,7 +254,7 @@
 {
     return {[this, is_relayed](tcp::socket socket) { add_caller(std::move(socket), is_relayed); },
             [this](const std::string& reason) {
-                m_log.write({logging::log_level::warning, "accept", "", reason});
+                m_log.write({logging::log_level::warning, "accept", "", "reason=" + logging::quoted(reason)});
             }};
 }
 
--- a/src/routing/internal/reduce.cpp
+++ b/src/routing/internal/reduce.cpp
@@ -1,5 +1,6 @@
 #include "routing/reduce.h"
 
+#include "logging/fields.h"
 #include "routing/descriptions.h"
 #include "routing/internal/connection_pools.h"
 #include "routing/internal/event_context.h"
@@ -197,7 +198,7 @@
         sent = m_context.now;
         m_context.set_group(suspected.group, std::move(group));
         m_context.log(logging::log_level::warning, "suspect_primary", suspected.server.value,
-                      "group=" + suspected.group.value + " reason=\"" + suspected.reason + "\"");
+                      "group=" + suspected.group.value + " reason=" + logging::quoted(suspected.reason));
         m_context.send_to_leader(protocol::primary_suspicion{suspected.group, suspected.term,
                                                              suspected.server, suspected.reason,
                                                              suspected.are_commits_stalled});
--- a/src/routing/internal/view_tracker.cpp
+++ b/src/routing/internal/view_tracker.cpp
@@ -1,6 +1,7 @@
 #include "routing/internal/view_tracker.h"
 
 #include "configuration/difference.h"
+#include "logging/fields.h"
 
 #include <algorithm>
 
@@ -65,7 +66,8 @@
             return {};
         },
         [&](const failure& error) {
-            m_context.log(logging::log_level::warning, error.step, from.value, error.reason);
+            m_context.log(logging::log_level::warning, error.step, from.value,
+                          "reason=" + logging::quoted(error.reason));
         });
     m_lease.schedule_early_renewal();
 }
@@ -126,7 +128,8 @@
 void view_tracker::handle(const host_name& from, const protocol::server_reports& forwarded)
 {
     for (const std::string& error : forwarded.skipped) {
-        m_context.log(logging::log_level::warning, "skip_report", from.value, "reason=\"" + error + "\"");
+        m_context.log(logging::log_level::warning, "skip_report", from.value,
+                      "reason=" + logging::quoted(error));
     }
     for (const protocol::server_report& report : forwarded.reports) {
         apply_report(report);
--- a/src/sessions/internal/operation_limit.cpp
+++ b/src/sessions/internal/operation_limit.cpp
@@ -1,5 +1,6 @@
 #include "sessions/internal/operation_limit.h"
 
+#include "logging/fields.h"
 #include "sessions/internal/customer_identity.h"
 
 #include <set>
@@ -38,7 +39,7 @@
         return;
     }
     context.log(logging::log_level::information, "limit_reached", "",
-                fmt::format("customer={} refused={} retry_after_ms={}", customer.value,
+                fmt::format("customer={} refused={} retry_after_ms={}", logging::value(customer.value),
                             refusals.since_last_log, retry_after.count()));
     refusals = {0, context.now + refusal_log_interval};
 }
--- a/src/sessions/internal/session_authorization.cpp
+++ b/src/sessions/internal/session_authorization.cpp
@@ -1,3 +1,4 @@
+#include "logging/fields.h"
 #include "sessions/internal/customer_identity.h"
 #include "sessions/internal/statement_dispatcher.h"
 
@@ -28,8 +29,8 @@
 {
     const bool is_relayed = session.is_relayed;
     m_context.log(logging::log_level::information, "refuse_unauthorized", "",
-                  fmt::format("database={} customer={} relayed={}", session.database, session.customer.value,
-                              is_relayed));
+                  fmt::format("database={} customer={} relayed={}", logging::value(session.database),
+                              logging::value(session.customer.value), is_relayed));
     if (session.transaction) {
         end_transaction(session);
     }
--- a/src/sessions/internal/session_lifecycle.cpp
+++ b/src/sessions/internal/session_lifecycle.cpp
@@ -1,3 +1,4 @@
+#include "logging/fields.h"
 #include "sessions/internal/customer_identity.h"
 #include "sessions/internal/statement_dispatcher.h"
 
@@ -30,7 +31,7 @@
     session.key = request.key;
     if (!session.is_relayed && !customer_of_caller(m_context.state, session)) {
         m_context.log(logging::log_level::information, "refuse_session", "",
-                      fmt::format("database={} reason=\"unknown key\"", request.database));
+                      fmt::format("database={} reason=\"unknown key\"", logging::value(request.database)));
         m_context.emit(refuse_session{number, response_code::not_authorized, "unknown key"});
         return;
     }
--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "sessions/internal/statement_dispatcher.h"
 
+#include "logging/fields.h"
 #include "sessions/internal/operation_limit.h"
 #include "sessions/internal/position_samples.h"
 #include "sessions/internal/queue_order.h"
@@ -292,7 +293,7 @@
     }
     --trace->second.left;
     m_context.log(logging::log_level::information, "use_primary", connection.server.value,
-                  fmt::format("id={} group={} {}", pending.request.id, connection.group.value,
+                  fmt::format("id={} group={} {}", logging::value(pending.request.id), connection.group.value,
                               m_context.belief_about(connection.group)));
 }
 
@@ -434,8 +435,8 @@
         load.avoid_until = m_context.now + (was_opening ? relay_backoff : refusal_backoff);
     }
     m_context.log(logging::log_level::warning, "link_lost", connection.server.value,
-                  fmt::format("group={} link={} opening={} session={} reason=\"{}\"", group.value, number,
-                              was_opening, holder, reason));
+                  fmt::format("group={} link={} opening={} session={} reason={}", group.value, number,
+                              was_opening, holder, logging::quoted(reason)));
     suspect_if_primary(connection, reason);
     const backend_server_name server = connection.server;
     m_connections.remove_lost(number);
@@ -546,7 +547,8 @@
                 m_context.state.connections.at(connection).server.value,
                 fmt::format("id={} group={} sent_in_term={} {} reason=\"the term ended before the response "
                             "arrived\"",
-                            pending.request.id, group.value, term, m_context.belief_about(group)));
+                            logging::value(pending.request.id), group.value, term,
+                            m_context.belief_about(group)));
             response = {{},
                         response_code::outcome_unknown,
                         "the primary was replaced",
@@ -627,11 +629,12 @@
         if (response.code != response_code::done) {
             m_context.log(logging::log_level::information, "refuse_statement", "",
                           fmt::format("id={} database={} group={} code={} stage={} attempts={} took_ms={} {} "
-                                      "reason=\"{}\"",
-                                      pending.request.id, session.database, pending.route.group.value,
-                                      static_cast<int>(response.code), static_cast<int>(pending.stage),
-                                      pending.attempts, took.count(),
-                                      m_context.belief_about(pending.route.group), response.detail));
+                                      "reason={}",
+                                      logging::value(pending.request.id), logging::value(session.database),
+                                      pending.route.group.value, static_cast<int>(response.code),
+                                      static_cast<int>(pending.stage), pending.attempts, took.count(),
+                                      m_context.belief_about(pending.route.group),
+                                      logging::quoted(response.detail)));
         }
         remove_from_queue(session);
         session.pending.reset();
--- a/src/sessions/internal/statement_retries.cpp
+++ b/src/sessions/internal/statement_retries.cpp
@@ -1,3 +1,4 @@
+#include "logging/fields.h"
 #include "sessions/internal/queue_order.h"
 #include "sessions/internal/statement_dispatcher.h"
 
@@ -42,9 +43,10 @@
         pending.retry_at = m_context.now + full_round_backoff;
     }
     m_context.log(logging::log_level::information, "retry_statement", "",
-                  fmt::format("id={} database={} attempts={} waited_ms={} reason=\"{}\"", pending.request.id,
-                              session.database, pending.attempts,
-                              (m_context.now - pending.request.received_at).count(), reason));
+                  fmt::format("id={} database={} attempts={} waited_ms={} reason={}",
+                              logging::value(pending.request.id), logging::value(session.database),
+                              pending.attempts, (m_context.now - pending.request.received_at).count(),
+                              logging::quoted(reason)));
     add_to_queue(number, session);
 }
 
--- a/src/sessions/internal/statement_timeouts.cpp
+++ b/src/sessions/internal/statement_timeouts.cpp
@@ -1,3 +1,4 @@
+#include "logging/fields.h"
 #include "sessions/internal/next_check.h"
 #include "sessions/internal/queue_order.h"
 #include "sessions/internal/statement_dispatcher.h"
@@ -275,7 +276,7 @@
             continue;
         }
         m_context.log(logging::log_level::information, "end_idle_transaction", "",
-                      fmt::format("database={} group={} idle_ms={}", session->database,
+                      fmt::format("database={} group={} idle_ms={}", logging::value(session->database),
                                   session->transaction->route.group.value,
                                   (m_context.now - session->transaction->last_used_at).count()));
         fail_transaction(*session);
--- a/src/supervision/internal/failover_manager.cpp
+++ b/src/supervision/internal/failover_manager.cpp
@@ -1,6 +1,7 @@
 #include "supervision/internal/failover_manager.h"
 
 #include "consensus/reduce.h"
+#include "logging/fields.h"
 #include "supervision/reduce.h"
 
 #include <algorithm>
@@ -42,7 +43,8 @@
 void failover_manager::handle(const host_name& from, const protocol::server_reports& reports)
 {
     for (const std::string& error : reports.skipped) {
-        m_context.log(logging::log_level::warning, "skip_report", from.value, "reason=\"" + error + "\"");
+        m_context.log(logging::log_level::warning, "skip_report", from.value,
+                      "reason=" + logging::quoted(error));
     }
     for (const server_report& report : reports.reports) {
         process_report(from, report);
@@ -215,10 +217,10 @@
         const primary_change_times& times = change->times;
         m_context.log(
             logging::log_level::information, "primary_changed", opened.primary.value,
-            fmt::format("group={} term={} start={} planned={} reason=\"{}\" detection_ms={} revocation_ms={} "
+            fmt::format("group={} term={} start={} planned={} reason={} detection_ms={} revocation_ms={} "
                         "positions_ms={} promotion_ms={} opening_ms={}",
                         opened.group.value, opened.term, opened.start, change->target.has_value(),
-                        change->reason, (times.confirmed - times.suspected).count(),
+                        logging::quoted(change->reason), (times.confirmed - times.suspected).count(),
                         (times.revoked - times.confirmed).count(), (times.collected - times.revoked).count(),
                         (times.promoted - times.collected).count(),
                         (m_context.now() - times.promoted).count()));
@@ -386,7 +388,8 @@
         status.report.zone = record.zone;
         status.report.started_at = record.started_at;
         if (const std::string error = protocol::report_error(status.report); !error.empty()) {
-            m_context.log(logging::log_level::warning, "skip_report", name.value, "reason=\"" + error + "\"");
+            m_context.log(logging::log_level::warning, "skip_report", name.value,
+                          "reason=" + logging::quoted(error));
             continue;
         }
         status.report.interface = protocol::server_interface::sessions;
@@ -644,7 +647,7 @@
 {
     const directory::close_term command{group, change.term};
     m_context.log(logging::log_level::warning, "close_term", group.value,
-                  fmt::format("term={} reason=\"{}\"", change.term, change.reason));
+                  fmt::format("term={} reason={}", change.term, logging::quoted(change.reason)));
     set_stage(group, std::move(change), primary_change_stage::closing);
     m_context.propose(command);
 }
@@ -1047,9 +1050,9 @@
 void failover_manager::abandon_change(const group_name& group, const primary_change& change,
                                       const std::string& reason)
 {
-    m_context.log(
-        logging::log_level::information, "change_given_up", group.value,
-        fmt::format("term={} stage={} reason=\"{}\"", change.term, to_string(change.stage), reason));
+    m_context.log(logging::log_level::information, "change_given_up", group.value,
+                  fmt::format("term={} stage={} reason={}", change.term, to_string(change.stage),
+                              logging::quoted(reason)));
     m_context.state.primary_changes = std::move(m_context.state.primary_changes).erase(group);
     if (change.target) {
         m_context.send_to_all(protocol::resume_term_request{group, change.term});
