Take no second READY of an opening for the answer to DEMOTE

For its own statements (STATUS, PAUSE, RESUME, DEMOTE) an entry host opens a connection and counted the next READY as the end of the answer, whose outcome was DONE unless an ERR had come. A server that answers START twice so "executed" DEMOTE and RESUME at once: control was told that a primary had stepped down which had not read the order. Rows and outcomes that came before the session was open counted too, and what could not be read was skipped.

An answer now needs its outcome: rows, one DONE or ERR, then READY. A READY without an outcome repeats the opening's and is passed over; a second outcome, a row after it or an unreadable message ends the call without an answer, which is reported as such and tried again as before.

--- a/src/gateway/internal/server_call.cpp
+++ b/src/gateway/internal/server_call.cpp
@@ -51,29 +51,50 @@
 void server_call::handle_line(std::string_view line)
 {
     const sessions::server_line decoded = m_codec.decode_server_line(line);
-    if (const auto* failed = std::get_if<sessions::error_line>(&decoded)) {
-        m_answer.code = failed->code;
-        m_answer.detail = failed->detail;
-        if (!m_is_open) {
-            finish({std::nullopt, failed->code != sessions::response_code::misrouted});
-        }
-        return;
+    if (m_is_open) {
+        handle_answer(decoded);
+    } else {
+        handle_opening(decoded);
     }
-    if (const auto* row = std::get_if<sessions::row_line>(&decoded)) {
-        m_answer.rows.push_back(row->text);
-        return;
+}
+
+void server_call::handle_opening(const sessions::server_line& line)
+{
+    if (const auto* refused = std::get_if<sessions::error_line>(&line)) {
+        finish({std::nullopt, refused->code != sessions::response_code::misrouted});
+    } else if (std::holds_alternative<sessions::ready_line>(line)) {
+        m_is_open = true;
+        m_connection->send(m_codec.encode_statement({"", m_statement}));
     }
-    const auto* ready = std::get_if<sessions::ready_line>(&decoded);
-    if (ready == nullptr) {
+}
+
+/// An answer is any number of rows, one outcome, and the state.
+void server_call::handle_answer(const sessions::server_line& line)
+{
+    if (const auto* ready = std::get_if<sessions::ready_line>(&line)) {
+        // Without an outcome, it repeats the answer to the opening.
+        if (m_has_outcome) {
+            m_answer.state = ready->state;
+            m_answer.position = ready->position;
+            finish({m_answer, false});
+        }
         return;
     }
-    if (!std::exchange(m_is_open, true)) {
-        m_connection->send(m_codec.encode_statement({"", m_statement}));
-        return;
+    if (m_has_outcome) {
+        finish({});
+    } else if (const auto* row = std::get_if<sessions::row_line>(&line)) {
+        m_answer.rows.push_back(row->text);
+    } else if (const auto* done = std::get_if<sessions::done_line>(&line)) {
+        m_answer.detail = done->signature;
+        m_has_outcome = true;
+    } else if (const auto* failed = std::get_if<sessions::error_line>(&line)) {
+        m_answer.code = failed->code;
+        m_answer.detail = failed->detail;
+        m_answer.rows.clear();
+        m_has_outcome = true;
+    } else {
+        finish({});
     }
-    m_answer.state = ready->state;
-    m_answer.position = ready->position;
-    finish({m_answer, false});
 }
 
 void server_call::finish(const server_call_result& outcome)
--- a/src/gateway/internal/server_call.h
+++ b/src/gateway/internal/server_call.h
@@ -37,6 +37,8 @@
 
 private:
     void handle_line(std::string_view line);
+    void handle_opening(const sessions::server_line& line);
+    void handle_answer(const sessions::server_line& line);
     void finish(const server_call_result& outcome);
 
     boost::asio::io_context& m_context;
@@ -46,6 +48,7 @@
     boost::asio::steady_timer m_timer;
     sessions::statement m_statement;
     bool m_is_open = false;
+    bool m_has_outcome = false;
     bool m_is_finished = false;
     sessions::statement_response m_answer;
 };
