Judge names in reports of servers by the one rule for names

Reports had a rule of their own, which let C1 control characters and "-" through: the session protocol writes "-" for nothing, so a server or service of that name can't be told from none.

report_error uses is_name.

--- a/src/protocol/internal/types.cpp
+++ b/src/protocol/internal/types.cpp
@@ -1,8 +1,7 @@
 #include "protocol/types.h"
 
-#include "codec/json_codec.h"
+#include "base/names.h"
 
-#include <algorithm>
 #include <charconv>
 #include <tuple>
 
@@ -33,38 +32,33 @@
 
 namespace {
 
-/// False for a text that would end or split a line of the session protocol or of the log.
-bool is_plain_text(const std::string& text)
+bool is_short_name(const std::string& text)
 {
-    constexpr unsigned char delete_character = 0x7f;
-    return codec::is_utf8(text) && std::none_of(text.begin(), text.end(), [](char each) {
-               const auto byte = static_cast<unsigned char>(each);
-               return byte <= ' ' || byte == delete_character;
-           });
+    return text.size() <= max_report_name_bytes && is_name(text);
 }
 
-bool is_name(const std::string& text)
+std::string name_error(const char* field)
 {
-    return !text.empty() && text.size() <= max_report_name_bytes && is_plain_text(text);
+    return fmt::format("{}: expected {} of 1 to {} bytes", field, name_rule, max_report_name_bytes);
 }
 
 } // namespace
 
 std::string report_error(const server_report& report)
 {
-    if (!is_name(report.name.value)) {
-        return fmt::format("name: expected 1 to {} bytes without blanks", max_report_name_bytes);
+    if (!is_short_name(report.name.value)) {
+        return name_error("name");
     }
     if (report.has_left) {
         return {};
     }
-    if (!is_name(report.group.value)) {
-        return fmt::format("group: expected 1 to {} bytes without blanks", max_report_name_bytes);
+    if (!is_short_name(report.group.value)) {
+        return name_error("group");
     }
-    if (report.zone.value.size() > max_report_name_bytes || !is_plain_text(report.zone.value)) {
-        return fmt::format("zone: expected at most {} bytes without blanks", max_report_name_bytes);
+    if (!report.zone.empty() && !is_short_name(report.zone.value)) {
+        return name_error("zone");
     }
-    if (report.address.port == 0 || !is_name(report.address.address)) {
+    if (report.address.port == 0 || !is_short_name(report.address.address)) {
         return "address: expected an address and a port from 1 to 65535";
     }
     if (report.started_at < unix_milliseconds{0} || report.started_at > max_started_at) {
--- a/src/protocol/tests/message_codec_tests.cpp
+++ b/src/protocol/tests/message_codec_tests.cpp
@@ -145,6 +145,34 @@
     EXPECT_NE(decode_error(bytes).find("nested deeper"), std::string::npos);
 }
 
+TEST_F(message_fixture, length_beyond_the_message_is_rejected)
+{
+    for (const unsigned char kind : {0x40, 0x60, 0x80, 0xa0}) {
+        for (const std::string& length : {std::string("\x1b\x7f\xff\xff\xff\xff\xff\xff\xff"),
+                                          std::string("\x1b\xff\xff\xff\xff\xff\xff\xff\xff"),
+                                          std::string("\x1a\xff\xff\xff\xff"), std::string("\x18\x20")}) {
+            std::string bytes = length + "abc";
+            bytes[0] = static_cast<char>(kind | static_cast<unsigned char>(bytes[0]));
+            EXPECT_NE(decode_error(bytes), "") << static_cast<int>(kind) << " " << length.size();
+        }
+    }
+}
+
+TEST_F(message_fixture, text_with_any_characters_is_the_same_after_decoding)
+{
+    for (const std::string& text :
+         {std::string("a\r\nQUERY x WRITE 1 2"), std::string("a\0b", 3), std::string("\"a\\\n"),
+          std::string("\x1b[2J\x7f"), std::string("\xc3\xa6"), std::string("{\"close_order\":1}")}) {
+        const message original = close_term_request{group_name{text}, 4, true};
+        const message decoded = handle_failure([&] { return decode(encode(original), "entry-1"); },
+                                               [](const failure& error) {
+                                                   ADD_FAILURE() << to_string(error);
+                                                   return message();
+                                               });
+        EXPECT_EQ(decoded, original);
+    }
+}
+
 struct invalid_message_case
 {
     const char* name;
@@ -249,6 +277,11 @@
         [](codec::json& entry) { entry["started_at"] = -1; },
         [](codec::json& entry) { entry["name"] = ""; },
         [](codec::json& entry) { entry["name"] = "a\r\nBYE"; },
+        [](codec::json& entry) { entry["name"] = "-"; },
+        [](codec::json& entry) { entry["group"] = "a\nb"; },
+        [](codec::json& entry) { entry["group"] = "\xc2\x85"; },
+        [](codec::json& entry) { entry["zone"] = "a b"; },
+        [](codec::json& entry) { entry["address"]["address"] = "10.0.0.1\r\nX"; },
         [](codec::json& entry) { entry["name"] = std::string(100'000, 'x'); },
         [](codec::json& entry) { entry["group"] = nullptr; },
         [](codec::json& entry) { entry["role"] = "observer"; },
