Escape labels of metrics, and keep their number bounded

Callers of the registry built labels with fmt::format. A name with a quote ended its label and could add a series, one with a line feed or a backslash made the exposition unreadable for a scraper.

metrics::labels escapes values as the exposition format asks, and all callers use it. Control characters other than line feeds, for which the format has no escape sequence, are written as visible text.

The class of an HTTP request was a label before it was known to be one: a caller whose request was refused earlier (unknown group, no configuration yet, shutdown) added a series with each name that it made up. Classes that the configuration lacks now share the label "unknown".

A database is a label only if it has a route, as caller_text_tests show (no change was needed).

--- a/src/framework/metrics/metric_registry.h
+++ b/src/framework/metrics/metric_registry.h
@@ -21,7 +21,7 @@
     metric_registry& operator=(const metric_registry&) = delete;
     ~metric_registry();
 
-    /// Adds to a counter. `labels` is in the text exposition format, such as `class="booking"`, or empty.
+    /// Adds to a counter. `labels` is made by `metrics::labels`, or empty.
     void count(const std::string& name, const std::string& labels, std::uint64_t increment = 1);
 
     /// Sets a gauge.
--- a/src/gateway/internal/control_service.cpp
+++ b/src/gateway/internal/control_service.cpp
@@ -12,6 +12,7 @@
 #include "link/peer_transport.h"
 #include "logging/fields.h"
 #include "logging/log_writer.h"
+#include "metrics/labels.h"
 #include "metrics/metric_registry.h"
 #include "node/reduce.h"
 #include "protocol/message_codec.h"
@@ -261,7 +262,7 @@
 
     void handle_disk_failure(const failure& error, std::uint64_t attempts)
     {
-        m_metrics.count("hickorymount_disk_failures_total", fmt::format("step=\"{}\"", error.step));
+        m_metrics.count("hickorymount_disk_failures_total", metrics::labels({{"step", error.step}}));
         if (attempts == 1) {
             m_log.write({logging::log_level::error, "disk_failing", error.peer,
                          fmt::format("operation={} reason={} retry_ms={}", error.step,
--- a/src/gateway/internal/entry_service.cpp
+++ b/src/gateway/internal/entry_service.cpp
@@ -274,10 +274,9 @@
         if (m_sessions != nullptr) {
             publish_view(state);
         }
-        if (state.configuration->version != m_published_version) {
+        if (state.configuration->version != m_published_configuration->version) {
             const std::lock_guard lock(m_copy_mutex);
-            m_published_version = state.configuration->version;
-            m_tenant = state.configuration->content.tenant.value;
+            m_published_configuration = state.configuration;
         }
         if (!m_is_copy_requested.exchange(false)) {
             return;
@@ -457,29 +456,29 @@
     http::response serve_caller(const http::request& request)
     {
         const auto started_at = std::chrono::steady_clock::now();
-        std::string class_label = "unknown";
+        class_name request_class;
         http::response response = handle_failure(
             [&]() -> result<http::response> {
                 BOOST_LEAF_AUTO(decoded, detail::decode_request(request));
-                class_label = m_is_ready ? decoded.request_class.value : class_label;
+                request_class = decoded.request_class;
                 decoded.request = m_caller_requests.register_call();
                 const std::uint64_t request_number = decoded.request;
                 post(std::move(decoded));
-                return wait_for_outcome(request_number, class_label);
+                return wait_for_outcome(request_number, request_class);
             },
             [&](const failure& error) { return detail::encode_bad_request(error, 400); });
         const std::chrono::duration<double, std::milli> took = std::chrono::steady_clock::now() - started_at;
-        m_metrics.observe_ms("hickorymount_request_duration_ms", labels_for(class_label), took.count());
+        m_metrics.observe_ms("hickorymount_request_duration_ms", labels_for(request_class), took.count());
         return response;
     }
 
-    std::string labels_for(const std::string& class_label)
+    std::string labels_for(const class_name& request_class)
     {
         const std::lock_guard lock(m_copy_mutex);
-        return detail::class_labels(m_tenant, class_label);
+        return detail::class_labels(m_published_configuration->content, request_class);
     }
 
-    http::response wait_for_outcome(std::uint64_t request_number, std::string& class_label)
+    http::response wait_for_outcome(std::uint64_t request_number, const class_name& request_class)
     {
         std::optional<routing::caller_outcome> outcome =
             m_caller_requests.wait(request_number, caller_timeout);
@@ -493,11 +492,7 @@
             outcome = routing::outcome_unknown{"answer", answer->served_by.value,
                                                "the lease ran out before the answer could go out"};
         }
-        if (const auto* refused = std::get_if<routing::not_run>(&*outcome);
-            refused != nullptr && refused->reason == routing::refusal_reason::unknown_class) {
-            class_label = "unknown";
-        }
-        detail::count_outcome(m_metrics, labels_for(class_label), *outcome);
+        detail::count_outcome(m_metrics, labels_for(request_class), *outcome);
         http::response response = detail::encode_outcome(*outcome);
         response.headers[detail::request_header] =
             fmt::format("{}.{}.{}", m_self.name.value, m_self.incarnation.value, request_number);
@@ -536,8 +531,7 @@
     std::mutex m_copy_mutex;
     std::condition_variable m_copy_ready;
     routing::entry_state m_state_copy;
-    configuration::configuration_version m_published_version = 0;
-    std::string m_tenant;
+    shared_value<configuration::versioned_configuration> m_published_configuration;
     std::mutex m_drained_mutex;
     std::condition_variable m_drained_changed;
     bool m_is_drained = false;
--- a/src/gateway/internal/entry_status.cpp
+++ b/src/gateway/internal/entry_status.cpp
@@ -1,14 +1,13 @@
 #include "gateway/internal/entry_status.h"
 
 #include "codec/json_codec.h"
+#include "metrics/labels.h"
 #include "routing/descriptions.h"
 #include "routing/reduce.h"
 
 #include <algorithm>
 #include <utility>
 
-#include <fmt/format.h>
-
 namespace hickorymount::gateway::detail {
 
 namespace {
@@ -22,7 +21,7 @@
         return is_replica ? R"(outcome="answered",role="replica")" : R"(outcome="answered",role="primary")";
     }
     if (const auto* refused = std::get_if<routing::not_run>(&outcome)) {
-        return fmt::format(R"(outcome="not_run",reason="{}")", routing::to_string(refused->reason));
+        return metrics::labels({{"outcome", "not_run"}, {"reason", routing::to_string(refused->reason)}});
     }
     return R"(outcome="outcome_unknown")";
 }
@@ -49,9 +48,11 @@
     return response;
 }
 
-std::string class_labels(const std::string& tenant, const std::string& request_class)
+std::string class_labels(const configuration::configuration& content, const class_name& request_class)
 {
-    return fmt::format(R"(tenant="{}",class="{}")", tenant, request_class);
+    const bool is_known = content.classes.contains(request_class);
+    return metrics::labels(
+        {{"tenant", content.tenant.value}, {"class", is_known ? request_class.value : "unknown"}});
 }
 
 void count_outcome(metrics::metric_registry& registry, const std::string& labels,
@@ -70,7 +71,7 @@
     registry.set("hickorymount_retry_budget", "", static_cast<double>(state.retry_budget));
     registry.set("hickorymount_transactions_open", "", static_cast<double>(state.transactions.size()));
     for (const auto& [name, server] : state.servers) {
-        const std::string labels = fmt::format(R"(backend_server="{}")", name.value);
+        const std::string labels = metrics::labels({{"backend_server", name.value}});
         registry.set("hickorymount_connections_share", labels, server.connections.share);
         registry.set("hickorymount_connections_idle", labels,
                      static_cast<double>(server.connections.idle.size()));
@@ -78,7 +79,7 @@
                      static_cast<double>(server.connections.busy.size()));
     }
     for (const auto& [name, group] : state.groups) {
-        const std::string labels = fmt::format(R"(group="{}")", name.value);
+        const std::string labels = metrics::labels({{"group", name.value}});
         registry.set("hickorymount_queue_length", labels, static_cast<double>(group.queue.size()));
         registry.set("hickorymount_group_term", labels, static_cast<double>(group.record.term));
     }
--- a/src/gateway/internal/entry_status.h
+++ b/src/gateway/internal/entry_status.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "configuration/types.h"
 #include "http/types.h"
 #include "metrics/metric_registry.h"
 #include "routing/types.h"
@@ -12,8 +13,9 @@
 /// A response with the given status code and body.
 http::response make_response(int status, std::string body);
 
-/// Labels of the metrics that are kept per tenant and class.
-std::string class_labels(const std::string& tenant, const std::string& request_class);
+/// Labels of the metrics that are kept per tenant and class. A class that the configuration lacks, which
+/// callers may name as they like, is labeled "unknown".
+std::string class_labels(const configuration::configuration& content, const class_name& request_class);
 
 /// Counts a finished request by its outcome.
 void count_outcome(metrics::metric_registry& registry, const std::string& labels,
--- a/src/gateway/internal/link_metrics.cpp
+++ b/src/gateway/internal/link_metrics.cpp
@@ -1,15 +1,14 @@
 #include "gateway/internal/link_metrics.h"
 
+#include "metrics/labels.h"
 #include "protocol/message_codec.h"
 
-#include <fmt/format.h>
-
 namespace hickorymount::gateway::detail {
 
 void count_sent_message(metrics::metric_registry& registry, const protocol::message& content,
                         std::size_t bytes)
 {
-    const std::string kind = fmt::format(R"(kind="{}")", protocol::kind_of(content));
+    const std::string kind = metrics::labels({{"kind", protocol::kind_of(content)}});
     registry.count("hickorymount_control_bytes_sent_total", "", bytes);
     registry.count("hickorymount_control_message_bytes_total", kind, bytes);
     registry.count("hickorymount_control_messages_total", kind);
--- a/src/gateway/internal/session_server.cpp
+++ b/src/gateway/internal/session_server.cpp
@@ -3,6 +3,7 @@
 #include "configuration/key_digest.h"
 #include "gateway/internal/probe_step.h"
 #include "logging/fields.h"
+#include "metrics/labels.h"
 
 #include <algorithm>
 #include <new>
@@ -67,6 +68,11 @@
     return "unnamed";
 }
 
+std::string_view truth_value(bool flag)
+{
+    return flag ? "true" : "false";
+}
+
 /// The first word of a message if the protocol has it; other words may be content.
 std::string_view message_word(std::string_view line)
 {
@@ -361,7 +367,7 @@
 void session_server::record_close(session_port& port, close_reason reason)
 {
     m_metrics.count("hickorymount_connections_closed_total",
-                    fmt::format("port=\"{}\",reason=\"{}\"", port.name, to_string(reason)));
+                    metrics::labels({{"port", port.name}, {"reason", to_string(reason)}}));
     ++port.unlogged_closes;
     const time_point now = millisecond_clock::now();
     if (now < port.next_log_at) {
@@ -428,7 +434,7 @@
 void session_server::set_gauges() const
 {
     for (const session_port* port : {&m_caller_port, &m_relay_port}) {
-        const std::string labels = fmt::format("port=\"{}\"", port->name);
+        const std::string labels = metrics::labels({{"port", port->name}});
         m_metrics.set("hickorymount_connections_open", labels, static_cast<double>(port->connection_count));
         m_metrics.set("hickorymount_buffered_bytes", labels, static_cast<double>(port->used_bytes));
     }
@@ -468,8 +474,8 @@
     }
     if (std::holds_alternative<sessions::malformed_request>(decoded)) {
         m_metrics.count("hickorymount_unreadable_messages_total",
-                        fmt::format("sender=\"{}\",word=\"{}\"", caller_state.is_relayed ? "relay" : "caller",
-                                    message_word(line)));
+                        metrics::labels({{"sender", caller_state.is_relayed ? "relay" : "caller"},
+                                         {"word", message_word(line)}}));
     }
     if (caller_state.is_open && std::holds_alternative<sessions::malformed_request>(decoded)) {
         gate.record_statement(number, 0);
@@ -537,7 +543,7 @@
     const server_connection& connection_state = m_server_connections.at(number);
     const std::string_view word = message_word(line);
     m_metrics.count("hickorymount_unreadable_messages_total",
-                    fmt::format("sender=\"server\",word=\"{}\"", word));
+                    metrics::labels({{"sender", "server"}, {"word", word}}));
     const auto known = m_state.connections.find(number);
     m_log.write({logging::log_level::warning, "unreadable_message",
                  known == m_state.connections.end() ? "" : known->second.server.value,
@@ -677,7 +683,7 @@
     summary.customer_demands = std::move(effect.customer_demands);
     summary.needs_quota = effect.needs_quota;
     for (const auto& [name, demand] : summary.customer_demands) {
-        m_metrics.set("hickorymount_customer_quota", fmt::format("customer=\"{}\"", name.value),
+        m_metrics.set("hickorymount_customer_quota", metrics::labels({{"customer", name.value}}),
                       static_cast<double>(demand.held));
     }
     for (const auto& [name, hold] : effect.holds) {
@@ -688,19 +694,21 @@
 
 void session_server::execute(sessions::record_statement_metrics&& effect)
 {
-    const std::string labels = fmt::format("database=\"{}\"", effect.database);
+    const std::string labels = metrics::labels({{"database", effect.database}});
     m_metrics.observe_ms("hickorymount_statement_duration_ms", labels,
                          static_cast<double>(effect.duration.count()));
     m_metrics.count("hickorymount_statements_total",
-                    fmt::format("{},code=\"{}\",reads=\"{}\",replica=\"{}\",elsewhere=\"{}\"", labels,
-                                code_name(effect.code), effect.is_read_only, effect.ran_on_replica,
-                                effect.ran_on_relay));
+                    labels + "," +
+                        metrics::labels({{"code", code_name(effect.code)},
+                                         {"reads", truth_value(effect.is_read_only)},
+                                         {"replica", truth_value(effect.ran_on_replica)},
+                                         {"elsewhere", truth_value(effect.ran_on_relay)}}));
     if (!effect.customer.empty()) {
-        const std::string customer_label = fmt::format("customer=\"{}\"", effect.customer.value);
+        const std::string customer_label = metrics::labels({{"customer", effect.customer.value}});
         m_metrics.observe_ms("hickorymount_customer_statement_duration_ms", customer_label,
                              static_cast<double>(effect.duration.count()));
         m_metrics.count("hickorymount_customer_statements_total",
-                        fmt::format("{},code=\"{}\"", customer_label, code_name(effect.code)));
+                        customer_label + "," + metrics::labels({{"code", code_name(effect.code)}}));
     }
     if (effect.queued_for) {
         m_metrics.observe_ms("hickorymount_statement_queueing_ms", labels,
@@ -708,24 +716,24 @@
     }
     if (effect.waited_for != sessions::wait_cause::none) {
         m_metrics.count("hickorymount_statements_refused_in_queue_total",
-                        fmt::format("cause=\"{}\"", to_string(effect.waited_for)));
+                        metrics::labels({{"cause", to_string(effect.waited_for)}}));
     }
 }
 
 void session_server::execute(sessions::record_limit_refusal&& effect)
 {
     m_metrics.count("hickorymount_operations_refused_by_limit_total",
-                    fmt::format("customer=\"{}\"", effect.customer.value));
+                    metrics::labels({{"customer", effect.customer.value}}));
 }
 
 void session_server::execute(sessions::record_ejection_metrics&& effect)
 {
     const bool is_ejected = effect.reason != sessions::ejection_reason::none;
-    const std::string label = fmt::format("server=\"{}\"", effect.server.value);
+    const std::string label = metrics::labels({{"server", effect.server.value}});
     m_metrics.set("hickorymount_server_ejected", label, is_ejected ? 1 : 0);
     if (is_ejected) {
         m_metrics.count("hickorymount_server_ejections_total",
-                        fmt::format("{},reason=\"{}\"", label, to_string(effect.reason)));
+                        label + "," + metrics::labels({{"reason", to_string(effect.reason)}}));
     }
 }
 
@@ -739,11 +747,11 @@
 {
     for (const group_name& group : m_queued_groups) {
         if (!effect.queued_statements.contains(group)) {
-            m_metrics.set("hickorymount_statements_queued", fmt::format("group=\"{}\"", group.value), 0);
+            m_metrics.set("hickorymount_statements_queued", metrics::labels({{"group", group.value}}), 0);
         }
     }
     for (const auto& [group, count] : effect.queued_statements) {
-        m_metrics.set("hickorymount_statements_queued", fmt::format("group=\"{}\"", group.value),
+        m_metrics.set("hickorymount_statements_queued", metrics::labels({{"group", group.value}}),
                       static_cast<double>(count));
         m_queued_groups.insert(group);
     }
@@ -753,7 +761,7 @@
 {
     m_metrics.set(effect.is_relayed ? "hickorymount_relayed_share_leaving_zone"
                                     : "hickorymount_read_share_leaving_region",
-                  fmt::format("group=\"{}\"", effect.group.value), effect.share);
+                  metrics::labels({{"group", effect.group.value}}), effect.share);
 }
 
 void session_server::execute(sessions::report_stopped&& /*effect*/)
