Refuse configurations with names that are no single field

A service or a database named with CR LF and a message was acknowledged with 200. Its name then stood in START to each server, so that its rest arrived as a message of its own; a blank made the rest of a name another field.

Services, databases and customers must be names (base/names.h), names of routes must be without control characters. The other way in, POST /v1/configuration, judges the same names with first_name_error; /v1/form and /v1/switch judge theirs.

The checks of /v1/form, /v1/switch and of the call of first_name_error have no test of their own.

--- a/src/gateway/internal/control_service.cpp
+++ b/src/gateway/internal/control_service.cpp
@@ -1,6 +1,8 @@
 #include "gateway/control_service.h"
 
+#include "base/names.h"
 #include "codec/json_codec.h"
+#include "configuration/names.h"
 #include "consensus/descriptions.h"
 #include "consensus/reduce.h"
 #include "gateway/internal/entry_status.h"
@@ -427,6 +429,14 @@
                               });
     }
 
+    static result<void> check_name(const std::string& place, const std::string& text)
+    {
+        return is_name(text)
+                   ? result<void>()
+                   : fail("decode", "operator",
+                          fmt::format("{}: expected {}, not '{}'", place, name_rule, escaped(text)));
+    }
+
     result<http::response> route(const http::request& request)
     {
         const std::string target = request.method + " " + request.path;
@@ -455,6 +465,10 @@
             BOOST_LEAF_AUTO(document,
                             codec::parse_json(request.body, codec::caller_input_limits, "operator"));
             BOOST_LEAF_AUTO(members, codec::decode<consensus::membership>(document, "operator"));
+            for (const consensus::member& voter : members.voters) {
+                BOOST_LEAF_CHECK(check_name("name", voter.name.value));
+                BOOST_LEAF_CHECK(check_name("identity", voter.identity.value));
+            }
             post(consensus::cluster_formation_requested{members});
             return json_response(200, codec::json::object());
         }
@@ -462,6 +476,9 @@
             BOOST_LEAF_AUTO(document,
                             codec::parse_json(request.body, codec::caller_input_limits, "operator"));
             BOOST_LEAF_AUTO(change, codec::decode<directory::change_configuration>(document, "operator"));
+            if (const std::string error = configuration::first_name_error(change.content); !error.empty()) {
+                return fail("decode", "operator", error);
+            }
             return wait_for_answer([&](std::uint64_t request_number) {
                 return supervision::configuration_change_requested{request_number, change};
             });
@@ -475,6 +492,8 @@
             BOOST_LEAF_AUTO(document,
                             codec::parse_json(request.body, codec::caller_input_limits, "operator"));
             BOOST_LEAF_AUTO(order, codec::decode<primary_switch_request>(document, "operator"));
+            BOOST_LEAF_CHECK(check_name("group", order.group.value));
+            BOOST_LEAF_CHECK(check_name("target", order.target.value));
             return wait_for_answer([&](std::uint64_t request_number) {
                 return supervision::primary_switch_requested{request_number, order.group, order.target};
             });
