Refuse request keys and paths of HTTP callers that are no line text

A request key is a header's bytes as they came. One that is not UTF-8 went into the claim that an entry host sends to control, which refused the whole message; the caller waited until its deadline for an answer that could not come. Groups and transactions of a path, which are decoded, could hold control characters.

That control refuses such a message is seen from message_codec_tests (not_utf8); the wait of a caller was not measured.

--- a/src/gateway/tests/caller_codec_tests.cpp
+++ b/src/gateway/tests/caller_codec_tests.cpp
@@ -158,6 +158,25 @@
                                  request.headers["Hickorymount-Request-Key"] = std::string(200, 'k');
                              },
                              "longer than"},
+        invalid_request_case{
+            "key_that_is_no_utf8",
+            [](http::request& request) { request.headers["Hickorymount-Request-Key"] = "1764000000-\xff"; },
+            "a text without control characters"},
+        invalid_request_case{
+            "key_with_control_character",
+            [](http::request& request) { request.headers["Hickorymount-Request-Key"] = "1764000000-a\tb"; },
+            "a text without control characters"},
+        invalid_request_case{
+            "group_with_line_break",
+            [](http::request& request) { request.path = "/v1/groups/or\r\nders/statements"; }, "no such"},
+        invalid_request_case{"group_that_is_no_utf8",
+                             [](http::request& request) { request.path = "/v1/groups/or\xff/statements"; },
+                             "no such"},
+        invalid_request_case{"transaction_with_line_break",
+                             [](http::request& request) {
+                                 request.path = "/v1/groups/orders/transactions/entry-1.ab.4\n/commit";
+                             },
+                             "no such"},
         invalid_request_case{"unknown_path",
                              [](http::request& request) { request.path = "/v1/groups/orders/rows"; },
                              "no such"},
