Keep control characters of files and hosts off the operators' terminal

hickorymountctl printed problems of a questionnaire, answers of hosts and generated documents with the characters that they had. A quoted TOML key with an escape character, or a name with a C1 control character in the status, acted on the terminal or showed a line of its own.

operations/terminal.h is the one place: lines have control characters escaped, documents are ASCII and read back as the same. Problems and differences are lines without control characters for any reader. A questionnaire's name of "-" alone is refused, as it is in documents of operators.

--- a/src/app/ctl/main.cpp
+++ b/src/app/ctl/main.cpp
@@ -3,13 +3,16 @@
 #include "configuration/descriptions.h"
 #include "configuration/questionnaire.h"
 #include "operations/control_client.h"
+#include "operations/terminal.h"
 #include "settings/types.h"
 #include "supervision/descriptions.h"
 
 #include <array>
+#include <cstdio>
 #include <cstdlib>
 #include <functional>
 #include <random>
+#include <utility>
 
 #include <arpa/inet.h>
 #include <fmt/format.h>
@@ -26,6 +29,14 @@
 
 using argument_list = std::vector<std::string>;
 
+/// Prints one line; see `terminal_line`.
+template <class... Arguments>
+void print_line(std::FILE* stream, fmt::format_string<Arguments...> format, Arguments&&... arguments)
+{
+    fmt::print(stream, "{}",
+               operations::terminal_line(fmt::format(format, std::forward<Arguments>(arguments)...)));
+}
+
 /// Parses the options of a command that takes only --control; returns the positional arguments.
 result<argument_list> parse_with_control_option(const argument_list& arguments, const std::string& usage,
                                                 std::string& control_addresses)
@@ -53,7 +64,7 @@
     const auto generated = configuration::generate(text, file);
     if (const auto* problems = std::get_if<std::vector<configuration::questionnaire_problem>>(&generated)) {
         for (const configuration::questionnaire_problem& problem : *problems) {
-            fmt::print(stderr, "{}\n", to_string(problem));
+            print_line(stderr, "{}", to_string(problem));
         }
         return fail("questionnaire", file,
                     fmt::format("{} problem(s); nothing was changed", problems->size()));
@@ -66,7 +77,7 @@
     command_line::option_parser options("QUESTIONNAIRE");
     BOOST_LEAF_AUTO(positional, options.parse(arguments));
     BOOST_LEAF_AUTO(generated, generate_from_file(positional));
-    fmt::print("{}: {} service(s), {} class(es)\n", positional.front(), generated.groups.size(),
+    print_line(stdout, "{}: {} service(s), {} class(es)", positional.front(), generated.groups.size(),
                generated.classes.size());
     return EXIT_SUCCESS;
 }
@@ -76,7 +87,7 @@
     command_line::option_parser options("QUESTIONNAIRE");
     BOOST_LEAF_AUTO(positional, options.parse(arguments));
     BOOST_LEAF_AUTO(generated, generate_from_file(positional));
-    fmt::print("{}\n", codec::encode(generated).dump(2));
+    fmt::print("{}", operations::terminal_document(codec::encode(generated)));
     return EXIT_SUCCESS;
 }
 
@@ -89,7 +100,7 @@
     BOOST_LEAF_AUTO(client, make_client(control_addresses));
     BOOST_LEAF_AUTO(current, client.configuration());
     for (const std::string& line : configuration::differences(current.content, generated)) {
-        fmt::print("{}\n", line);
+        print_line(stdout, "{}", line);
     }
     return EXIT_SUCCESS;
 }
@@ -123,9 +134,9 @@
     }
     BOOST_LEAF_AUTO(response, client.change_configuration(change));
     if (response.outcome == directory::change_outcome::conflict) {
-        fmt::print(
+        print_line(
             stderr,
-            "change {}: conflict: based on version {}, but version {} is in force; nothing was changed\n",
+            "change {}: conflict: based on version {}, but version {} is in force; nothing was changed",
             change.id.value, change.base, response.version);
         return exit_conflict;
     }
@@ -134,11 +145,11 @@
         for (const host_name& host : response.unconfirmed_hosts) {
             names.push_back(host.value);
         }
-        fmt::print(stderr, "change {}: accepted as version {}; waiting for {}\n", change.id.value,
+        print_line(stderr, "change {}: accepted as version {}; waiting for {}", change.id.value,
                    response.version, fmt::join(names, ", "));
         return exit_not_in_force;
     }
-    fmt::print("change {}: version {} is in force on every live entry host\n", change.id.value,
+    print_line(stdout, "change {}: version {} is in force on every live entry host", change.id.value,
                response.version);
     return EXIT_SUCCESS;
 }
@@ -149,7 +160,7 @@
     BOOST_LEAF_CHECK(parse_with_control_option(arguments, "--control HOSTS", control_addresses));
     BOOST_LEAF_AUTO(client, make_client(control_addresses));
     BOOST_LEAF_AUTO(summary, client.status());
-    fmt::print("{}\n", codec::encode(summary).dump(2));
+    fmt::print("{}", operations::terminal_document(codec::encode(summary)));
     return EXIT_SUCCESS;
 }
 
@@ -257,7 +268,7 @@
 {
     return handle_failure([&] { return run(command_line::to_argument_list(argc, argv)); },
                           [](const failure& error) {
-                              fmt::print(stderr, "hickorymountctl: {}\n", to_string(error));
+                              print_line(stderr, "hickorymountctl: {}", to_string(error));
                               return EXIT_FAILURE;
                           });
 }
--- a/src/configuration/internal/questionnaire.cpp
+++ b/src/configuration/internal/questionnaire.cpp
@@ -1,5 +1,6 @@
 #include "configuration/questionnaire.h"
 
+#include "base/names.h"
 #include "codec/json_codec.h"
 #include "configuration/descriptions.h"
 
@@ -114,7 +115,7 @@
             return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9') ||
                    character == '-';
         };
-        if (!text || text->empty() || !std::all_of(text->begin(), text->end(), is_allowed)) {
+        if (!text || !is_name(*text) || !std::all_of(text->begin(), text->end(), is_allowed)) {
             report_problem(node, fmt::format("'{}' to be a name of a-z, 0-9 and '-'", key));
             return {};
         }
@@ -344,7 +345,8 @@
 
 std::string to_string(const questionnaire_problem& problem)
 {
-    return fmt::format("{}:{}:{}: expected {}", problem.file, problem.line, problem.column, problem.expected);
+    return without_control_characters(
+        fmt::format("{}:{}:{}: expected {}", problem.file, problem.line, problem.column, problem.expected));
 }
 
 questionnaire_result generate(std::string_view toml_text, const std::string& file)
@@ -364,16 +366,17 @@
     const codec::json old_values = codec::encode(before).flatten();
     const codec::json new_values = codec::encode(after).flatten();
     std::vector<std::string> lines;
+    const auto text_of = [](const codec::json& value) { return value.dump(-1, ' ', true); };
     for (const auto& [path, value] : old_values.items()) {
         if (!new_values.contains(path)) {
-            lines.push_back(fmt::format("{}: {} -> (none)", path, value.dump()));
+            lines.push_back(fmt::format("{}: {} -> (none)", path, text_of(value)));
         } else if (new_values[path] != value) {
-            lines.push_back(fmt::format("{}: {} -> {}", path, value.dump(), new_values[path].dump()));
+            lines.push_back(fmt::format("{}: {} -> {}", path, text_of(value), text_of(new_values[path])));
         }
     }
     for (const auto& [path, value] : new_values.items()) {
         if (!old_values.contains(path)) {
-            lines.push_back(fmt::format("{}: (none) -> {}", path, value.dump()));
+            lines.push_back(fmt::format("{}: (none) -> {}", path, text_of(value)));
         }
     }
     std::sort(lines.begin(), lines.end());
--- a/src/configuration/tests/questionnaire_tests.cpp
+++ b/src/configuration/tests/questionnaire_tests.cpp
@@ -1,3 +1,4 @@
+#include "base/names.h"
 #include "configuration/questionnaire.h"
 
 #include <string>
@@ -83,6 +84,33 @@
     EXPECT_GE(problems->size(), 2U);
 }
 
+// Guards against a questionnaire of another writer that acts on the operator's terminal.
+TEST_F(questionnaire_fixture, problem_is_one_line_without_control_characters)
+{
+    const std::string texts[] = {with_replacement("entry_hosts = 7", R"("\u001b[2J\r\nok" = 7)"),
+                                 with_replacement("entry_hosts = 7", R"("\u009b2J" = 7)"),
+                                 with_replacement("\"casa-a\"", "\"casa\x1b[2J\""),
+                                 with_replacement("\"exchange\"", "\"exch\xff\""),
+                                 with_replacement("[[service]]", "[[\"\\u001b\"]]")};
+    for (const std::string& text : texts) {
+        const questionnaire_result result = generate(text, "q\x1b.toml");
+        const auto* problems = std::get_if<std::vector<questionnaire_problem>>(&result);
+        ASSERT_NE(problems, nullptr);
+        for (const questionnaire_problem& problem : *problems) {
+            EXPECT_TRUE(is_line_text(to_string(problem))) << escaped(to_string(problem));
+        }
+    }
+}
+
+TEST_F(questionnaire_fixture, difference_is_one_line_without_control_characters)
+{
+    configuration odd;
+    odd.tenant.value = "a\x1b[2J\r\n\x7f\xc2\x9b";
+    for (const std::string& line : differences({}, odd)) {
+        EXPECT_TRUE(is_line_text(line)) << escaped(line);
+    }
+}
+
 struct invalid_case
 {
     const char* name;
@@ -134,6 +162,9 @@
         invalid_case{"too_many_entry_hosts", "entry_hosts = 7", "entry_hosts = 501", 5, "from 1 to 500"},
         invalid_case{"name_with_capital", "\"exchange\"", "\"Exchange\"", 8, "a name"},
         invalid_case{"empty_name", "\"exchange\"", "\"\"", 8, "a name"},
+        invalid_case{"name_of_a_dash", "\"exchange\"", "\"-\"", 8, "a name"},
+        invalid_case{"name_with_line_break", "\"exchange\"", R"("a\r\nb")", 8, "a name"},
+        invalid_case{"zone_with_a_blank", "\"fes-a\"", "\"fes a\"", 4, "a name"},
         invalid_case{"name_as_number", "name = \"exchange\"", "name = 4", 8, "a name"},
         invalid_case{"no_zones", "[\"casa-a\", \"fes-a\"]", "[]", 4, "one name or more"},
         invalid_case{"zone_twice", "\"fes-a\"", "\"casa-a\"", 4, "stands twice"},
