Take no position of another server for that of the one asked

An entry host asks a server for its log position over HTTP and applied whatever report came: that of another server, which has taken over the address, or one with names that a heartbeat would be refused for. The connection then stayed occupied, as its release is looked up by the name in the report.

The report must be valid and name the server that was asked; otherwise the connection is closed, as after an answer to another statement.

backend_connections_tests are new. Before: 2 of 6 failed (both positions were applied, the connection stayed open); the tests of answers and refusals that name another request passed, as they do now. After: 6 of 6, and 76 of 76 of gateway_tests.

--- a/src/gateway/internal/backend_connections.cpp
+++ b/src/gateway/internal/backend_connections.cpp
@@ -227,6 +227,12 @@
             const std::string& peer = position_request.server.value;
             BOOST_LEAF_AUTO(document, codec::parse_json(call.answer.body, codec::peer_input_limits, peer));
             BOOST_LEAF_AUTO(report, codec::decode<protocol::server_report>(document, peer));
+            if (const std::string error = protocol::report_error(report); !error.empty()) {
+                return fail("decode", peer, error);
+            }
+            if (report.name != position_request.server) {
+                return fail("decode", peer, "the position belongs to another server");
+            }
             m_post_event(routing::position_received{position_request.connection, std::move(report)});
             return std::string();
         },
