--- a/src/framework/http/internal/server.cpp
+++ b/src/framework/http/internal/server.cpp
@@ -1,13 +1,16 @@
 #include "http/server.h"
 
 #include "base/millisecond_clock.h"
+#include "http/internal/message_head.h"
 
 #include <array>
 #include <atomic>
 #include <exception>
+#include <string_view>
 #include <utility>
 #include <vector>
 
+#include <boost/beast/core/string.hpp>
 #include <civetweb.h>
 #include <fmt/format.h>
 
@@ -15,10 +18,60 @@
 
 namespace {
 
+namespace beast = boost::beast;
+
 /// CivetWeb's read returns only when the buffer is full or nothing has come for the request timeout. With a
 /// small one, a client that sends byte after byte does not hold a thread for long.
 constexpr std::size_t read_bytes = 16;
 constexpr int internal_error = 500;
+constexpr int bad_request = 400;
+
+response text_response(int status, std::string text)
+{
+    response made;
+    made.status = status;
+    made.content_type = "text/plain";
+    made.body = std::move(text);
+    return made;
+}
+
+/// Why the end of the request's body is not certain; empty if it is. CivetWeb takes the first of several
+/// lengths, and the digits that a length begins with.
+std::string body_length_error(const mg_request_info& info)
+{
+    std::vector<std::string_view> lengths;
+    std::vector<std::string_view> encodings;
+    for (int index = 0; index < info.num_headers; ++index) {
+        const std::string_view name = info.http_headers[index].name;
+        const std::string_view value = info.http_headers[index].value;
+        if (beast::iequals(name, "Content-Length")) {
+            lengths.push_back(value);
+        } else if (beast::iequals(name, "Transfer-Encoding")) {
+            encodings.push_back(value);
+        }
+    }
+    if (lengths.size() + encodings.size() > 1) {
+        return "expected one Content-Length or Transfer-Encoding";
+    }
+    if (!lengths.empty() && !detail::is_content_length(lengths.front())) {
+        return "expected a Content-Length of digits";
+    }
+    if (!encodings.empty() && !beast::iequals(encodings.front(), "chunked")) {
+        return "expected no Transfer-Encoding but chunked";
+    }
+    return {};
+}
+
+/// CivetWeb's own decoding ends the path at an encoded null byte. Empty for a path with one.
+std::string decoded_path(const mg_request_info& info)
+{
+    const std::string_view encoded = info.local_uri == nullptr ? "" : info.local_uri;
+    std::string decoded(encoded.size() + 1, '\0');
+    const int bytes = mg_url_decode(encoded.data(), static_cast<int>(encoded.size()), decoded.data(),
+                                    static_cast<int>(decoded.size()), 0);
+    decoded.resize(bytes < 0 ? 0 : static_cast<std::size_t>(bytes));
+    return decoded.find('\0') == std::string::npos ? decoded : std::string();
+}
 
 class civetweb_server final : public server
 {
@@ -41,7 +94,7 @@
         const std::string threads = std::to_string(m_options.threads);
         const std::string keep_alive_timeout = std::to_string(m_options.keep_alive_timeout_ms);
         const std::string request_timeout = std::to_string(m_options.request_timeout_ms);
-        const std::array<const char*, 13> settings{"listening_ports",
+        const std::array<const char*, 15> settings{"listening_ports",
                                                    listening_addresses.c_str(),
                                                    "num_threads",
                                                    threads.c_str(),
@@ -51,6 +104,8 @@
                                                    keep_alive_timeout.c_str(),
                                                    "request_timeout_ms",
                                                    request_timeout.c_str(),
+                                                   "decode_url",
+                                                   "no",
                                                    "tcp_nodelay",
                                                    "1",
                                                    nullptr};
@@ -109,8 +164,16 @@
     int receive_and_answer(mg_connection* connection, const mg_request_info& info)
     {
         request incoming;
+        incoming.path = decoded_path(info);
+        std::string error =
+            incoming.path.empty() ? "expected a path without null bytes" : body_length_error(info);
+        if (!error.empty()) {
+            response refusal = text_response(bad_request, std::move(error));
+            refusal.closes_connection = true;
+            write(connection, refusal);
+            return refusal.status;
+        }
         incoming.method = info.request_method;
-        incoming.path = info.local_uri == nullptr ? "" : info.local_uri;
         incoming.query = info.query_string == nullptr ? "" : info.query_string;
         incoming.connection_number = connection_number(mg_get_user_connection_data(connection));
         for (int index = 0; index < info.num_headers; ++index) {
@@ -118,6 +181,9 @@
         }
         read_body(connection, info, incoming);
         response answer = handle(incoming);
+        if (!detail::is_header("Content-Type", answer.content_type) || !detail::are_headers(answer.headers)) {
+            answer = text_response(internal_error, "a header of the response has control characters");
+        }
         const bool is_unread = incoming.is_body_too_large || incoming.is_body_truncated;
         answer.closes_connection = answer.closes_connection || is_unread ||
                                    m_open_connections > m_options.max_kept_alive_connections;
@@ -130,11 +196,8 @@
         try {
             return m_on_request(incoming);
         } catch (const std::exception& error) {
-            response failed;
-            failed.status = internal_error;
-            failed.content_type = "text/plain";
-            failed.body = fmt::format("the request could not be handled: {}", error.what());
-            return failed;
+            return text_response(internal_error,
+                                 fmt::format("the request could not be handled: {}", error.what()));
         }
     }
 
@@ -156,7 +219,12 @@
         std::array<char, read_bytes> buffer{};
         for (;;) {
             const int count = mg_read(connection, buffer.data(), buffer.size());
-            if (count <= 0) {
+            if (count < 0) {
+                incoming.body.clear();
+                incoming.is_body_truncated = true;
+                return;
+            }
+            if (count == 0) {
                 break;
             }
             incoming.body.append(buffer.data(), static_cast<std::size_t>(count));
--- a/src/gateway/internal/control_service.cpp
+++ b/src/gateway/internal/control_service.cpp
@@ -1,6 +1,8 @@
 #include "gateway/control_service.h"
 
+#include "base/names.h"
 #include "codec/json_codec.h"
+#include "configuration/names.h"
 #include "consensus/descriptions.h"
 #include "consensus/reduce.h"
 #include "gateway/internal/entry_status.h"
@@ -10,7 +12,9 @@
 #include "gateway/primary_switch_request.h"
 #include "http/server.h"
 #include "link/peer_transport.h"
+#include "logging/fields.h"
 #include "logging/log_writer.h"
+#include "metrics/labels.h"
 #include "metrics/metric_registry.h"
 #include "node/reduce.h"
 #include "protocol/message_codec.h"
@@ -83,7 +87,7 @@
         };
         handlers.on_connected = [](const std::string&) {};
         handlers.on_error = [this](const std::string& peer, const std::string& reason) {
-            m_log.write({logging::log_level::warning, "link", peer, reason});
+            m_log.write({logging::log_level::warning, "link", peer, "reason=" + logging::quoted(reason)});
         };
         m_transport = link::make_websocket_transport(
             m_settings.name.value, std::move(handlers),
@@ -260,11 +264,11 @@
 
     void handle_disk_failure(const failure& error, std::uint64_t attempts)
     {
-        m_metrics.count("hickorymount_disk_failures_total", fmt::format("step=\"{}\"", error.step));
+        m_metrics.count("hickorymount_disk_failures_total", metrics::labels({{"step", error.step}}));
         if (attempts == 1) {
             m_log.write({logging::log_level::error, "disk_failing", error.peer,
-                         fmt::format("operation={} reason=\"{}\" retry_ms={}", error.step, error.reason,
-                                     detail::storage_retry_pause.count())});
+                         fmt::format("operation={} reason={} retry_ms={}", error.step,
+                                     logging::quoted(error.reason), detail::storage_retry_pause.count())});
         }
     }
 
@@ -285,7 +289,8 @@
             },
             [&](const failure& error) {
                 m_metrics.count("hickorymount_bad_messages_total", "");
-                m_log.write({logging::log_level::warning, error.step, error.peer, error.reason});
+                m_log.write({logging::log_level::warning, error.step, error.peer,
+                             "reason=" + logging::quoted(error.reason)});
             });
     }
 
@@ -339,8 +344,8 @@
             }
             m_log.write(
                 {logging::log_level::information, "promotion_answered", order.server.value,
-                 fmt::format("group={} token={} outcome={} reason=\"{}\"", order.group.value,
-                             order.fencing_token, codec::enumerator_name(answer.outcome), answer.reason)});
+                 fmt::format("group={} token={} outcome={} reason={}", order.group.value, order.fencing_token,
+                             codec::enumerator_name(answer.outcome), logging::quoted(answer.reason))});
             post(supervision::promotion_response_received{order.request_id, order.group, answer.outcome});
         });
     }
@@ -424,6 +429,14 @@
                               });
     }
 
+    static result<void> check_name(const std::string& place, const std::string& text)
+    {
+        return is_name(text)
+                   ? result<void>()
+                   : fail("decode", "operator",
+                          fmt::format("{}: expected {}, not '{}'", place, name_rule, escaped(text)));
+    }
+
     result<http::response> route(const http::request& request)
     {
         const std::string target = request.method + " " + request.path;
@@ -452,6 +465,10 @@
             BOOST_LEAF_AUTO(document,
                             codec::parse_json(request.body, codec::caller_input_limits, "operator"));
             BOOST_LEAF_AUTO(members, codec::decode<consensus::membership>(document, "operator"));
+            for (const consensus::member& voter : members.voters) {
+                BOOST_LEAF_CHECK(check_name("name", voter.name.value));
+                BOOST_LEAF_CHECK(check_name("identity", voter.identity.value));
+            }
             post(consensus::cluster_formation_requested{members});
             return json_response(200, codec::json::object());
         }
@@ -459,6 +476,9 @@
             BOOST_LEAF_AUTO(document,
                             codec::parse_json(request.body, codec::caller_input_limits, "operator"));
             BOOST_LEAF_AUTO(change, codec::decode<directory::change_configuration>(document, "operator"));
+            if (const std::string error = configuration::first_name_error(change.content); !error.empty()) {
+                return fail("decode", "operator", error);
+            }
             return wait_for_answer([&](std::uint64_t request_number) {
                 return supervision::configuration_change_requested{request_number, change};
             });
@@ -472,6 +492,8 @@
             BOOST_LEAF_AUTO(document,
                             codec::parse_json(request.body, codec::caller_input_limits, "operator"));
             BOOST_LEAF_AUTO(order, codec::decode<primary_switch_request>(document, "operator"));
+            BOOST_LEAF_CHECK(check_name("group", order.group.value));
+            BOOST_LEAF_CHECK(check_name("target", order.target.value));
             return wait_for_answer([&](std::uint64_t request_number) {
                 return supervision::primary_switch_requested{request_number, order.group, order.target};
             });
