Refuse to encode what would be read as other messages

Cause: the session codec wrote every value as it was. A value, an id or a name with CR LF became two messages, a name with a blank moved the border of the next field, a statement text that began with FOR, WITHIN or AFTER became a relay prefix, a customer named "-" became none, and a row, a signature or an error text with CR LF became several lines. Only the decoders' callers kept such values out.

Error texts are always written: line ends in them become blanks, and their end is cut off at the limit.

Callers: a statement that can't be written is not sent, and is answered as malformed in place of the server; an open transaction fails. An answer that can't be written ends the session. An opening that can't be written counts as a lost connection. The probes' calls end without an answer. The soak test, which makes its own values, stops on such a value.

Weighed: checks in the decoders alone. Names also come from the configuration and from reports, prefixes add to a message that was within the limit, and shared names replace those of the caller, so the encoder is the only place that sees the whole message.

--- a/src/gateway/internal/server_call.cpp
+++ b/src/gateway/internal/server_call.cpp
@@ -43,11 +43,20 @@
                                                           net::line_connection::limits{});
     m_connection->set_handlers({[self](std::string_view line) { self->handle_line(line); },
                                 [self](const std::string& /*reason*/) { self->finish({}); }});
-    m_connection->connect(*remote, [self, service, server] {
-        self->m_connection->send(self->m_codec.encode_open({service, "", server}));
+    m_connection->connect(*remote, [self, opening = sessions::open_request{service, "", server}] {
+        self->send(self->m_codec.encode_open(opening));
     });
 }
 
+void server_call::send(const std::optional<std::string>& message)
+{
+    if (!message) {
+        finish({});
+        return;
+    }
+    m_connection->send(*message);
+}
+
 void server_call::handle_line(std::string_view line)
 {
     const sessions::server_line decoded = m_codec.decode_server_line(line);
@@ -68,7 +77,7 @@
         return;
     }
     if (!std::exchange(m_is_open, true)) {
-        m_connection->send(m_codec.encode_statement({"", m_statement}));
+        send(m_codec.encode_statement({"", m_statement}));
         return;
     }
     m_answer.state = ready->state;
--- a/src/gateway/internal/server_call.h
+++ b/src/gateway/internal/server_call.h
@@ -36,6 +36,8 @@
                sessions::statement statement, milliseconds timeout);
 
 private:
+    /// Ends the call without an answer if there is no message.
+    void send(const std::optional<std::string>& message);
     void handle_line(std::string_view line);
     void finish(const server_call_result& outcome);
 
--- a/src/gateway/internal/session_server.cpp
+++ b/src/gateway/internal/session_server.cpp
@@ -603,7 +603,16 @@
     const bool accepted_lines = gate.accepts_lines(effect.session);
     gate.record_response(effect.session);
     record_values(effect.session, found->second);
-    found->second.connection->send(m_codec->encode_answer(effect.response));
+    const auto answer = m_codec->encode_answer(effect.response);
+    if (!answer) {
+        m_log.write({logging::log_level::warning, "unsendable_answer", "",
+                     fmt::format("session={} rows={}", effect.session, effect.response.rows.size())});
+        found->second.connection->close();
+        // Deferred: the effects of an event are in execution.
+        asio::post(m_context, [this, number = effect.session] { end_caller(number); });
+        return;
+    }
+    found->second.connection->send(*answer);
     if (!accepted_lines && gate.accepts_lines(effect.session)) {
         found->second.connection->resume();
     }
@@ -634,20 +643,53 @@
         });
         return;
     }
-    std::string opening = m_codec->encode_open(
+    auto opening = m_codec->encode_open(
         effect.database.empty()
             ? sessions::open_request{effect.group.value, effect.customer.value, effect.server.value}
             : sessions::open_request{effect.database});
-    connection->connect(*address, [connection, opening = std::move(opening)] { connection->send(opening); });
+    if (!opening) {
+        asio::post(m_context, [this, number] {
+            if (m_server_connections.contains(number)) {
+                end_connection(number, "the names can't be written");
+            }
+        });
+        return;
+    }
+    connection->connect(*address, [connection, opening = std::move(*opening)] { connection->send(opening); });
 }
 
 void session_server::execute(sessions::send_statement&& effect)
 {
     const auto found = m_server_connections.find(effect.connection);
-    if (found != m_server_connections.end()) {
-        found->second.connection->send(m_codec->encode_statement(
-            {effect.id, effect.body, effect.minimum_position, effect.caller, effect.remaining_time}));
+    if (found == m_server_connections.end()) {
+        return;
+    }
+    const auto message = m_codec->encode_statement(
+        {effect.id, effect.body, effect.minimum_position, effect.caller, effect.remaining_time});
+    if (message) {
+        found->second.connection->send(*message);
+        return;
+    }
+    m_log.write(
+        {logging::log_level::warning, "unsendable_statement", "",
+         fmt::format("link={} kind={} bytes={}", effect.connection, static_cast<int>(effect.body.kind),
+                     effect.body.text.size() + effect.body.argument.size())});
+    asio::post(m_context, [this, number = effect.connection] { answer_malformed(number); });
+}
+
+/// Answers the statement that could not be sent in place of the server. A transaction that is open there
+/// fails.
+void session_server::answer_malformed(sessions::connection_number number)
+{
+    const auto known = m_state.connections.find(number);
+    if (known == m_state.connections.end()) {
+        return;
     }
+    const auto state = known->second.is_in_transaction ? sessions::transaction_state::failed
+                                                       : sessions::transaction_state::none;
+    handle_event(sessions::response_received{
+        number,
+        {{}, sessions::response_code::malformed, "the statement can't be written", state, std::nullopt}});
 }
 
 void session_server::execute(sessions::close_connection&& effect)
--- a/src/gateway/internal/session_server.h
+++ b/src/gateway/internal/session_server.h
@@ -119,6 +119,7 @@
     void handle_caller_line(sessions::session_number number, std::string_view line);
     void handle_server_line(sessions::connection_number number, std::string_view line);
     void record_unreadable(sessions::connection_number number, std::string_view line);
+    void answer_malformed(sessions::connection_number number);
     void end_connection(sessions::connection_number number, const std::string& reason);
 
     void handle_event(sessions::event_payload kind);
--- a/src/sessions/session_codec.h
+++ b/src/sessions/session_codec.h
@@ -107,14 +107,18 @@
     /// Empty when the row is not a valid status.
     [[nodiscard]] virtual std::optional<server_status> decode_status(std::string_view row) const = 0;
 
-    /// All `encode_` functions return complete messages, including the line ends.
-    [[nodiscard]] virtual std::string encode_open(const open_request& request) const = 0;
-    [[nodiscard]] virtual std::string encode_statement(const statement_request& request) const = 0;
+    /// All `encode_` functions return complete messages, including the line ends. Those that return an
+    /// optional are empty for content that would be read as other messages or exceeds the protocol's limit.
+    [[nodiscard]] virtual std::optional<std::string> encode_open(const open_request& request) const = 0;
+    [[nodiscard]] virtual std::optional<std::string>
+    encode_statement(const statement_request& request) const = 0;
     [[nodiscard]] virtual std::string encode_ready(const ready_line& ready) const = 0;
     /// Encodes a server's response to a `status` statement.
     [[nodiscard]] virtual std::string encode_status(const server_status& status) const = 0;
+    /// Line ends in the detail become blanks, and its end is cut off where it exceeds the limit.
     [[nodiscard]] virtual std::string encode_refusal(const error_line& refusal) const = 0;
-    [[nodiscard]] virtual std::string encode_answer(const statement_response& response) const = 0;
+    [[nodiscard]] virtual std::optional<std::string>
+    encode_answer(const statement_response& response) const = 0;
 };
 
 } // namespace hickorymount::sessions
--- a/src/soak/internal/caller.cpp
+++ b/src/soak/internal/caller.cpp
@@ -88,7 +88,7 @@
                                            m_environment.entry_ports[m_entry_index]);
     m_connection->connect(endpoint, [self = shared_from_this()] {
         self->m_connection->send(
-            self->m_environment.codec.encode_open({self->m_database.name, self->m_identity.key}));
+            self->m_environment.codec.encode_open({self->m_database.name, self->m_identity.key}).value());
     });
     start_timer(answer_timeout, &caller::handle_timeout);
 }
@@ -233,7 +233,7 @@
         m_write_ids.push_back(m_pending_id);
     }
     m_is_awaiting_answer = true;
-    m_connection->send(m_environment.codec.encode_statement({m_pending_id, next}));
+    m_connection->send(m_environment.codec.encode_statement({m_pending_id, next}).value());
     start_timer(answer_timeout, &caller::handle_timeout);
 }
 
--- a/src/soak/internal/emulated_group.cpp
+++ b/src/soak/internal/emulated_group.cpp
@@ -430,7 +430,7 @@
                    : client->transaction != 0 ? transaction_state::open
                                               : transaction_state::none;
     answer.position = position_of(local_server);
-    client->connection->send(m_codec.encode_answer(answer));
+    client->connection->send(m_codec.encode_answer(answer).value());
     return true;
 }
 
--- a/src/soak/tests/emulated_group_tests.cpp
+++ b/src/soak/tests/emulated_group_tests.cpp
@@ -26,7 +26,7 @@
         m_connection->set_handlers({[this](std::string_view line) { handle_line(line); },
                                     [this](const std::string& /*reason*/) { m_is_closed = true; }});
         m_connection->connect({boost::asio::ip::address_v4::loopback(), port},
-                              [this] { m_connection->send(m_codec.encode_open({"orders"})); });
+                              [this] { m_connection->send(m_codec.encode_open({"orders"}).value()); });
         wait_for_answer();
     }
     ~server_session() { m_connection->close(); }
@@ -48,7 +48,7 @@
     void send(const std::string& id, const sessions::statement& body,
               std::optional<group_position> minimum_position = std::nullopt)
     {
-        m_connection->send(m_codec.encode_statement({id, body, minimum_position}));
+        m_connection->send(m_codec.encode_statement({id, body, minimum_position}).value());
     }
 
 private:
--- a/src/soak/tests/process_cluster.cpp
+++ b/src/soak/tests/process_cluster.cpp
@@ -192,7 +192,7 @@
         answer.rows = {
             std::string(std::strtoull(request->body.text.c_str() + rows_text.size(), nullptr, 10), 'r')};
     }
-    connection->send(m_codec->encode_answer(answer));
+    connection->send(m_codec->encode_answer(answer).value());
 }
 
 process_cluster::process_cluster()
