--- a/src/gateway/internal/server_call.cpp
+++ b/src/gateway/internal/server_call.cpp
@@ -72,6 +72,10 @@
         m_answer.rows.push_back(row->text);
         return;
     }
+    if (std::holds_alternative<sessions::malformed_server_line>(decoded)) {
+        finish({});
+        return;
+    }
     const auto* ready = std::get_if<sessions::ready_line>(&decoded);
     if (ready == nullptr) {
         return;
