--- a/src/gateway/internal/server_call.cpp
+++ b/src/gateway/internal/server_call.cpp
@@ -42,11 +42,20 @@
                                                           net::line_connection::limits{});
     m_connection->set_handlers({[self](std::string_view line) { self->handle_line(line); },
                                 [self](const std::string& /*reason*/) { self->finish({}); }});
-    m_connection->connect(*remote, [self, service, server] {
-        self->m_connection->send(self->m_codec.encode_open({service, "", server}));
+    m_connection->connect(*remote, [self, opening = sessions::open_request{service, "", server}] {
+        self->send(self->m_codec.encode_open(opening));
     });
 }
 
+void server_call::send(const std::optional<std::string>& message)
+{
+    if (!message) {
+        finish({});
+        return;
+    }
+    m_connection->send(*message);
+}
+
 void server_call::handle_line(std::string_view line)
 {
     switch (append(m_answer, m_codec.decode_server_line(line))) {
@@ -54,7 +63,7 @@
     case read_step::opened_again:
         return;
     case read_step::opened:
-        m_connection->send(m_codec.encode_statement({"", m_statement}));
+        send(m_codec.encode_statement({"", m_statement}));
         return;
     case read_step::refused:
         finish({std::nullopt, m_answer.response.code != sessions::response_code::misrouted});
--- a/src/gateway/internal/session_server.h
+++ b/src/gateway/internal/session_server.h
@@ -119,6 +119,7 @@
     void handle_server_line(sessions::connection_number number, std::string_view line);
     void record_unreadable(sessions::connection_number number, std::string_view line);
     void record_repeated_opening(sessions::connection_number number);
+    void answer_malformed(sessions::connection_number number);
     void end_connection(sessions::connection_number number, const std::string& reason,
                         bool is_unreadable = false);
 
