--- a/src/protocol/tests/message_codec_properties_tests.cpp
+++ b/src/protocol/tests/message_codec_properties_tests.cpp
@@ -83,7 +83,7 @@
 {
     // A list of one element, a list and an object without a length, and an object with an empty name.
     for (const std::string& level : {std::string("\x81"), std::string("\x9f"), std::string("\xbf\x60"),
-                                    std::string("\xa1\x60"), std::string("\xc6")}) {
+                                     std::string("\xa1\x60"), std::string("\xc6")}) {
         std::string bytes;
         for (int depth = 0; depth < 100'000; ++depth) {
             bytes += level;
