Refuse a line that is no statement in its turn

A caller that sent a line that is no statement behind an unanswered statement got the refusal as the answer to that statement. The server's answer then counted for the caller's next statement, and the entry host ended with std::out_of_range when the connection was released twice: one caller could end the process for all, and got answers of other statements.

refuse_malformed answered at once and thereby dropped the pending statement. The line now waits with the session's other statements and is refused when its turn comes.

--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -75,14 +75,19 @@
 
 void statement_dispatcher::refuse_malformed(session_number number)
 {
-    if (caller_session* session = m_context.session(number)) {
-        reply_with_code(number, *session, response_code::malformed, "not a statement");
-    }
+    received_statement request;
+    request.received_at = m_context.now;
+    request.is_malformed = true;
+    submit(number, std::move(request));
 }
 
 void statement_dispatcher::handle_request(session_number number, caller_session& session,
                                           const received_statement& request)
 {
+    if (request.is_malformed) {
+        reply_with_code(number, session, response_code::malformed, "not a statement");
+        return;
+    }
     if (!authorize(session, request)) {
         refuse_unauthorized(number, session);
         return;
--- a/src/sessions/tests/session_tests.cpp
+++ b/src/sessions/tests/session_tests.cpp
@@ -598,6 +598,20 @@
     const send_statement sent = run_until_statement_sent();
     EXPECT_EQ(server_of(sent.connection), "second");
 }
+/// Guards against a refusal that is taken for the answer to the statement before it.
+TEST_F(session_fixture, malformed_line_behind_an_unanswered_statement_is_refused_in_its_turn)
+{
+    const session_number session = open("ledger");
+    submit(session, make_statement(statement_kind::read, "READ 1"));
+    const connection_number connection = run_until_statement_sent().connection;
+    apply_event(malformed_statement_received{session});
+    EXPECT_TRUE(take_effects<send_response>().empty());
+    respond_done(connection);
+    const auto responses = take_effects<send_response>();
+    ASSERT_EQ(responses.size(), 2U);
+    EXPECT_EQ(responses[0].response.code, response_code::done);
+    EXPECT_EQ(responses[1].response.code, response_code::malformed);
+}
 
 class primary_use_log_fixture : public session_fixture
 {
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -107,6 +107,8 @@
     /// For a statement relayed by another entry host: the time left until its deadline there, if it was
     /// named.
     std::optional<milliseconds> remaining_time{};
+    /// The line was not a valid statement. It is refused in its turn.
+    bool is_malformed = false;
 
     friend bool operator==(const received_statement&, const received_statement&) = default;
 };
