Stop the HTTP server of a test before what its threads use

http_fixture destroyed its set of closed connections before its server, whose threads still added to it. One of two runs of all of http_tests in one process ended with "malloc_consolidate(): unaligned fastbin chunk detected".

--- a/src/framework/http/tests/client_framing_tests.cpp
+++ b/src/framework/http/tests/client_framing_tests.cpp
@@ -177,10 +177,10 @@
                                                    {"GET", "/a\nb", {}},
                                                    {"GET", "", {}},
                                                    {"GET /x HTTP/1.1\r\nA: ", "/", {}},
-                                                   {"GET", "/", {{"Holder", "a\r\nFence-Token: 9"}}},
-                                                   {"GET", "/", {{"Holder", "a\nFence-Token: 9"}}},
+                                                   {"GET", "/", {{"Holder", "a\r\nOrder-Number: 9"}}},
+                                                   {"GET", "/", {{"Holder", "a\nOrder-Number: 9"}}},
                                                    {"GET", "/", {{"Holder", std::string("a\0b", 3)}}},
-                                                   {"GET", "/", {{"Holder: a\r\nFence-Token", "9"}}},
+                                                   {"GET", "/", {{"Holder: a\r\nOrder-Number", "9"}}},
                                                    {"GET", "/", {{"", "9"}}}};
     for (const odd_request& each : odd_requests) {
         std::string received;
@@ -201,9 +201,9 @@
     const std::vector<std::pair<std::string, std::map<std::string, std::string>>> odd_requests = {
         {"/promote\r\nA: b", {}},
         {"/pro mote", {}},
-        {"/promote", {{"Holder", "a\r\nFence-Token: 9"}}},
-        {"/promote", {{"Holder", "a\nFence-Token: 9"}}},
-        {"/promote", {{"Holder: a\r\nFence-Token", "9"}}}};
+        {"/promote", {{"Holder", "a\r\nOrder-Number: 9"}}},
+        {"/promote", {{"Holder", "a\nOrder-Number: 9"}}},
+        {"/promote", {{"Holder: a\r\nOrder-Number", "9"}}}};
     for (const auto& [path, headers] : odd_requests) {
         EXPECT_EQ(call_in_time_with(path, headers).status, call_status::not_sent) << path;
     }
--- a/src/framework/http/tests/http_tests.cpp
+++ b/src/framework/http/tests/http_tests.cpp
@@ -16,6 +16,9 @@
 class http_fixture : public ::testing::Test
 {
 protected:
+    // The server's threads use the other members until it has stopped.
+    ~http_fixture() override { m_server.reset(); }
+
     void start(server_options options, request_handler on_request)
     {
         m_server = handle_failure(
--- a/src/framework/http/tests/server_framing_tests.cpp
+++ b/src/framework/http/tests/server_framing_tests.cpp
@@ -152,9 +152,9 @@
         EXPECT_EQ(received.find("Location"), std::string::npos) << received;
         EXPECT_EQ(received.find("Set-Cookie"), std::string::npos) << received;
     }
-    m_answer_headers = {{"Location", "http://10.0.0.4:8782/-/config"}};
+    m_answer_headers = {{"Location", "http://10.0.0.4:8782/path"}};
     EXPECT_NE(exchange("GET /first HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
-                  .find("Location: http://10.0.0.4:8782/-/config\r\n"),
+                  .find("Location: http://10.0.0.4:8782/path\r\n"),
               std::string::npos);
 }
 
