--- a/src/gateway/internal/caller_codec.cpp
+++ b/src/gateway/internal/caller_codec.cpp
@@ -115,8 +115,8 @@
         return invalid_request(
             fmt::format("{}: expected whole milliseconds, {} at most", timeout_header, max_timeout_ms));
     }
-    // Zero on the wire is a deadline that has passed; zero in `caller_request`
-    // means the timeout of the class.
+    // Zero on the wire is a deadline that has passed; zero in `caller_request` means the timeout of the
+    // class.
     decoded.timeout = milliseconds{timeout_ms > 0 ? timeout_ms : -1};
     return {};
 }
@@ -229,8 +229,7 @@
     if (key.size() > max_key_bytes) {
         return invalid_request(fmt::format("{}: longer than {} bytes", key_header, max_key_bytes));
     }
-    // The key stands in messages between hosts, which are UTF-8, and in log
-    // lines.
+    // The key stands in messages between hosts, which are UTF-8, and in log lines.
     if (!is_line_text(key)) {
         return invalid_request(fmt::format("{}: expected {}", key_header, line_text_rule));
     }
