Test transactions in doubt and connections with an open refusal

Cause: two rules could be removed without a failing test.

Change: tests for a BEGIN that is accepted because of a late repeat and then refused (first write, first read, lost refusal), and for which connection reads, writes and transactions take after a refusal.

--- a/src/sessions/tests/repeated_answer_tests.cpp
+++ b/src/sessions/tests/repeated_answer_tests.cpp
@@ -233,6 +233,146 @@
     std::string m_last_id;
 };
 
+/// A transaction whose `BEGIN` is taken for granted because an earlier one is answered again, and then
+/// refused.
+class begin_in_doubt_fixture : public session_fixture
+{
+protected:
+    begin_in_doubt_fixture()
+    {
+        m_view.servers[backend_server_name{"first"}].connection_share = 1;
+        publish();
+        const session_number session = open("ledger");
+        submit(session, make_statement(statement_kind::begin));
+        submit(session, make_statement(statement_kind::read, "READ 1"));
+        m_connection = run_until_statement_sent(transaction_state::open).connection;
+        respond_done(m_connection, transaction_state::open);
+        submit(session, make_statement(statement_kind::commit));
+        respond_done(next_sent_statement().connection);
+        take_effects<send_response>();
+    }
+
+    /// Sends the first statement of another transaction, while its `BEGIN` is unanswered.
+    void start(statement body)
+    {
+        const session_number session = open("ledger");
+        submit(session, make_statement(statement_kind::begin));
+        take_effects<send_response>();
+        submit(session, std::move(body));
+        EXPECT_EQ(next_sent_statement().body.kind, statement_kind::begin);
+        apply_event(
+            response_received{m_connection, {{}, response_code::done, "", transaction_state::open, {}}});
+        EXPECT_EQ(take_effects<send_statement>().size(), 1U);
+    }
+
+    connection_number m_connection = 0;
+};
+
+TEST_F(begin_in_doubt_fixture, refusal_of_the_begin_is_not_a_promise_about_the_first_write)
+{
+    start(make_statement(statement_kind::write, "WRITE 1 a"));
+    respond_error(m_connection, response_code::busy);
+    EXPECT_EQ(next_response().code, response_code::outcome_unknown);
+    EXPECT_FALSE(m_state.connections.contains(m_connection));
+}
+
+TEST_F(begin_in_doubt_fixture, write_that_ran_outside_its_transaction_has_an_unknown_outcome)
+{
+    start(make_statement(statement_kind::write, "WRITE 1 a"));
+    respond_done(m_connection, transaction_state::none);
+    EXPECT_EQ(next_response().code, response_code::outcome_unknown);
+    EXPECT_FALSE(m_state.connections.contains(m_connection));
+}
+
+TEST_F(begin_in_doubt_fixture, result_of_a_read_that_ran_outside_its_transaction_is_discarded)
+{
+    start(make_statement(statement_kind::read, "READ 1"));
+    respond_done(m_connection, transaction_state::none);
+    const statement_response response = next_response();
+    EXPECT_EQ(response.code, response_code::aborted);
+    EXPECT_TRUE(response.rows.empty());
+    EXPECT_TRUE(take_effects<report_suspected_primary>().empty());
+}
+
+TEST_F(begin_in_doubt_fixture, begin_that_was_answered_late_is_followed_by_a_normal_transaction)
+{
+    start(make_statement(statement_kind::write, "WRITE 1 a"));
+    apply_event(response_received{m_connection, {{}, response_code::done, "", transaction_state::open, {}}});
+    EXPECT_TRUE(take_effects<send_response>().empty());
+    respond_done(m_connection, transaction_state::open);
+    EXPECT_EQ(next_response().detail, m_last_signature);
+}
+
+/// A connection on which a refusal may be repeated.
+class open_refusal_fixture : public session_fixture
+{
+protected:
+    /// Lets the primary refuse a read and run it at the second attempt.
+    void refuse_read(std::uint32_t connection_share)
+    {
+        m_view.servers[backend_server_name{"first"}].connection_share = connection_share;
+        publish();
+        submit(open("ledger"), make_statement(statement_kind::read, "READ 1"));
+        m_refused = run_until_statement_sent().connection;
+        respond_error(m_refused, response_code::busy);
+        advance_time(refusal_backoff);
+        const send_statement again = next_sent_statement();
+        EXPECT_EQ(again.connection, m_refused);
+        respond_done(again.connection);
+        take_effects<send_response>();
+    }
+
+    connection_number m_refused = 0;
+};
+
+TEST_F(open_refusal_fixture, write_takes_another_connection)
+{
+    refuse_read(2);
+    submit(open("ledger"), make_statement(statement_kind::write, "WRITE 1 a"));
+    EXPECT_NE(run_until_statement_sent().connection, m_refused);
+    EXPECT_TRUE(m_state.connections.contains(m_refused));
+}
+
+TEST_F(open_refusal_fixture, transaction_replaces_the_connection_when_the_share_is_used_up)
+{
+    refuse_read(1);
+    const session_number session = open("ledger");
+    submit(session, make_statement(statement_kind::begin));
+    submit(session, make_statement(statement_kind::read, "READ 1"));
+    EXPECT_NE(run_until_statement_sent(transaction_state::open).connection, m_refused);
+    EXPECT_FALSE(m_state.connections.contains(m_refused));
+}
+
+TEST_F(open_refusal_fixture, read_takes_the_connection_before_others)
+{
+    refuse_read(2);
+    submit(open("ledger"), make_statement(statement_kind::write, "WRITE 1 a"));
+    respond_done(run_until_statement_sent().connection);
+    submit(open("ledger"), make_statement(statement_kind::read, "READ 1"));
+    EXPECT_EQ(run_until_statement_sent().connection, m_refused);
+}
+
+TEST_F(open_refusal_fixture, write_takes_the_connection_once_the_repeat_has_come)
+{
+    refuse_read(1);
+    respond_error(m_refused, response_code::busy);
+    submit(open("ledger"), make_statement(statement_kind::write, "WRITE 1 a"));
+    EXPECT_EQ(run_until_statement_sent().connection, m_refused);
+}
+
+TEST_F(open_refusal_fixture, second_refusal_of_a_read_moves_it_to_another_connection)
+{
+    refuse_read(1);
+    submit(open("ledger"), make_statement(statement_kind::read, "READ 1"));
+    EXPECT_EQ(run_until_statement_sent().connection, m_refused);
+    respond_error(m_refused, response_code::busy);
+    EXPECT_TRUE(take_effects<send_response>().empty());
+    EXPECT_FALSE(m_state.connections.contains(m_refused));
+    advance_time(refusal_backoff);
+    respond_done(run_until_statement_sent().connection);
+    EXPECT_EQ(next_response().detail, m_last_signature);
+}
+
 class repeated_answer_at_once_fixture
     : public repeated_answer_fixture,
       public ::testing::WithParamInterface<std::tuple<exchange_kind, exchange_kind, bool>>
