Give each answer of the review's servers its own signature

Cause: the stand-in signed every answer of a server alike. By the protocol a signature belongs to one execution, and entry hosts now discard an answer whose signature they have seen on the connection, so that every statement after the first on a connection would have waited until its deadline.

Change: a count is part of the signature. The file passes `g++ -fsyntax-only`; the scripts under review/ were not run.

--- a/review/stand_ins/database_group.cpp
+++ b/review/stand_ins/database_group.cpp
@@ -391,6 +391,12 @@
         return std::to_string(target.log.back().term) + "." + std::to_string(target.log.size());
     }
 
+    /// A signature that no other execution has.
+    std::string sign(const server& target)
+    {
+        return "s." + target.id + "." + std::to_string(++m_last_signature);
+    }
+
     static std::string ready(const server& target) { return "READY I " + position(target) + "\r\n"; }
 
     void serve(server& target, int connection)
@@ -456,7 +462,7 @@
             return run_order(target, word, rest);
         }
         if (word == "READ") {
-            return "ROW " + std::to_string(target.log.size()) + "\r\nDONE s." + target.id + "\r\n" +
+            return "ROW " + std::to_string(target.log.size()) + "\r\nDONE " + sign(target) + "\r\n" +
                    ready(target);
         }
         if (word != "WRITE") {
@@ -469,7 +475,7 @@
         const std::size_t number = target.log.size();
         record("server " + target.id + " runs " + id + " as commit " + position(target));
         m_changed.wait(lock, [&] { return !target.is_running || is_received(target, number); });
-        return target.is_running ? "DONE s." + target.id + "\r\n" + ready(target) : "";
+        return target.is_running ? "DONE " + sign(target) + "\r\n" + ready(target) : "";
     }
 
     bool is_received(const server& primary, std::size_t number) const
@@ -613,6 +619,7 @@
     std::condition_variable m_changed;
     std::map<std::string, std::unique_ptr<server>> m_servers;
     std::uint64_t m_newest_term = 1;
+    std::uint64_t m_last_signature = 0;
     std::set<std::string> m_acknowledged;
     std::atomic<bool> m_is_data_lost{false};
     std::atomic<int> m_promotions{0};
