Run the statements of an emulated session in order

An emulated server gave each statement a time of its own, so that a statement could run before the one sent before it on the same connection. A server that the protocol describes has one session a connection; nothing sent so far relied on it, since each statement waited for its answer. An answer that is sent twice lets the next statement follow early, and a read then ran before the PREPARE or SET ahead of it: PINNED for an order that no server has. The stand-in server of the process tests also put a signature into the answers to SET and RESET, which have none.

Change: a session of an emulated server runs one statement at a time; the others wait. The stand-in server answers what is neither read, write, execution nor COMMIT with "DONE -".

--- a/src/soak/emulated_group.h
+++ b/src/soak/emulated_group.h
@@ -138,6 +138,9 @@
     void accept(std::size_t index);
     void handle_message(const std::shared_ptr<session>& client, const std::string& message);
     void handle_statement(const std::shared_ptr<session>& client, const platform::statement_message& request);
+    void run_next_statement(const std::shared_ptr<session>& client);
+    /// The session's statement has been answered, or will not be.
+    void end_statement(const std::shared_ptr<session>& client);
     void handle_control_statement(const std::shared_ptr<session>& client,
                                   const sessions::statement& statement);
     /// Returns the error that rejects a statement before it runs; empty when it may run.
--- a/src/soak/internal/emulated_group.cpp
+++ b/src/soak/internal/emulated_group.cpp
@@ -53,6 +53,9 @@
     bool is_read_only = false;
     bool has_failed = false;
     std::vector<std::string> writes;
+    /// A session runs one statement at a time; the others wait.
+    std::deque<platform::statement_message> waiting;
+    bool is_running = false;
 };
 
 emulated_group::emulated_group(asio::io_context& context, std::string name, consistency_checker& checker,
@@ -279,16 +282,34 @@
         return;
     }
     m_checker.record_received(request->id, request->body, local_server.name);
+    client->waiting.push_back(*request);
+    run_next_statement(client);
+}
+
+void emulated_group::run_next_statement(const std::shared_ptr<session>& client)
+{
+    if (client->is_running || client->waiting.empty()) {
+        return;
+    }
+    client->is_running = true;
+    const platform::statement_message request = client->waiting.front();
+    client->waiting.pop_front();
     auto timer = std::make_shared<asio::steady_timer>(m_context);
     std::uniform_int_distribution<int> statement_time(min_statement_time_ms, max_statement_time_ms);
     timer->expires_after(milliseconds{statement_time(m_random)});
-    timer->async_wait([this, client, request = *request, timer](const boost::system::error_code& error) {
+    timer->async_wait([this, client, request, timer](const boost::system::error_code& error) {
         if (!error && !client->is_ended) {
             handle_statement(client, request);
         }
     });
 }
 
+void emulated_group::end_statement(const std::shared_ptr<session>& client)
+{
+    client->is_running = false;
+    run_next_statement(client);
+}
+
 void emulated_group::handle_statement(const std::shared_ptr<session>& client,
                                       const platform::statement_message& request)
 {
@@ -435,7 +456,11 @@
                                  bool has_run)
 {
     server& local_server = m_servers[client->index];
-    if (client->is_ended || millisecond_clock::now() < local_server.unresponsive_until) {
+    if (client->is_ended) {
+        return false;
+    }
+    end_statement(client);
+    if (millisecond_clock::now() < local_server.unresponsive_until) {
         return false;
     }
     const bool is_lost =
@@ -568,7 +593,9 @@
             each.reached_successor_at && now - *each.reached_successor_at < step_down_time;
         if (reaches_primary && !continues_as_primary) {
             each.is_primary = false;
-            each.pending_commits.clear();
+            for (const pending_commit& unanswered : std::exchange(each.pending_commits, {})) {
+                end_statement(unanswered.client);
+            }
             each.term = primary->term;
             synchronize_log(each.log, primary->log);
             each.applied_length = std::min(each.applied_length, each.log.size());
--- a/src/soak/tests/emulated_group_tests.cpp
+++ b/src/soak/tests/emulated_group_tests.cpp
@@ -304,4 +304,19 @@
     EXPECT_TRUE(m_checker.violations().empty());
 }
 
+TEST_F(emulated_group_fixture, statements_of_a_session_run_in_the_order_of_their_arrival)
+{
+    raw_server_session session(m_context, m_group.announcements()[first].port);
+    session.send("START orders");
+    session.wait_for_messages(1);
+    for (int round = 0; round < 10; ++round) {
+        session.messages.clear();
+        session.send("QUERY - BEGIN READ");
+        session.send("QUERY - ROLLBACK");
+        session.wait_for_messages(4);
+        EXPECT_EQ(session.messages,
+                  (std::vector<std::string>{"DONE -", "READY T 1.1", "DONE -", "READY I 1.1"}));
+    }
+}
+
 } // namespace hickorymount::soak
--- a/src/soak/tests/process_cluster.cpp
+++ b/src/soak/tests/process_cluster.cpp
@@ -221,8 +221,13 @@
 sessions::statement_response stand_in_server::answer_to(const platform::statement_message& request)
 {
     const statement_kind kind = request.body.kind;
-    sessions::statement_response answer{
-        {}, response_code::done, "7." + request.id, transaction_state::none, server_position};
+    const bool has_signature = kind == statement_kind::read || kind == statement_kind::write ||
+                               kind == statement_kind::execute || kind == statement_kind::commit;
+    sessions::statement_response answer{{},
+                                        response_code::done,
+                                        has_signature ? "7." + request.id : "-",
+                                        transaction_state::none,
+                                        server_position};
     if (kind == statement_kind::status) {
         answer.rows = {platform::write_status({true, server_position})};
         return answer;
