End the lines of the review's stand-in at CR LF only

Change: line_reader ends lines at CR LF, and keeps any other CR or LF.

Evidence: the stand-in compiles (g++ -std=c++20 -fsyntax-only). No play of a review script has been run with it yet.

--- a/review/stand_ins/database_group.cpp
+++ b/review/stand_ins/database_group.cpp
@@ -132,7 +132,7 @@
     return true;
 }
 
-/// Reads lines that end with CR LF.
+/// Reads lines, which end at CR LF only.
 class line_reader
 {
 public:
@@ -141,13 +141,10 @@
     std::optional<std::string> next()
     {
         for (;;) {
-            const std::size_t end = m_bytes.find('\n');
+            const std::size_t end = m_bytes.find("\r\n");
             if (end != std::string::npos) {
                 std::string line = m_bytes.substr(0, end);
-                m_bytes.erase(0, end + 1);
-                if (!line.empty() && line.back() == '\r') {
-                    line.pop_back();
-                }
+                m_bytes.erase(0, end + 2);
                 return line;
             }
             char block[4096];
