--- a/src/gateway/tests/server_call_tests.cpp
+++ b/src/gateway/tests/server_call_tests.cpp
@@ -47,15 +47,21 @@
     {
         return std::nullopt;
     }
-    std::string encode_open(const sessions::open_request& /*request*/) const override { return "START\r\n"; }
-    std::string encode_statement(const sessions::statement_request& /*request*/) const override
+    std::optional<std::string> encode_open(const sessions::open_request& /*request*/) const override
+    {
+        return "START\r\n";
+    }
+    std::optional<std::string> encode_statement(const sessions::statement_request& /*request*/) const override
     {
         return "QUERY\r\n";
     }
     std::string encode_ready(const sessions::ready_line& /*ready*/) const override { return ""; }
     std::string encode_status(const sessions::server_status& /*status*/) const override { return ""; }
     std::string encode_refusal(const sessions::error_line& /*refusal*/) const override { return ""; }
-    std::string encode_answer(const sessions::statement_response& /*response*/) const override { return ""; }
+    std::optional<std::string> encode_answer(const sessions::statement_response& /*response*/) const override
+    {
+        return "";
+    }
 };
 
 } // namespace
