Keep a transaction failed after a write of unknown outcome

A caller that had sent statements ahead in a transaction whose BEGIN was in doubt could have later writes commit by themselves: when the first write got no certain answer, the transaction was dropped, so that the next statements counted as single ones. Found by review, before any landing.

The transaction now stays and has failed, so that what follows in it is refused; its COMMIT is told UNKNOWN, since the first write may have been committed outside of it. Such a write, while unanswered, no longer counts as a stalled commit, by which hosts together replace a primary. The id in the log line about it is written as one value, like all others.

--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -119,9 +119,11 @@
             reply_with_code(number, session, response_code::malformed, "the transaction has failed");
             return true;
         }
+        const response_code commit_code =
+            session.transaction->is_outcome_unknown ? response_code::outcome_unknown : response_code::aborted;
         end_transaction(session);
         reply_with_code(number, session,
-                        body.kind == statement_kind::commit ? response_code::aborted : response_code::done,
+                        body.kind == statement_kind::commit ? commit_code : response_code::done,
                         body.kind == statement_kind::commit ? "the transaction has failed" : "");
         return true;
     }
@@ -419,9 +421,9 @@
     caller_session* session = connection.holder == 0 ? nullptr : m_context.session(connection.holder);
     if (session != nullptr && has_run_outside(connection, *session, response)) {
         session->pending->may_run_outside = session->pending->request.body.kind != statement_kind::read;
-        m_context.log(
-            logging::log_level::warning, "statement_outside_transaction", connection.server.value,
-            fmt::format("id={} group={} link={}", session->pending->request.id, group.value, number));
+        m_context.log(logging::log_level::warning, "statement_outside_transaction", connection.server.value,
+                      fmt::format("id={} group={} link={}", logging::value(session->pending->request.id),
+                                  group.value, number));
         close_untrusted(number, "the statement ran outside its transaction");
         return;
     }
@@ -568,8 +570,11 @@
         report_aborted(number, session, reason);
         return;
     case response_action::report_outcome_unknown:
-        if (session.transaction) {
+        if (session.transaction && pending.request.body.kind == statement_kind::commit) {
             end_transaction(session);
+        } else if (session.transaction) {
+            fail_transaction(session);
+            session.transaction->is_outcome_unknown = true;
         }
         reply_with_code(number, session, response_code::outcome_unknown, reason);
         return;
--- a/src/sessions/internal/statement_timeouts.cpp
+++ b/src/sessions/internal/statement_timeouts.cpp
@@ -173,7 +173,7 @@
         suspect_if_primary(connection, "a statement is unanswered");
     }
     const statement_scope scope = scope_of(session);
-    const bool is_commit = commits_writes(scope);
+    const bool is_commit = commits_writes(scope) && !pending.may_run_outside;
     if (is_commit && m_context.now - pending.sent_at >= stalled_commit_timeout) {
         suspect_if_primary(connection, "a commit is unanswered", true);
     }
--- a/src/sessions/types.h
+++ b/src/sessions/types.h
@@ -124,6 +124,8 @@
     bool has_run = false;
     bool has_written = false;
     bool is_failed = false;
+    /// One of its writes may have been committed outside of it.
+    bool is_outcome_unknown = false;
     /// The transaction has been counted as an operation of its customer.
     bool is_counted = false;
     /// The proxy ended the transaction because it was idle, and the caller has not been told yet.
