Use refusals that can't be mistaken, and those of reads, as before

Found by review.

A refusal of a read, or of a statement before the caller's, counts as usual even if it is ambiguous, since what it leads to is right in either case; its connection is still closed.

--- a/src/sessions/internal/answer_match.cpp
+++ b/src/sessions/internal/answer_match.cpp
@@ -71,14 +71,17 @@
 
 answer_origin match_refusal(answer_history& history, const answer_expectation& expected, response_code code)
 {
+    // By the protocol, statements whose answers have no signature take no slot, so that none is refused as
+    // busy.
+    const bool may_be_due = history.doubt > 0 && code != response_code::busy;
     if (expected.kind == expected_answer::nothing) {
-        const bool is_repeat = history.doubt == 0 && history.refusals.erase(code) > 0;
+        const bool is_repeat = !may_be_due && history.refusals.erase(code) > 0;
         return is_repeat ? answer_origin::repeat : answer_origin::foreign;
     }
     if (expected.is_answered_once) {
         return answer_origin::own;
     }
-    if (history.doubt > 0 || !history.refusals.insert(code).second) {
+    if (may_be_due || !history.refusals.insert(code).second) {
         return answer_origin::ambiguous;
     }
     return answer_origin::own;
--- a/src/sessions/internal/reduce.cpp
+++ b/src/sessions/internal/reduce.cpp
@@ -84,12 +84,15 @@
         connection->answers = std::move(match.history);
         if (match.origin != answer_origin::own) {
             record_unexpected(answered, *connection, match.origin);
+            m_connections.record_sign_of_life(connection->server);
         }
         if (match.origin == answer_origin::repeat) {
             return;
         }
-        if (match.origin != answer_origin::own) {
-            m_dispatcher.close_untrusted(answered.connection, "an answer that may be another statement's");
+        if (match.origin == answer_origin::ambiguous) {
+            m_dispatcher.handle_ambiguous_refusal(answered.connection, answered.response);
+        } else if (match.origin == answer_origin::foreign) {
+            m_dispatcher.close_untrusted(answered.connection, "an answer to no statement of the connection");
         } else if (connection->internal_statement) {
             m_dispatcher.handle_internal_response(answered.connection, answered.response);
         } else {
--- a/src/sessions/internal/statement_dispatcher.cpp
+++ b/src/sessions/internal/statement_dispatcher.cpp
@@ -365,7 +365,7 @@
         advance(number, *session);
         return;
     }
-    handle_internal_failure(number, holder, *session, response);
+    handle_internal_failure(number, holder, *session, response, true);
     dispatch_after(group, is_relay);
 }
 
@@ -381,10 +381,11 @@
     return session.pending->needs_primary && !connection.is_relay && !has_started && !is_usable;
 }
 
-/// Handles an internal statement that failed and so kept the caller's statement from being sent.
+/// Handles an internal statement that failed and so kept the caller's statement from being sent. If the
+/// refusal may be another statement's (`is_own` is false), the connection is closed.
 void statement_dispatcher::handle_internal_failure(connection_number number, session_number holder,
                                                    caller_session& session,
-                                                   const statement_response& response)
+                                                   const statement_response& response, bool is_own)
 {
     server_connection& connection = *m_context.connection(number);
     const backend_server_name server = connection.server;
@@ -397,7 +398,7 @@
     m_selector.record_response(connection, response.code);
     record_refusal(*session.pending, server, response.code);
     // A failed begin leaves the connection unchanged. After any other failure its variables are unknown.
-    if (is_begin && response.state == transaction_state::none) {
+    if (is_begin && is_own && response.state == transaction_state::none) {
         m_connections.release(number);
     } else {
         m_connections.close(number);
@@ -487,6 +488,38 @@
     end_work_on(number, connection, reason);
 }
 
+void statement_dispatcher::handle_ambiguous_refusal(connection_number number,
+                                                    const statement_response& response)
+{
+    const server_connection connection = *m_context.connection(number);
+    const session_number holder = connection.holder;
+    caller_session* session = holder == 0 ? nullptr : m_context.session(holder);
+    if (session == nullptr || !session->pending || session->pending->connection != number) {
+        close_untrusted(number, "a refusal that may be another statement's");
+        return;
+    }
+    if (connection.internal_statement) {
+        handle_internal_failure(number, holder, *session, response, false);
+        dispatch_after(connection.group, connection.is_relay);
+        return;
+    }
+    const bool runs_again = scope_of(*session) == statement_scope::single_read &&
+                            choose_action(statement_scope::single_read, response.code, false) ==
+                                response_action::try_another_server;
+    if (!runs_again) {
+        close_untrusted(number, "a refusal that may be another statement's");
+        return;
+    }
+    // A read may run again whether or not the refusal is its own, so the refusal counts as usual.
+    m_selector.record_response(connection, response.code);
+    m_connections.back_off(connection.server);
+    record_finished(*session->pending, response.code);
+    record_refusal(*session->pending, connection.server, response.code);
+    m_connections.close(number);
+    resolve(holder, *session, response, "");
+    dispatch_after(connection.group, connection.is_relay);
+}
+
 /// Ends or requeues the work of a connection that is gone.
 void statement_dispatcher::end_work_on(connection_number number, const server_connection& closed,
                                        const std::string& reason)
--- a/src/sessions/internal/statement_dispatcher.h
+++ b/src/sessions/internal/statement_dispatcher.h
@@ -36,6 +36,8 @@
     /// responds, so it is not suspected.
     void handle_connection_loss(connection_number connection, const std::string& reason,
                                 bool is_unreadable = false);
+    /// Handles a refusal that may be a repeat, or that of an earlier statement. The connection is closed.
+    void handle_ambiguous_refusal(connection_number connection, const statement_response& response);
     /// Closes a connection whose answers can't be told apart. Its server is neither counted as lost nor
     /// suspected.
     void close_untrusted(connection_number connection, const std::string& reason);
@@ -99,7 +101,7 @@
     void trace_primary_use(const server_connection& connection, const pending_statement& pending);
 
     void handle_internal_failure(connection_number number, session_number holder, caller_session& session,
-                                 const statement_response& response);
+                                 const statement_response& response, bool is_own);
     void requeue_or_abort(session_number number, caller_session& session, const std::string& reason);
     void requeue(session_number number, caller_session& session, const std::string& reason);
     void report_aborted(session_number number, caller_session& session, const std::string& reason);
