Name the needed position in the first read of a transaction in doubt

When a late repeat is taken for the answer to BEGIN READ, and the replica then refuses it because it lags, the read behind it ran outside the transaction on an old log; its answer was discarded, but the server had run it. It now names the position that the BEGIN named, so that the replica refuses it as well.

Also from the review: what a server sends beside its answers keeps it from counting as silent; a connection that only serves reads is closed for another one only while none is being opened; and the search for an idle connection ends at the first one that fits.

--- a/src/sessions/internal/connection_pool.cpp
+++ b/src/sessions/internal/connection_pool.cpp
@@ -89,7 +89,7 @@
             best = number;
             best_mismatch = found;
         }
-        if (found == 0) {
+        if (found == (is_single_read ? 0 : 1)) {
             break;
         }
     }
@@ -146,7 +146,8 @@
             !least_recent || connection.idle_since < m_context.state.connections.at(*least_recent).idle_since;
         const bool is_protected = connection.sent_at == time_point{} &&
                                   m_context.now - connection.idle_since < unused_connection_protection;
-        const bool is_unusable = connection.customer != customer || has_open_refusal(connection);
+        const bool is_unusable = connection.customer != customer ||
+                                 (has_open_refusal(connection) && load.opening_connections == 0);
         if (is_unusable && is_earlier && !is_protected) {
             least_recent = number;
         }
@@ -248,11 +249,21 @@
         const caller_session& session = m_context.state.sessions.at(connection.holder);
         body.name = server_side_name(session.prepared_statements.at(body.name));
     }
-    const bool is_first_read = !connection.is_in_transaction && pending.is_read_only;
-    m_context.emit(send_statement{
-        number, pending.request.id, std::move(body), is_first_read ? pending.minimum_position : std::nullopt,
-        changed_caller(connection, m_context.state.sessions.at(connection.holder)),
-        connection.is_relay ? remaining_time_to_name(pending, m_context.now) : std::nullopt});
+    // While it is in doubt whether the transaction was begun, a read may run outside of it.
+    const bool may_run_outside = !connection.is_in_transaction || connection.answers.doubt > 0;
+    m_context.emit(
+        send_statement{number, pending.request.id, std::move(body),
+                       may_run_outside && pending.is_read_only ? pending.minimum_position : std::nullopt,
+                       changed_caller(connection, m_context.state.sessions.at(connection.holder)),
+                       connection.is_relay ? remaining_time_to_name(pending, m_context.now) : std::nullopt});
+}
+
+void connection_pool::record_sign_of_life(const backend_server_name& server)
+{
+    server_health& health = m_context.state.server_loads[server].health;
+    if (health.waiting_since) {
+        health.waiting_since = m_context.now;
+    }
 }
 
 void connection_pool::apply_internal_result(server_connection& connection)
--- a/src/sessions/internal/connection_pool.h
+++ b/src/sessions/internal/connection_pool.h
@@ -46,6 +46,9 @@
     /// transaction and prepared statements. Returns false when the connection is ready.
     bool prepare(connection_number number, const caller_session& session, const pending_statement& pending);
 
+    /// Records that the server has sent something, so that it does not count as silent.
+    void record_sign_of_life(const backend_server_name& server);
+
     /// Sends the caller's statement.
     void send_pending(connection_number number, const pending_statement& pending);
 
