--- a/src/framework/http/tests/raw_peer.cpp
+++ b/src/framework/http/tests/raw_peer.cpp
@@ -3,6 +3,7 @@
 #include <array>
 
 #include <arpa/inet.h>
+#include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -51,7 +52,7 @@
 {
     const int socket_fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const sockaddr_in address = loopback(port);
-    ::connect(socket_fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    EXPECT_EQ(::connect(socket_fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)), 0);
     return socket_fd;
 }
 
@@ -91,7 +92,7 @@
 {
     sockaddr_in address = loopback(0);
     socklen_t size = sizeof(address);
-    ::bind(m_listener, reinterpret_cast<const sockaddr*>(&address), size);
+    EXPECT_EQ(::bind(m_listener, reinterpret_cast<const sockaddr*>(&address), size), 0);
     ::listen(m_listener, 4);
     ::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size);
     m_port = ::ntohs(address.sin_port);
