--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the second review's scripts into target/review-2. Needs g++ only.
+set -eu
+ROOT=$(cd "$(dirname "$0")/.." && pwd)
+SOURCES="$ROOT/review/stand_ins_2"
+OUT="$ROOT/target/review-2"
+mkdir -p "$OUT"
+g++ -std=c++20 -O1 -c -o "$OUT/deployment.o" "$SOURCES/deployment.cpp"
+for name in foreign_database older_relay leaving_reader; do
+    g++ -std=c++20 -O1 -o "$OUT/$name" "$SOURCES/$name.cpp" "$OUT/deployment.o" -pthread
+done
